--- /dev/null
+++ b/endpoint/endpoint.go
@@ -0,0 +1,106 @@
+// Package endpoint is the seam to the back ends: model engines and plain
+// services. Only package dispatch calls Start; everything else here is safe to
+// call at any time.
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+var (
+	// ErrNotDispatched means that not one byte of the request was sent.
+	ErrNotDispatched = errors.New("endpoint: not dispatched")
+	// ErrRefused means that the endpoint answered that it did not and will not run
+	// the request. It has been dispatched all the same.
+	ErrRefused = errors.New("endpoint: refused")
+	// ErrBroken means that the stream ended before the answer did; the endpoint may
+	// still be running the request.
+	ErrBroken = errors.New("endpoint: stream broken")
+	// ErrStreamNotFound means that the engine does not know the stream.
+	ErrStreamNotFound = errors.New("endpoint: stream not found")
+)
+
+// EngineRequest is a request to a model engine.
+type EngineRequest struct {
+	// Key is the request's unique name; engines log it and name the stream by it.
+	Key string
+	// Body is the caller's JSON body, with "stream" set to true.
+	Body []byte
+}
+
+// Event is one server-sent event of an engine's stream. Offset counts from 0.
+type Event struct {
+	Offset uint64
+	Data   []byte
+}
+
+// Stream reads the events of an answer. Next returns io.EOF after the last one,
+// ErrBroken (wrapped) if the stream ends early.
+type Stream interface {
+	Next(ctx context.Context) (Event, error)
+	Close() error
+}
+
+// Engine is a model engine.
+type Engine interface {
+	// Start dispatches the request. After any error but ErrNotDispatched it counts
+	// as dispatched.
+	Start(ctx context.Context, request EngineRequest) (Stream, error)
+	// Resume continues a stream from an offset, or returns ErrStreamNotFound.
+	Resume(ctx context.Context, key string, from uint64) (Stream, error)
+	// Cancel ends the stream and frees its place. Cancelling twice is harmless.
+	Cancel(ctx context.Context, key string) error
+	// Load returns the engine's own report, already stale when it arrives.
+	Load(ctx context.Context) (LoadReport, error)
+	// CacheEvents returns prompt-cache events after the given sequence number;
+	// they come late and with gaps.
+	CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error)
+}
+
+// LoadReport is an engine's own account of its load. Age is how old it says it is.
+type LoadReport struct {
+	Running      int           `json:"running"`
+	Waiting      int           `json:"waiting"`
+	KVTokensUsed int           `json:"kv_tokens_used"`
+	KVTokens     int           `json:"kv_tokens"`
+	Age          time.Duration `json:"age_ns"`
+	Leaving      bool          `json:"leaving"`
+}
+
+// CacheEvent tells that a prefix block was stored or evicted. Block is the hash
+// that package prefix computes.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Block    uint64 `json:"block"`
+	Stored   bool   `json:"stored"`
+}
+
+// ServiceRequest is a call to a plain service.
+type ServiceRequest struct {
+	Key    string
+	Method string
+	// Path includes the query and begins with "/".
+	Path   string
+	Header http.Header
+	Body   io.Reader
+	// Length is the body's length in bytes, -1 if unknown.
+	Length int64
+}
+
+// ServiceResponse is a plain service's answer; the body must be closed.
+type ServiceResponse struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Service is an instance of a plain service.
+type Service interface {
+	// Call dispatches the call. After any error but ErrNotDispatched it counts as
+	// dispatched.
+	Call(ctx context.Context, request ServiceRequest) (ServiceResponse, error)
+}
