--- /dev/null
+++ b/capacity/chooser.go
@@ -0,0 +1,87 @@
+package capacity
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+// EndpointState is what an owner knows exactly of an endpoint, because it
+// granted it. Only the owner changes it; a Chooser reads it and may keep its own
+// state in Learned.
+type EndpointState struct {
+	ID domain.EndpointID
+	// Row is the endpoint's row in the configuration in force.
+	Row *config.EndpointRow
+	// Requests counts grants held.
+	Requests int
+	// PromptTokens and AnswerTokens sum the estimates of the grants held, less the
+	// answer tokens that their holders reported.
+	PromptTokens int
+	AnswerTokens int
+	// PrefillTokens is the part of PromptTokens whose holders have not reported an
+	// answer token yet.
+	PrefillTokens int
+	// Leaving is true if the endpoint takes no new grants.
+	Leaving bool
+	// Learned belongs to the Chooser. It is nil at first, and lives as long as this
+	// node owns the endpoint's pool.
+	Learned any
+}
+
+// Waiting is an ask with its instants on the owner's clock.
+type Waiting struct {
+	Ask     *Ask
+	Arrived time.Time
+	// FirstTokenDue is zero if there is no aim for the first token.
+	FirstTokenDue time.Time
+	// Due is the instant at which the answer must be complete.
+	Due time.Time
+	// Pressing is true if the ask would be refused if it is not placed now: the
+	// Chooser must then take the best candidate and not wait for a better one.
+	Pressing bool
+}
+
+// Forecast is the time that an endpoint would need for an ask, from dispatch.
+type Forecast struct {
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// Chooser decides which endpoint serves an ask. Each pool group that this node
+// owns has a Chooser of its own, and the owner makes its calls one at a time.
+// All methods must return quickly, without I/O, and must not keep the slices or
+// pointers that they are given, but for the strings in them.
+type Chooser interface {
+	// Admit refuses an ask that must not be served at all, with ErrQuarantined. It
+	// is called once when the ask arrives.
+	Admit(now time.Time, ask *Ask) error
+	// Choose returns the index of the candidate to use. All candidates serve the
+	// ask's pool, are not leaving and have room for the ask; there is at least one.
+	// ok is false if the ask had better wait; it is then passed over until a place
+	// is freed or some time has gone by.
+	Choose(now time.Time, waiting *Waiting, candidates []*EndpointState) (index int, ok bool)
+	// Granted tells that the ask now holds a place at the endpoint, by this owner's
+	// choice or, after a change of owner, by another's.
+	Granted(now time.Time, endpoint *EndpointState, ask *Ask)
+	// Forecast estimates the ask's time at the endpoint as it is loaded now. Zero
+	// values mean that nothing is known; the owner then refuses nothing for them.
+	Forecast(now time.Time, endpoint *EndpointState, ask *Ask) Forecast
+	// Observe tells how a grant ended. The endpoint's state no longer contains it.
+	// After a change of owner only the fields that the holder repeats are known of
+	// the ask: Name, Pool, Organisation, Tier, PromptTokens, AnswerTokens, Blocks
+	// and Fingerprint.
+	Observe(now time.Time, endpoint *EndpointState, ask *Ask, result Result)
+}
+
+// Reporter is a Chooser that uses what the endpoints say of themselves. The node
+// that owns an endpoint reads its reports and hands them on by Service.Report and
+// Service.CacheEvents.
+type Reporter interface {
+	// Report takes an endpoint's own account of its load, already stale.
+	Report(now time.Time, endpoint *EndpointState, report endpoint.LoadReport)
+	// CacheEvents takes prompt-cache events, late and with gaps.
+	CacheEvents(now time.Time, endpoint *EndpointState, events []endpoint.CacheEvent)
+}
