--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+)
+
+const minimal = `
+node = "palermo-1"
+data_centre = "palermo"
+peers.plain = true
+platform.store = "http://127.0.0.1:2379"
+platform.host_list = "http://127.0.0.1:2380"
+`
+
+func TestParseMinimal(t *testing.T) {
+	s, err := Parse(minimal)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Listen.Callers, "127.0.0.1:8080")
+	assert.Equal(t, s.Retention.Window.Duration, 10*time.Minute)
+}
+
+func TestParseProblems(t *testing.T) {
+	cases := []struct {
+		name, text string
+		fields     []string
+	}{
+		{"empty", ``, []string{"node", "data_centre", "platform.store", "platform.host_list", "peers.tls"}},
+		{"unknown field", minimal + "nodes = 7\n", []string{"nodes"}},
+		{"bad name", minimal + "[[peers.seeds]]\nnode = \"Ü\"\ndata_centre = \"palermo\"\naddress = \"localhost:1\"\n",
+			[]string{"peers.seeds[0].node", "peers.seeds[0].address"}},
+		{"plain beyond loopback", minimal + "listen.peers = \"192.0.2.1:7000\"\n", []string{"peers.plain"}},
+		{"key hash", minimal + "operators.key_hashes = [\"secret\"]\n", []string{"operators.key_hashes[0]"}},
+		{"numbers", minimal + "callers.max_body_bytes = 0\nplatform.calls_per_second = -1.0\n",
+			[]string{"platform.calls_per_second", "callers.max_body_bytes"}},
+		{"log", minimal + "log.level = \"loud\"\n", []string{"log.level"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse(test.text)
+			var problems Problems
+			assert.Assert(t, errors.As(err, &problems), "%v", err)
+			var fields []string
+			for _, problem := range problems {
+				fields = append(fields, problem.Field)
+			}
+			assert.DeepEqual(t, fields, test.fields)
+		})
+	}
+}
+
+func TestSecretsAreNotRepeated(t *testing.T) {
+	_, err := Parse(minimal + "operators.key_hashes = [\"my-plain-key\"]\n")
+	assert.Assert(t, !strings.Contains(err.Error(), "my-plain-key"))
+}
+
+func TestNotTOML(t *testing.T) {
+	_, err := Parse("node = ")
+	assert.ErrorIs(t, err, ErrUnreadable)
+	_, err = Parse("callers.disconnect_grace = \"soon\"")
+	assert.Check(t, is.ErrorContains(err, "not a duration"))
+}
