--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -129,6 +129,8 @@
 	// Models and Services by name.
 	Models   map[string]*ModelRow
 	Services map[string]*ServiceRow
+	// OnceRules tells by service name which calls may not be repeated.
+	OnceRules map[string]OnceRules
 }
 
 // View gives the snapshot in force without locking; nil before the first one.
