Sizing: constants, fitted slopes, formulas and the page that follows from them

Cause: the design size needs sums that a reader can follow from a command to a slope to a limit. The page stands with its formulas; its slopes are listed as not measured until their benchmarks have run. A test renders the page anew and fails on any difference, on a slope with fewer than three sizes, on an assumed figure without its mark and on a bare number in a formula.

--- /dev/null
+++ b/cmd/hawthornrill-sizing/main.go
@@ -0,0 +1,110 @@
+// Command hawthornrill-sizing fits slopes to benchmark output and works out the
+// tables of docs/CAPACITY.md.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"hawthornrill.example/hawthornrill/buildinfo"
+	"hawthornrill.example/hawthornrill/sizing"
+)
+
+const usage = `usage:
+  go test -run '^$' -bench BenchmarkSlope -count 3 ./... | hawthornrill-sizing fit [-in FILE] [-out docs/capacity.toml]
+        fit the slopes of the constants file anew to benchmark output
+  hawthornrill-sizing page [-constants docs/capacity.toml] [-out docs/CAPACITY.md]
+        work out the tables of the page from the constants
+  hawthornrill-sizing -version
+`
+
+const (
+	constantsPath = "docs/capacity.toml"
+	pagePath      = "docs/CAPACITY.md"
+	exitBadInput  = 2
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitBadInput)
+	}
+}
+
+func run(args []string) error {
+	command := ""
+	if len(args) > 0 {
+		command, args = args[0], args[1:]
+	}
+	switch command {
+	case "fit":
+		return fit(args)
+	case "page":
+		return page(args)
+	case "-version", "--version":
+		fmt.Println(buildinfo.String())
+		return nil
+	case "-h", "--help", "help":
+		fmt.Print(usage)
+		return nil
+	default:
+		return fmt.Errorf("unknown command %q\n%s", command, usage)
+	}
+}
+
+func fit(args []string) error {
+	flags := flag.NewFlagSet("fit", flag.ContinueOnError)
+	in := flags.String("in", "-", "`file` with the output of go test -bench, - for standard input")
+	out := flags.String("out", constantsPath, "constants `file` to update")
+	if err := parse(flags, args); err != nil {
+		return done(err)
+	}
+	source, err := open(*in)
+	if err != nil {
+		return err
+	}
+	defer source.Close()
+	fitted, err := sizing.FitFile(*out, source, time.Now())
+	fmt.Printf("fitted: %s\n", strings.Join(fitted, " "))
+	return err
+}
+
+func page(args []string) error {
+	flags := flag.NewFlagSet("page", flag.ContinueOnError)
+	constants := flags.String("constants", constantsPath, "constants `file`")
+	out := flags.String("out", pagePath, "page to update, Markdown `file` with markers")
+	if err := parse(flags, args); err != nil {
+		return done(err)
+	}
+	return sizing.RenderFile(*constants, *out)
+}
+
+func parse(flags *flag.FlagSet, args []string) error {
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if flags.NArg() > 0 {
+		return fmt.Errorf("unexpected argument %q", flags.Arg(0))
+	}
+	return nil
+}
+
+// done makes a request for help no error.
+func done(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return nil
+	}
+	return err
+}
+
+func open(path string) (io.ReadCloser, error) {
+	if path == "-" {
+		return io.NopCloser(os.Stdin), nil
+	}
+	return os.Open(path)
+}
--- /dev/null
+++ b/sizing/derivation.go
@@ -0,0 +1,24 @@
+package sizing
+
+// Derivation names a figure that several formulas use.
+type Derivation struct {
+	Name    string
+	Unit    string
+	Formula Formula
+}
+
+// Derivations returns the derived figures; each may use those before it.
+func Derivations() []Derivation {
+	return []Derivation{
+		{"nodes_per_dc", "nodes", "nodes / data_centres"},
+		{"peers_in_dc", "nodes", "nodes_per_dc - 1"},
+		{"runners_per_dc", "runners", "runners / data_centres"},
+		{"pools", "pools", "models * data_centres"},
+		{"pools_per_node", "pools", "pools / nodes"},
+		{"node_requests", "requests/s", "requests_per_second / nodes"},
+		{"answer_tokens", "tokens", "tokens_per_second / requests_per_second"},
+		{"stream_seconds", "s", "first_token_seconds + answer_tokens * token_gap_seconds"},
+		{"node_streams", "streams", "node_requests * stream_seconds"},
+		{"node_tokens", "tokens/s", "tokens_per_second / nodes"},
+	}
+}
--- /dev/null
+++ b/sizing/measurement.go
@@ -0,0 +1,102 @@
+package sizing
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"golang.org/x/perf/benchfmt"
+)
+
+// Measurement is one line of a benchmark's output.
+type Measurement struct {
+	// Package is the import path's last part below the module.
+	Package string
+	// Benchmark is the name of the benchmark function.
+	Benchmark string
+	// Parts are the "name=value" parts of the sub-benchmark.
+	Parts map[string]string
+	// Metrics are the figures by unit.
+	Metrics map[string]float64
+}
+
+// modulePath precedes the package names in benchmark output.
+const modulePath = "hawthornrill.example/hawthornrill/"
+
+// ReadMeasurements reads the output of go test -bench.
+func ReadMeasurements(r io.Reader) ([]Measurement, error) {
+	var measurements []Measurement
+	reader := benchfmt.NewReader(r, "benchmark output")
+	for reader.Scan() {
+		switch record := reader.Result().(type) {
+		case *benchfmt.Result:
+			measurements = append(measurements, measurementOf(record))
+		case *benchfmt.SyntaxError:
+			return nil, fmt.Errorf("%w: %w", ErrBenchmark, record)
+		}
+	}
+	if err := reader.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBenchmark, err)
+	}
+	return measurements, nil
+}
+
+func measurementOf(r *benchfmt.Result) Measurement {
+	base, parts := r.Name.Parts()
+	m := Measurement{
+		Package:   strings.TrimPrefix(r.GetConfig("pkg"), modulePath),
+		Benchmark: "Benchmark" + string(base),
+		Parts:     make(map[string]string),
+		Metrics:   make(map[string]float64),
+	}
+	for _, part := range parts {
+		name, value, ok := strings.Cut(strings.TrimPrefix(string(part), "/"), "=")
+		if ok {
+			m.Parts[name] = value
+		}
+	}
+	for _, v := range r.Values {
+		m.setMetric(v)
+	}
+	return m
+}
+
+// setMetric keeps the figure as the benchmark reported it, not in the base unit
+// that the reader turns it into.
+func (m Measurement) setMetric(v benchfmt.Value) {
+	if v.OrigUnit != "" {
+		m.Metrics[v.OrigUnit] = v.OrigValue
+		return
+	}
+	m.Metrics[v.Unit] = v.Value
+}
+
+// Point returns the point that the measurement gives to a slope, if it does.
+func (m Measurement) Point(s Slope) (Point, bool) {
+	if m.Package != s.Package || m.Benchmark != s.Benchmark || !m.has(s.Where) {
+		return Point{}, false
+	}
+	size, err := strconv.ParseFloat(m.Parts[s.Axis], 64)
+	if err != nil {
+		return Point{}, false
+	}
+	total, ok := m.Metrics[s.Metric]
+	if !ok {
+		return Point{}, false
+	}
+	if s.Each {
+		total *= size
+	}
+	return Point{Size: size, Total: total}, true
+}
+
+func (m Measurement) has(parts []string) bool {
+	for _, part := range parts {
+		name, value, _ := strings.Cut(part, "=")
+		if m.Parts[name] != value {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/sizing/page_test.go
@@ -0,0 +1,153 @@
+package sizing
+
+import (
+	"go/ast"
+	"go/parser"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	constantsFile = "../docs/capacity.toml"
+	pageFile      = "../docs/CAPACITY.md"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	return string(text)
+}
+
+func TestPageFollowsFromConstants(t *testing.T) {
+	page := read(t, pageFile)
+	rendered, err := Render(strings.NewReader(read(t, constantsFile)), page)
+	assert.NilError(t, err)
+	assert.Equal(t, rendered, page, "run: go run ./cmd/hawthornrill-sizing page")
+}
+
+// The check above must be able to fail: every figure of the constants file that
+// a formula uses shows in the page, and so does every cell that is changed.
+func TestPageCheckFails(t *testing.T) {
+	page := read(t, pageFile)
+	constants, err := ReadConstants(strings.NewReader(read(t, constantsFile)))
+	assert.NilError(t, err)
+	for _, list := range [][]Figure{constants.Sizes, constants.Limits, constants.Settings, constants.Assumed} {
+		for i := range list {
+			old := list[i].Value
+			list[i].Value = old*1.25 + 1
+			assert.Assert(t, renderWith(t, constants, page) != page, "%s is not in the page", list[i].Name)
+			list[i].Value = old
+		}
+	}
+	for i := range constants.Slopes {
+		s := &constants.Slopes[i]
+		old := s.Slope
+		s.Slope = old*1.25 + 1
+		assert.Assert(t, renderWith(t, constants, page) != page, "%s is not in the page", s.Name)
+		s.Slope = old
+	}
+	tampered := strings.Replace(page, "`nodes` | 1,000 |", "`nodes` | 1,001 |", 1)
+	assert.Assert(t, renderWith(t, constants, tampered) != tampered)
+}
+
+func renderWith(t *testing.T, c *Constants, page string) string {
+	t.Helper()
+	r, err := NewRenderer(c)
+	assert.NilError(t, err)
+	sections, err := r.Sections()
+	assert.NilError(t, err)
+	rendered, err := Place(page, sections)
+	assert.NilError(t, err)
+	return rendered
+}
+
+// restsOnAssumed follows names through the derived figures by itself, without
+// the scope's own marking.
+func restsOnAssumed(t *testing.T, c *Constants, f Formula) bool {
+	t.Helper()
+	names, err := f.Names()
+	assert.NilError(t, err)
+	for _, name := range names {
+		if slices.ContainsFunc(c.Assumed, func(a Figure) bool { return a.Name == name }) {
+			return true
+		}
+		for _, d := range Derivations() {
+			if d.Name == name && restsOnAssumed(t, c, d.Formula) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func allFormulas() []Formula {
+	var all []Formula
+	for _, d := range Derivations() {
+		all = append(all, d.Formula)
+	}
+	for _, role := range Roles() {
+		for _, item := range role.Items {
+			all = append(all, item.Formula)
+		}
+	}
+	for _, event := range Events() {
+		for _, m := range event.Measures {
+			all = append(all, m.Formula)
+		}
+	}
+	for _, hop := range Hops() {
+		all = append(all, hop.Formula)
+	}
+	for _, call := range StoreCalls() {
+		all = append(all, call.Formula)
+	}
+	return all
+}
+
+func TestAssumedFiguresAreMarked(t *testing.T) {
+	constants, err := ReadConstants(strings.NewReader(read(t, constantsFile)))
+	assert.NilError(t, err)
+	page := read(t, pageFile)
+	for _, a := range constants.Assumed {
+		assert.Assert(t, strings.Contains(page, "| `"+a.Name+"` | "+plain(a.Value)+assumedMark+" |"), "%s", a.Name)
+	}
+	for _, f := range allFormulas() {
+		rows := rowsWith(page, f)
+		assert.Assert(t, len(rows) > 0, "formula %s is not in the page", f)
+		if !restsOnAssumed(t, constants, f) {
+			continue
+		}
+		for _, row := range rows {
+			marked := strings.Contains(row, assumedMark) || strings.Contains(row, notMeasured)
+			assert.Assert(t, marked, "not marked: %s", row)
+		}
+	}
+}
+
+func rowsWith(page string, f Formula) []string {
+	var rows []string
+	for line := range strings.Lines(page) {
+		if strings.Contains(line, "`"+string(f)+"` |") {
+			rows = append(rows, line)
+		}
+	}
+	return rows
+}
+
+// A number in a formula would be a constant without a name, a source or a mark.
+func TestFormulasHaveNoBareNumbers(t *testing.T) {
+	for _, f := range allFormulas() {
+		expr, err := parser.ParseExpr(string(f))
+		assert.NilError(t, err)
+		ast.Inspect(expr, func(n ast.Node) bool {
+			literal, ok := n.(*ast.BasicLit)
+			assert.Assert(t, !ok || literal.Value == "1" || literal.Value == "2", "%s", f)
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/sizing/render_sums.go
@@ -0,0 +1,73 @@
+package sizing
+
+// reading is a way to understand which costs the users' limits are about.
+type reading struct {
+	name  string
+	kinds []Kind
+}
+
+var readings = []reading{
+	{"control", []Kind{Control}},
+	{"control and per-request coordination", []Kind{Control, Request}},
+	{"all, callers' data too", []Kind{Control, Request, Data}},
+}
+
+// breaksMark is set where a sum is over its limit.
+const breaksMark = "**breaks**"
+
+func (r *Renderer) sums() (string, error) {
+	t := table{header: []string{"counted", "quantity", "design", Cucine.String(), Pryce.String(), "limit", "at the design size"}}
+	for _, way := range readings {
+		for _, limit := range Limits() {
+			if err := r.addSum(&t, way, limit); err != nil {
+				return "", err
+			}
+		}
+	}
+	return t.String(), nil
+}
+
+func (r *Renderer) addSum(t *table, way reading, limit Limit) error {
+	cells := []string{way.name, limit.Quantity.String()}
+	unit := limit.Quantity.Unit()
+	for _, d := range deployments {
+		sum, err := r.total(d, way, limit.Quantity)
+		if err != nil {
+			return err
+		}
+		cells = append(cells, show(sum, unit))
+	}
+	bound, _ := r.constants.Figure(limit.Name)
+	sum, err := r.total(Design, way, limit.Quantity)
+	if err != nil {
+		return err
+	}
+	t.add(append(cells, unit.Format(bound.Value), verdict(sum, bound.Value))...)
+	return nil
+}
+
+// total adds up a quantity over all roles and the kinds of a reading.
+func (r *Renderer) total(d Deployment, way reading, q Quantity) (Value, error) {
+	var total Value
+	for _, kind := range way.kinds {
+		sum, err := Sum(r.scopes[d], Roles(), q, kind)
+		if err != nil {
+			return Value{}, err
+		}
+		total = total.Plus(sum)
+	}
+	return total, nil
+}
+
+// verdict compares a sum with its limit. A sum with parts not measured can break
+// its limit but not keep it.
+func verdict(sum Value, bound float64) string {
+	switch {
+	case sum.Amount > bound:
+		return breaksMark
+	case !sum.Known():
+		return "open: part " + notMeasured
+	default:
+		return "holds"
+	}
+}
--- /dev/null
+++ b/sizing/role.go
@@ -0,0 +1,49 @@
+package sizing
+
+// Role is a part of a node with what it costs and what carries it.
+type Role struct {
+	Name string
+	// Mechanism is what keeps the role's costs where they are.
+	Mechanism string
+	Items     []Item
+}
+
+// Sum adds up the role's items of a quantity and a kind. Without such an item it
+// is zero and known.
+func (r Role) Sum(s *Scope, q Quantity, k Kind) (Value, error) {
+	var sum Value
+	for _, item := range r.Items {
+		if item.Quantity != q || item.Kind != k {
+			continue
+		}
+		v, err := s.Eval(item.Formula)
+		if err != nil {
+			return Value{}, err
+		}
+		sum = sum.Plus(v)
+	}
+	return sum, nil
+}
+
+// counts reports whether the role has an item of the quantity and kind.
+func (r Role) counts(q Quantity, k Kind) bool {
+	for _, item := range r.Items {
+		if item.Quantity == q && item.Kind == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Sum adds up a quantity of a kind over roles.
+func Sum(s *Scope, roles []Role, q Quantity, k Kind) (Value, error) {
+	var sum Value
+	for _, role := range roles {
+		v, err := role.Sum(s, q, k)
+		if err != nil {
+			return Value{}, err
+		}
+		sum = sum.Plus(v)
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/sizing/roles.go
@@ -0,0 +1,16 @@
+package sizing
+
+// Roles returns the parts of a node.
+func Roles() []Role {
+	return []Role{
+		entryRole(),
+		ledgerRole(),
+		queueRole(),
+		ownerRole(),
+		routerRole(),
+		limitsRole(),
+		membershipRole(),
+		configurationRole(),
+		coordinatorRole(),
+	}
+}
