Stand-in engine that batches and streams, and the HTTP adapter to engines

Prefix blocks with their hashes, continuous batching with a bounded KV cache, streams that resume and cancel, load reports and cache events that lag; package onesend sends a request at most once and knows whether a byte of it was written.

--- /dev/null
+++ b/endpoint/onesend/options.go
@@ -0,0 +1,39 @@
+package onesend
+
+import (
+	"crypto/tls"
+	"time"
+)
+
+// Options are the settings of a Transport. New fills in the defaults.
+type Options struct {
+	// DialTimeout bounds the making of a connection. Default 2 s.
+	DialTimeout time.Duration
+	// IdleTimeout is for how long an unused connection is kept. It should be shorter
+	// than the endpoints' own. Default 30 s.
+	IdleTimeout time.Duration
+	// IdlePerHost is the number of unused connections kept to one endpoint. Default 64.
+	IdlePerHost int
+	// TLS is used for https addresses; nil for the defaults.
+	TLS *tls.Config
+}
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultIdleTimeout = 30 * time.Second
+	defaultIdlePerHost = 64
+	keepAlivePeriod    = 15 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.IdlePerHost == 0 {
+		o.IdlePerHost = defaultIdlePerHost
+	}
+	return o
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,86 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/standin/engine"
+)
+
+// ask makes a request whose prompt has about the given number of tokens.
+func ask(key, topic string, prompt, answer int) endpoint.EngineRequest {
+	text := topic + strings.Repeat("x", max(0, 4*prompt-len(topic)-6))
+	body, err := json.Marshal(map[string]any{
+		"model":      "m",
+		"messages":   []map[string]string{{"role": "user", "content": text}},
+		"max_tokens": answer,
+		"stream":     true,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return endpoint.EngineRequest{Key: key, Body: body}
+}
+
+func start(t *testing.T, e *engine.Engine, r endpoint.EngineRequest) endpoint.Stream {
+	t.Helper()
+	s, err := e.Start(t.Context(), r)
+	assert.NilError(t, err)
+	return s
+}
+
+// read reads a stream to its end and returns the text and that end.
+func read(ctx context.Context, s endpoint.Stream) (string, error) {
+	var text strings.Builder
+	for next := uint64(0); ; next++ {
+		event, err := s.Next(ctx)
+		if err != nil {
+			return text.String(), err
+		}
+		if event.Offset != next {
+			return "", fmt.Errorf("offset %d in place of %d", event.Offset, next)
+		}
+		if string(event.Data) == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal(event.Data, &chunk); err != nil {
+			return "", err
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+}
+
+func expected(t *testing.T, r endpoint.EngineRequest) string {
+	t.Helper()
+	answer, err := engine.ExpectedAnswer(r.Body)
+	assert.NilError(t, err)
+	return answer.Text()
+}
+
+func TestWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := engine.New(engine.Options{Speed: engine.GenerationB()})
+		request := ask("k", "a", 100, 50)
+		begun := time.Now()
+		text, err := read(t.Context(), start(t, e, request))
+		assert.Assert(t, errors.Is(err, io.EOF), err)
+		assert.Equal(t, text, expected(t, request))
+		assert.Equal(t, time.Since(begun), 100*60*time.Microsecond+49*10*time.Millisecond)
+		runs := e.Runs()
+		assert.Equal(t, len(runs), 1)
+		assert.Equal(t, runs[0].State, engine.RunFinished)
+	})
+}
--- /dev/null
+++ b/standin/engine/errors.go
@@ -0,0 +1,25 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+var (
+	// ErrBadRequest means that the body is not a valid request.
+	ErrBadRequest = errors.New("engine: bad request")
+	// ErrModel means that the model is not loaded here.
+	ErrModel = errors.New("engine: model not loaded")
+	// ErrFull means that too many requests wait already.
+	ErrFull      = errors.New("engine: too many waiting requests")
+	errCancelled = errors.New("engine: cancelled")
+	// ErrOldFence means that the order's fencing number is older than one seen.
+	ErrOldFence = errors.New("engine: old fencing number")
+	// ErrBadOrder means that the order makes no sense.
+	ErrBadOrder = errors.New("engine: bad order")
+)
+
+// refused marks a request that will not run.
+func refused(err error) error { return fmt.Errorf("%w: %w", endpoint.ErrRefused, err) }
--- /dev/null
+++ b/standin/engine/options.go
@@ -0,0 +1,64 @@
+package engine
+
+import "time"
+
+// Options describe an engine. New fills in the defaults.
+type Options struct {
+	Speed Speed
+	// BatchLimit is the number of sequences computed at a time. Default 32.
+	BatchLimit int
+	// KVTokens is the size of the KV cache in tokens. Default 131072.
+	KVTokens int
+	// WaitingLimit bounds the requests that wait for the batch; further ones are
+	// refused. Default 0, no bound.
+	WaitingLimit int
+	// Models are loaded from the start. With none, the engine serves any model
+	// until the first order.
+	Models []string
+	// Retention is for how long an ended stream can be resumed. Default 60 s.
+	Retention time.Duration
+	// LoadLag is how old load reports are. Default 500 ms, negative for none.
+	LoadLag time.Duration
+	// CacheEventDelay is how late cache events appear. Default 1 s, negative for
+	// none. CacheEventGap is the share of them that never do, between 0 and 1.
+	CacheEventDelay time.Duration
+	CacheEventGap   float64
+	// IgnoreFencing obeys orders with an old fencing number.
+	IgnoreFencing bool
+	// RestartDelay is how long the engine is down after a crash. Default Speed.Load.
+	RestartDelay time.Duration
+	// Poison crashes the engine that computes a prompt with this text in it.
+	Poison string
+	// Seed makes the gaps in cache events differ between engines.
+	Seed uint64
+	// OnPrefill, if set, is told of each prompt block that is computed. It must
+	// not call the engine.
+	OnPrefill func(block uint64)
+}
+
+const (
+	defaultBatchLimit      = 32
+	defaultKVTokens        = 128 << 10
+	defaultRetention       = time.Minute
+	defaultLoadLag         = 500 * time.Millisecond
+	defaultCacheEventDelay = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.BatchLimit, defaultBatchLimit)
+	setDefault(&o.KVTokens, defaultKVTokens)
+	setDefault(&o.Speed.Chunk, defaultChunk)
+	setDefault(&o.Retention, defaultRetention)
+	setDefault(&o.LoadLag, defaultLoadLag)
+	setDefault(&o.CacheEventDelay, defaultCacheEventDelay)
+	setDefault(&o.RestartDelay, o.Speed.Load)
+	o.LoadLag = max(0, o.LoadLag)
+	o.CacheEventDelay = max(0, o.CacheEventDelay)
+	return o
+}
+
+func setDefault[T int | time.Duration](value *T, to T) {
+	if *value == 0 {
+		*value = to
+	}
+}
--- /dev/null
+++ b/standin/engine/sse.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"github.com/tmaxmax/go-sse"
+
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+// writeEvents sends a stream as server-sent events; an event's id is its offset.
+// A stream that breaks breaks the connection, so that its reader can't take it
+// for complete.
+func writeEvents(c echo.Context, stream *reader) error {
+	header := c.Response().Header()
+	header.Set(echo.HeaderContentType, "text/event-stream")
+	header.Set(echo.HeaderCacheControl, "no-store")
+	c.Response().WriteHeader(http.StatusOK)
+	c.Response().Flush()
+	for {
+		err := writeReady(c.Request().Context(), c.Response(), stream)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		c.Response().Flush()
+	}
+}
+
+// writeReady waits for an event and writes it and all others that are there.
+func writeReady(ctx context.Context, w io.Writer, stream *reader) error {
+	event, err := stream.Next(ctx)
+	if err != nil {
+		return err
+	}
+	for ok := true; ok; {
+		if err := writeEvent(w, event); err != nil {
+			return err
+		}
+		// An error here comes again from the next call of Next.
+		event, ok, _ = stream.poll()
+	}
+	return nil
+}
+
+func writeEvent(w io.Writer, event endpoint.Event) error {
+	message := sse.Message{ID: sse.ID(strconv.FormatUint(event.Offset, 10))}
+	message.AppendData(string(event.Data))
+	_, err := message.WriteTo(w)
+	return err
+}
+
+// completion is the whole answer to a request without "stream".
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   usage              `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func writeCompletion(c echo.Context, r request, stream *reader) error {
+	for {
+		_, err := stream.Next(c.Request().Context())
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	answer := r.answer(r.chain().Sum())
+	return c.JSON(http.StatusOK, completion{
+		ID:     "chatcmpl-" + stream.stream.key,
+		Object: "chat.completion",
+		Model:  r.Model,
+		Choices: []completionChoice{{
+			Message:      completionMessage{Role: "assistant", Content: strings.TrimSpace(answer.Text())},
+			FinishReason: answer.FinishReason,
+		}},
+		Usage: newUsage(r.chain().Tokens(), len(answer.Tokens), stream.stream.sequence.run.Cached),
+	})
+}
