The path of a request: entry, scheduler, dispatch, answer buffers, sessions

A chat completion goes from HTTP through claim, limits, grant and commit to one dispatch, and its answer streams back through a buffer that any attempt of the same key reads from the start, at any node. Events that an engine repeats, delays or leaves out do not reach the caller; a broken stream is resumed at the same engine.

--- /dev/null
+++ b/answer/cache.go
@@ -0,0 +1,139 @@
+package answer
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+const (
+	// DefaultRetention is how long a finished answer is held by default.
+	DefaultRetention = 10 * time.Minute
+	// DefaultCacheBytes is how much memory finished answers take by default.
+	DefaultCacheBytes = 64 << 20
+)
+
+// entryOverhead is the memory a finished answer costs besides its chunks, in bytes.
+const entryOverhead = 512
+
+// CacheOptions bounds a cache.
+type CacheOptions struct {
+	// Bytes is the most memory that finished answers may take.
+	Bytes int
+	// Retention is how long they are held at most.
+	Retention time.Duration
+	// OnDrop, if set, is called after an answer was dropped, without locks held.
+	OnDrop func(key domain.RequestKey)
+}
+
+func (o CacheOptions) withDefaults() CacheOptions {
+	if o.Bytes <= 0 {
+		o.Bytes = DefaultCacheBytes
+	}
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	return o
+}
+
+// Cache holds finished answers, the oldest dropped first when they are too many
+// or too old. It is safe for concurrent use.
+type Cache struct {
+	options CacheOptions
+
+	mu    sync.Mutex
+	index map[domain.RequestKey]*list.Element
+	order *list.List
+	bytes int
+}
+
+type cacheEntry struct {
+	key    domain.RequestKey
+	buffer *Buffer
+	bytes  int
+	added  time.Time
+}
+
+// NewCache returns an empty cache.
+func NewCache(options CacheOptions) *Cache {
+	return &Cache{
+		options: options.withDefaults(),
+		index:   make(map[domain.RequestKey]*list.Element),
+		order:   list.New(),
+	}
+}
+
+// Add puts a finished answer into the cache.
+func (c *Cache) Add(key domain.RequestKey, buffer *Buffer, now time.Time) {
+	entry := &cacheEntry{key: key, buffer: buffer, bytes: buffer.Bytes() + entryOverhead, added: now}
+	c.mu.Lock()
+	c.remove(key)
+	c.index[key] = c.order.PushBack(entry)
+	c.bytes += entry.bytes
+	dropped := c.trim(now)
+	c.mu.Unlock()
+	c.report(dropped)
+}
+
+// Get returns a finished answer that is still held.
+func (c *Cache) Get(key domain.RequestKey, now time.Time) (*Buffer, bool) {
+	c.mu.Lock()
+	dropped := c.trim(now)
+	element, ok := c.index[key]
+	c.mu.Unlock()
+	c.report(dropped)
+	if !ok {
+		return nil, false
+	}
+	return element.Value.(*cacheEntry).buffer, true
+}
+
+// Expire drops what is too old.
+func (c *Cache) Expire(now time.Time) {
+	c.mu.Lock()
+	dropped := c.trim(now)
+	c.mu.Unlock()
+	c.report(dropped)
+}
+
+// Size returns the number of answers held and the bytes they take.
+func (c *Cache) Size() (answers, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order.Len(), c.bytes
+}
+
+// trim drops the oldest until the bounds hold, and returns their keys.
+func (c *Cache) trim(now time.Time) []domain.RequestKey {
+	var dropped []domain.RequestKey
+	for element := c.order.Front(); element != nil; element = c.order.Front() {
+		entry := element.Value.(*cacheEntry)
+		if c.bytes <= c.options.Bytes && now.Sub(entry.added) < c.options.Retention {
+			break
+		}
+		c.remove(entry.key)
+		dropped = append(dropped, entry.key)
+	}
+	return dropped
+}
+
+func (c *Cache) remove(key domain.RequestKey) {
+	element, ok := c.index[key]
+	if !ok {
+		return
+	}
+	c.order.Remove(element)
+	delete(c.index, key)
+	c.bytes -= element.Value.(*cacheEntry).bytes
+}
+
+func (c *Cache) report(dropped []domain.RequestKey) {
+	if c.options.OnDrop == nil {
+		return
+	}
+	for _, key := range dropped {
+		c.options.OnDrop(key)
+	}
+}
--- a/answer/chunk.go
+++ b/answer/chunk.go
@@ -3,8 +3,6 @@
 // must. Only the process that dispatched the request writes to it.
 package answer
 
-import "hawthornrill.example/hawthornrill/domain"
-
 // Chunk is one piece of an answer: an event of a model's stream, or a piece of
 // a plain response's body. Sequence counts from 0 without gaps.
 type Chunk struct {
@@ -17,11 +15,3 @@
 	Status int                 `cbor:"1,keyasint"`
 	Header map[string][]string `cbor:"2,keyasint,omitempty"`
 }
-
-// End tells how an answer ended. A complete answer has an empty Outcome.
-type End struct {
-	// Outcome is empty when the answer is complete.
-	Outcome domain.Outcome `cbor:"1,keyasint,omitempty"`
-	// Reason is a short text for the caller when it is not.
-	Reason string `cbor:"2,keyasint,omitempty"`
-}
--- /dev/null
+++ b/answer/registry.go
@@ -0,0 +1,74 @@
+package answer
+
+import (
+	"sync"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// Registry finds the answers that this node holds: those being produced, and
+// the finished ones of the cache. It is safe for concurrent use.
+type Registry struct {
+	cache *Cache
+
+	mu   sync.RWMutex
+	open map[domain.RequestKey]*Buffer
+}
+
+// NewRegistry returns a registry without answers.
+func NewRegistry(cache *Cache) *Registry {
+	return &Registry{cache: cache, open: make(map[domain.RequestKey]*Buffer)}
+}
+
+// Open makes a buffer known under the key while its answer is produced.
+func (r *Registry) Open(key domain.RequestKey, buffer *Buffer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[key] = buffer
+}
+
+// Finish moves an answer that has ended to the cache.
+func (r *Registry) Finish(key domain.RequestKey, buffer *Buffer) {
+	r.cache.Add(key, buffer, time.Now())
+	r.Forget(key, buffer)
+}
+
+// Forget removes a buffer that is not worth keeping: its request was not run.
+func (r *Registry) Forget(key domain.RequestKey, buffer *Buffer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[key] == buffer {
+		delete(r.open, key)
+	}
+}
+
+// Get returns the answer under the key.
+func (r *Registry) Get(key domain.RequestKey) (*Buffer, bool) {
+	r.mu.RLock()
+	buffer, ok := r.open[key]
+	r.mu.RUnlock()
+	if ok {
+		return buffer, true
+	}
+	return r.cache.Get(key, time.Now())
+}
+
+// Expire drops finished answers that are too old.
+func (r *Registry) Expire() { r.cache.Expire(time.Now()) }
+
+// Open answers and finished ones, with the bytes that the latter take.
+type RegistrySize struct {
+	Open          int `json:"open"`
+	Finished      int `json:"finished"`
+	FinishedBytes int `json:"finished_bytes"`
+}
+
+// Size returns what is held now.
+func (r *Registry) Size() RegistrySize {
+	r.mu.RLock()
+	open := len(r.open)
+	r.mu.RUnlock()
+	finished, bytes := r.cache.Size()
+	return RegistrySize{Open: open, Finished: finished, FinishedBytes: bytes}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+var errRefused = endpoint.ErrRefused
+
+// Endpoints finds the adapter of an endpoint.
+type Endpoints interface {
+	Engine(id domain.EndpointID) (endpoint.Engine, bool)
+	Service(id domain.EndpointID) (endpoint.Service, bool)
+}
+
+// Dispatcher sends requests to endpoints. It is safe for concurrent use.
+type Dispatcher struct {
+	endpoints Endpoints
+	options   Options
+}
+
+// New returns a dispatcher; zero options mean defaults.
+func New(endpoints Endpoints, options Options) *Dispatcher {
+	return &Dispatcher{endpoints: endpoints, options: options.withDefaults()}
+}
--- /dev/null
+++ b/dispatch/options.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import "time"
+
+// Options bounds what the dispatcher does about faulty endpoints.
+type Options struct {
+	// ResumeWindow is for how long a broken stream is tried again.
+	ResumeWindow time.Duration
+	// ResumeFirst and ResumeMax bound the pause between two tries.
+	ResumeFirst time.Duration
+	ResumeMax   time.Duration
+	// NotFoundWindow is for how long an engine may not know a stream of which
+	// nothing has been received: the request may still be on its way.
+	NotFoundWindow time.Duration
+	// Stall is how long a stream may be silent before it is taken as broken.
+	Stall time.Duration
+	// CancelTimeout bounds the order to cancel a stream.
+	CancelTimeout time.Duration
+	// ProgressEvery is the number of answer tokens between two progress reports.
+	ProgressEvery int
+}
+
+// DefaultOptions returns what a node uses unless its settings say otherwise.
+func DefaultOptions() Options {
+	return Options{
+		ResumeWindow:   15 * time.Second,
+		ResumeFirst:    100 * time.Millisecond,
+		ResumeMax:      2 * time.Second,
+		NotFoundWindow: 2 * time.Second,
+		Stall:          60 * time.Second,
+		CancelTimeout:  5 * time.Second,
+		ProgressEvery:  32,
+	}
+}
+
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	o.ResumeWindow = positive(o.ResumeWindow, d.ResumeWindow)
+	o.ResumeFirst = positive(o.ResumeFirst, d.ResumeFirst)
+	o.ResumeMax = positive(o.ResumeMax, d.ResumeMax)
+	o.NotFoundWindow = positive(o.NotFoundWindow, d.NotFoundWindow)
+	o.Stall = positive(o.Stall, d.Stall)
+	o.CancelTimeout = positive(o.CancelTimeout, d.CancelTimeout)
+	o.ProgressEvery = positive(o.ProgressEvery, d.ProgressEvery)
+	return o
+}
+
+func positive[T ~int | ~int64](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"github.com/labstack/echo/v4"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/scheduler"
+	"hawthornrill.example/hawthornrill/session"
+)
+
+// Parts are what the entry needs.
+type Parts struct {
+	// Self is this node's own life, which minted keys name.
+	Self      domain.Member
+	Config    config.View
+	Sessions  *session.Authority
+	Scheduler *scheduler.Scheduler
+}
+
+// Server answers callers.
+type Server struct {
+	parts   Parts
+	options Options
+	bodies  budget
+}
+
+// New returns a server; zero options mean defaults.
+func New(parts Parts, options Options) *Server {
+	options = options.withDefaults()
+	return &Server{parts: parts, options: options, bodies: budget{limit: options.MaxHeldBytes}}
+}
+
+// Register adds the callers' routes and makes errors problem documents.
+func (s *Server) Register(e *echo.Echo) {
+	e.HTTPErrorHandler = HandleError
+	e.POST("/v1/chat/completions", s.chat)
+	e.POST("/v1/sessions", s.openSession)
+	e.GET("/v1/requests/:key", s.getRequest)
+	e.DELETE("/v1/requests/:key", s.cancelRequest)
+	e.Any("/services/:service", s.call)
+	e.Any("/services/:service/*", s.call)
+}
--- /dev/null
+++ b/entry/util_test.go
@@ -0,0 +1,11 @@
+package entry_test
+
+import (
+	"strconv"
+
+	"hawthornrill.example/hawthornrill/ledger"
+)
+
+const finished = ledger.StateFinished
+
+func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/scheduler/options.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/answer"
+)
+
+// Options bounds requests and the waits of their steps.
+type Options struct {
+	// Grace is how long a request goes on without its caller.
+	Grace time.Duration
+	// Deadline is used for requests that have none.
+	Deadline time.Duration
+	// MaxRun is how long a dispatched request may run.
+	MaxRun time.Duration
+	// ClaimTimeout and SettleTimeout bound one exchange with the key's home.
+	ClaimTimeout  time.Duration
+	SettleTimeout time.Duration
+	// SettleWindow is for how long an unconfirmed release or finish is repeated.
+	SettleWindow time.Duration
+	// AttachWindow is for how long the holder of an answer may be out of reach.
+	AttachWindow time.Duration
+	// Attempts bounds claims of one request that are tried again because an
+	// endpoint refused the connection or a claim was revoked.
+	Attempts int
+	// MaxTasks bounds the requests in progress on this node.
+	MaxTasks int
+	// AnswerBytes bounds a model's answer in memory, ResponseBytes that of a plain
+	// call; a reader slower than the endpoint slows it down beyond that.
+	AnswerBytes   int
+	ResponseBytes int
+}
+
+// DefaultOptions returns what a node uses unless its settings say otherwise.
+func DefaultOptions() Options {
+	return Options{
+		Grace:         30 * time.Second,
+		Deadline:      60 * time.Second,
+		MaxRun:        15 * time.Minute,
+		ClaimTimeout:  5 * time.Second,
+		SettleTimeout: 5 * time.Second,
+		SettleWindow:  time.Minute,
+		AttachWindow:  15 * time.Second,
+		Attempts:      3,
+		MaxTasks:      20_000,
+		AnswerBytes:   answer.DefaultBound,
+		ResponseBytes: 1 << 20,
+	}
+}
+
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	o.Grace = positive(o.Grace, d.Grace)
+	o.Deadline = positive(o.Deadline, d.Deadline)
+	o.MaxRun = positive(o.MaxRun, d.MaxRun)
+	o.ClaimTimeout = positive(o.ClaimTimeout, d.ClaimTimeout)
+	o.SettleTimeout = positive(o.SettleTimeout, d.SettleTimeout)
+	o.SettleWindow = positive(o.SettleWindow, d.SettleWindow)
+	o.AttachWindow = positive(o.AttachWindow, d.AttachWindow)
+	o.Attempts = positive(o.Attempts, d.Attempts)
+	o.MaxTasks = positive(o.MaxTasks, d.MaxTasks)
+	o.AnswerBytes = positive(o.AnswerBytes, d.AnswerBytes)
+	o.ResponseBytes = positive(o.ResponseBytes, d.ResponseBytes)
+	return o
+}
+
+func positive[T ~int | ~int64](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/scheduler/schedulertest/engine.go
@@ -0,0 +1,200 @@
+package schedulertest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+// errCut is how a scripted connection breaks.
+var errCut = errors.New("schedulertest: connection cut")
+
+// Script is how an engine behaves.
+type Script struct {
+	// Tokens is the length of each answer, Interval the time between two.
+	Tokens   int
+	Interval time.Duration
+	// Start is returned by Start; if Lost is set the request is run all the same.
+	Start error
+	Lost  bool
+	// Cuts lists the offsets before which the connection breaks, once each.
+	Cuts []uint64
+	// Stall is the offset before which the first connection falls silent; zero for none.
+	Stall uint64
+	// Resume is returned by Resume while ResumeFails is above zero.
+	Resume      error
+	ResumeFails int
+	// Double sends every event twice, Stale sends an old one after every event,
+	// SkipOnce leaves out this offset on the first connection.
+	Double   bool
+	Stale    bool
+	SkipOnce uint64
+	// Forget makes the engine forget streams when the connection breaks.
+	Forget bool
+}
+
+// Engine is a scripted model engine that keeps a log.
+type Engine struct {
+	mu        sync.Mutex
+	script    Script
+	started   []string
+	cancelled []string
+	running   map[string]time.Time
+}
+
+// NewEngine returns an engine that follows the script.
+func NewEngine(script Script) *Engine {
+	return &Engine{script: script, running: make(map[string]time.Time)}
+}
+
+// Started returns the keys it was sent, in order.
+func (e *Engine) Started() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.started...)
+}
+
+// Cancelled returns the keys it was told to cancel.
+func (e *Engine) Cancelled() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.cancelled...)
+}
+
+// Token returns the data of an event of the answer to a key.
+func Token(key string, offset uint64) string {
+	return fmt.Sprintf(`{"id":"chat","model":"m","choices":[{"index":0,"delta":{"content":"%s/%d;"}}]}`, key, offset)
+}
+
+// Start logs the key and begins its stream.
+func (e *Engine) Start(_ context.Context, request endpoint.EngineRequest) (endpoint.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.script.Start != nil && !e.script.Lost {
+		return nil, e.script.Start
+	}
+	e.started = append(e.started, request.Key)
+	e.running[request.Key] = time.Now()
+	if e.script.Start != nil {
+		return nil, e.script.Start
+	}
+	return &stream{engine: e, key: request.Key, first: true}, nil
+}
+
+// Resume continues a stream that was started.
+func (e *Engine) Resume(_ context.Context, key string, from uint64) (endpoint.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.script.ResumeFails > 0 {
+		e.script.ResumeFails--
+		return nil, e.script.Resume
+	}
+	if _, ok := e.running[key]; !ok {
+		return nil, endpoint.ErrStreamNotFound
+	}
+	return &stream{engine: e, key: key, next: from}, nil
+}
+
+// Cancel logs the key.
+func (e *Engine) Cancel(_ context.Context, key string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, key)
+	return nil
+}
+
+// Load returns nothing.
+func (e *Engine) Load(context.Context) (endpoint.LoadReport, error) {
+	return endpoint.LoadReport{}, nil
+}
+
+// CacheEvents returns nothing.
+func (e *Engine) CacheEvents(context.Context, uint64) ([]endpoint.CacheEvent, error) {
+	return nil, nil
+}
+
+// cut reports whether the connection breaks before the offset.
+func (e *Engine) cut(key string, offset uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, at := range e.script.Cuts {
+		if at != offset {
+			continue
+		}
+		e.script.Cuts = append(append([]uint64(nil), e.script.Cuts[:i]...), e.script.Cuts[i+1:]...)
+		if e.script.Forget {
+			delete(e.running, key)
+		}
+		return true
+	}
+	return false
+}
+
+// ready waits until the engine has produced the offset.
+func (e *Engine) ready(ctx context.Context, key string, offset uint64) error {
+	e.mu.Lock()
+	at := e.running[key].Add(time.Duration(offset+1) * e.script.Interval)
+	e.mu.Unlock()
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type stream struct {
+	engine *Engine
+	key    string
+	next   uint64
+	first  bool
+	again  []endpoint.Event
+}
+
+func (s *stream) Next(ctx context.Context) (endpoint.Event, error) {
+	if len(s.again) > 0 {
+		event := s.again[0]
+		s.again = s.again[1:]
+		return event, nil
+	}
+	script := s.engine.script
+	if s.engine.cut(s.key, s.next) {
+		return endpoint.Event{}, fmt.Errorf("%w: %w", endpoint.ErrBroken, errCut)
+	}
+	if s.next >= uint64(script.Tokens) {
+		return endpoint.Event{}, io.EOF
+	}
+	if s.first && script.Stall > 0 && s.next == script.Stall {
+		<-ctx.Done()
+		return endpoint.Event{}, ctx.Err()
+	}
+	if s.first && script.SkipOnce > 0 && s.next == script.SkipOnce {
+		s.next++
+	}
+	if err := s.engine.ready(ctx, s.key, s.next); err != nil {
+		return endpoint.Event{}, err
+	}
+	event := endpoint.Event{Offset: s.next, Data: []byte(Token(s.key, s.next))}
+	s.next++
+	s.repeat(script, event)
+	return event, nil
+}
+
+func (s *stream) repeat(script Script, event endpoint.Event) {
+	if script.Double {
+		s.again = append(s.again, event)
+	}
+	if script.Stale {
+		old := event.Offset / 2
+		s.again = append(s.again, endpoint.Event{Offset: old, Data: []byte("stale " + Token(s.key, old))})
+	}
+}
+
+func (s *stream) Close() error { return nil }
--- /dev/null
+++ b/session/errors.go
@@ -0,0 +1,20 @@
+// Package session issues and checks the tokens by which a caller keeps a
+// conversation together over nodes, restarts and reconnects. A token names the
+// session, its organisation and the home data centre in which the session's
+// request keys are decided; no node keeps a record of it.
+package session
+
+import "errors"
+
+var (
+	// ErrMalformed means that the text is not a token.
+	ErrMalformed = errors.New("session: not a session token")
+	// ErrForged means that no secret in use made the token.
+	ErrForged = errors.New("session: token was not issued here")
+	// ErrExpired means that the token is too old.
+	ErrExpired = errors.New("session: token has expired")
+	// ErrOrganisation means that the token belongs to another organisation.
+	ErrOrganisation = errors.New("session: token of another organisation")
+	// ErrSecret means that there is no secret, or one that is too short.
+	ErrSecret = errors.New("session: secrets must have at least 32 bytes")
+)
