--- a/capacity/api.go
+++ b/capacity/api.go
@@ -84,7 +84,9 @@
 	// Revoked is closed when the owner takes the place back for a higher tier; the
 	// holder cancels at the endpoint and releases.
 	Revoked() <-chan struct{}
-	// Progress reports answer tokens so far, from time to time.
+	// Progress reports answer tokens so far, from time to time; zero says that the
+	// request is now being dispatched. Until then a revocation loses no work, so
+	// report it.
 	Progress(answerTokens int)
 	// Release gives the place back. Only the first call counts.
 	Release(result Result)
--- a/capacity/chooser.go
+++ b/capacity/chooser.go
@@ -15,8 +15,15 @@
 	ID domain.EndpointID
 	// Row is the endpoint's row in the configuration in force.
 	Row *config.EndpointRow
+	// Limit and TokenLimit are the row's, scaled by its weight up to 100; a
+	// TokenLimit of 0 is none.
+	Limit      int
+	TokenLimit int
 	// Requests counts grants held.
 	Requests int
+	// ReservedTokens sums prompt and answer estimates of the grants held, in full
+	// until they end; TokenLimit bounds it.
+	ReservedTokens int
 	// PromptTokens and AnswerTokens sum the estimates of the grants held, less the
 	// answer tokens that their holders reported.
 	PromptTokens int
@@ -64,15 +71,16 @@
 	// is freed or some time has gone by.
 	Choose(now time.Time, waiting *Waiting, candidates []*EndpointState) (index int, ok bool)
 	// Granted tells that the ask now holds a place at the endpoint, by this owner's
-	// choice or, after a change of owner, by another's.
+	// choice or, after a change of owner, by another's; then without Blocks and
+	// Session.
 	Granted(now time.Time, endpoint *EndpointState, ask *Ask)
 	// Forecast estimates the ask's time at the endpoint as it is loaded now. Zero
 	// values mean that nothing is known; the owner then refuses nothing for them.
 	Forecast(now time.Time, endpoint *EndpointState, ask *Ask) Forecast
 	// Observe tells how a grant ended. The endpoint's state no longer contains it.
-	// After a change of owner only the fields that the holder repeats are known of
-	// the ask: Name, Pool, Organisation, Tier, PromptTokens, AnswerTokens, Blocks
-	// and Fingerprint.
+	// Blocks and Session of the ask are not known any more, and Name is never sent
+	// to the owner. A grant that ended without its holder's word, because that is
+	// gone, has the zero Result.
 	Observe(now time.Time, endpoint *EndpointState, ask *Ask, result Result)
 }
 
--- /dev/null
+++ b/capacity/cluster_test.go
@@ -0,0 +1,270 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+)
+
+// members is a membership.View that a test sets.
+type members struct{ current atomic.Pointer[membership.Snapshot] }
+
+func (m *members) Current() *membership.Snapshot { return m.current.Load() }
+
+// testNode is one life of a node in a cluster.
+type testNode struct {
+	*Service
+	member  domain.Member
+	view    *members
+	options Options
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// cluster is a set of nodes over an in-memory network in virtual time.
+type cluster struct {
+	t       *testing.T
+	network *peertest.Network
+	config  *config.StaticView
+	nodes   map[domain.NodeID]*testNode
+	status  map[domain.NodeID]membership.Status
+	options Options
+	rows    []config.EndpointRow
+}
+
+// inCluster runs a test of nodes named "dc-number" in virtual time.
+func inCluster(t *testing.T, rows []config.EndpointRow, options Options, names []domain.NodeID, f func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			t:       t,
+			network: peertest.NewNetwork(),
+			config:  &config.StaticView{},
+			nodes:   make(map[domain.NodeID]*testNode),
+			status:  make(map[domain.NodeID]membership.Status),
+			options: options,
+			rows:    rows,
+		}
+		c.network.SetDelay(func(from, to domain.Member) time.Duration {
+			if from.DataCentre != to.DataCentre {
+				return 1500 * time.Microsecond
+			}
+			return 200 * time.Microsecond
+		})
+		c.configure(rows)
+		for _, name := range names {
+			c.add(name, 1)
+		}
+		c.publish()
+		time.Sleep(2 * time.Second)
+		f(c)
+		c.close()
+	})
+}
+
+// centreOf takes the data centre from a node's name.
+func centreOf(name domain.NodeID) domain.DataCentre {
+	var dc string
+	var n int
+	_, _ = fmt.Sscanf(string(name), "%1s%d", &dc, &n)
+	return domain.DataCentre(dc)
+}
+
+// add starts a life of a node.
+func (c *cluster) add(name domain.NodeID, incarnation domain.Incarnation) *testNode {
+	member := domain.Member{Node: name, Incarnation: incarnation, DataCentre: centreOf(name), Address: "127.0.0.1:1"}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{member: member, view: &members{}, stop: stop, done: make(chan struct{})}
+	c.nodes[name] = n
+	c.status[name] = membership.StatusAlive
+	n.view.current.Store(c.snapshot(member))
+	n.options = c.options
+	n.options.Transport, n.options.Membership, n.options.Config = c.network.Node(member), n.view, c.config
+	n.Service = New(n.options)
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	return n
+}
+
+// crash ends a node without a farewell.
+func (c *cluster) crash(name domain.NodeID) {
+	c.network.Crash(name)
+	c.nodes[name].stop()
+	<-c.nodes[name].done
+	delete(c.nodes, name)
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	c.network.Close()
+	for _, n := range c.nodes {
+		<-n.done
+	}
+}
+
+// snapshot is what all nodes are told of the members.
+func (c *cluster) snapshot(self domain.Member) *membership.Snapshot {
+	s := &membership.Snapshot{Self: self}
+	for _, n := range c.nodes {
+		s.Peers = append(s.Peers, membership.Peer{Member: n.member, Status: c.status[n.member.Node]})
+	}
+	slices.SortFunc(s.Peers, func(a, b membership.Peer) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// publish tells all nodes, or the given ones, who is there.
+func (c *cluster) publish(names ...domain.NodeID) {
+	for name, n := range c.nodes {
+		if len(names) == 0 || slices.Contains(names, name) {
+			n.view.current.Store(c.snapshot(n.member))
+		}
+	}
+}
+
+// configure puts endpoints in force, with tiers gold, silver and bronze and an
+// organisation of each.
+func (c *cluster) configure(rows []config.EndpointRow) {
+	c.config.Set(testSnapshot(rows))
+}
+
+func testSnapshot(rows []config.EndpointRow) *config.Snapshot {
+	s := &config.Snapshot{
+		Revision:      1,
+		Organisations: make(map[domain.OrganisationID]*config.Organisation),
+		Endpoints:     make(map[domain.EndpointID]*config.EndpointRow),
+		Pools:         make(map[domain.PoolName][]*config.EndpointRow),
+	}
+	for rank, name := range []string{"gold", "silver", "bronze"} {
+		s.Table.Tiers = append(s.Table.Tiers, config.TierRow{Name: name, Rank: domain.Tier(rank)})
+	}
+	for _, o := range []config.OrganisationRow{{ID: "light", Weight: 1}, {ID: "heavy", Weight: 3}} {
+		s.Organisations[o.ID] = &config.Organisation{OrganisationRow: o}
+	}
+	for i := range rows {
+		row := &rows[i]
+		s.Endpoints[row.ID] = row
+		for _, pool := range row.PoolNames() {
+			s.Pools[pool] = append(s.Pools[pool], row)
+		}
+	}
+	return s
+}
+
+// engine returns a row that serves the models.
+func engine(id domain.EndpointID, dc domain.DataCentre, limit int, models string) config.EndpointRow {
+	return config.EndpointRow{ID: id, Kind: config.KindEngine, DataCentre: dc, Serves: models, Weight: 100, Limit: limit}
+}
+
+// ownerOf returns the node that owns the pool in a data centre by the first
+// node's view.
+func (c *cluster) ownerOf(at domain.NodeID, dc domain.DataCentre, pool domain.PoolName) domain.NodeID {
+	member, ok := c.nodes[at].current().owner(dc, pool)
+	assert.Assert(c.t, ok)
+	return member.Node
+}
+
+// account returns the owner's account of a pool.
+func (c *cluster) dump(name domain.NodeID) GroupDump {
+	owned := c.nodes[name].Dump().Owned
+	assert.Equal(c.t, len(owned), 1)
+	return owned[0]
+}
+
+// waitingAsk is an Acquire under way.
+type waitingAsk struct {
+	mu      sync.Mutex
+	grant   Grant
+	err     error
+	done    bool
+	ended   time.Time
+	cancel  context.CancelFunc
+	started time.Time
+}
+
+// begin starts an Acquire in the background.
+func (c *cluster) begin(name domain.NodeID, ask Ask) *waitingAsk {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &waitingAsk{cancel: cancel, started: time.Now()}
+	service := c.nodes[name].Service
+	go func() {
+		grant, err := service.Acquire(ctx, ask)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.grant, w.err, w.done, w.ended = grant, err, true, time.Now()
+	}()
+	return w
+}
+
+// settled waits a little and returns how the ask stands.
+func (w *waitingAsk) result() (Grant, error, bool) {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.grant, w.err, w.done
+}
+
+// granted asserts that the ask has its grant after the given time.
+func (w *waitingAsk) granted(t *testing.T, after time.Duration) Grant {
+	t.Helper()
+	time.Sleep(after)
+	grant, err, done := w.result()
+	assert.Assert(t, done, "still waiting after %s", after)
+	assert.NilError(t, err)
+	return grant
+}
+
+// waits asserts that the ask still waits after the given time.
+func (w *waitingAsk) waits(t *testing.T, after time.Duration) {
+	t.Helper()
+	time.Sleep(after)
+	_, err, done := w.result()
+	assert.Assert(t, !done, "ended: %v", err)
+}
+
+// refused asserts that the ask was refused for the reason after the given time.
+func (w *waitingAsk) refused(t *testing.T, after time.Duration, reason error) *Refusal {
+	t.Helper()
+	time.Sleep(after)
+	_, err, done := w.result()
+	assert.Assert(t, done, "still waiting after %s", after)
+	assert.ErrorIs(t, err, reason)
+	var refusal *Refusal
+	assert.Assert(t, asRefusal(err, &refusal))
+	return refusal
+}
+
+func asRefusal(err error, target **Refusal) bool {
+	r, ok := err.(*Refusal)
+	*target = r
+	return ok
+}
+
+const quotePool = domain.PoolName("model/quote")
+
+// ask returns an ask with a deadline of a minute.
+func ask(tier domain.Tier) Ask {
+	return Ask{Pool: quotePool, Organisation: "light", Tier: tier, PromptTokens: 10, AnswerTokens: 10, Deadline: time.Minute}
+}
+
+// used is the result of an ordinary request.
+var used = Result{Dispatched: true, Complete: true}
--- /dev/null
+++ b/capacity/holder.go
@@ -0,0 +1,48 @@
+package capacity
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// holder is the account of one life of a node with one pool.
+type holder struct {
+	member  domain.Member
+	heard   time.Time
+	entries map[askID]*entry
+	grants  map[askID]*grant
+	// The digests sum up the keys of the two maps.
+	entriesDigest digest
+	grantsDigest  digest
+}
+
+func newHolder(member domain.Member) *holder {
+	return &holder{
+		member:  member,
+		entries: make(map[askID]*entry),
+		grants:  make(map[askID]*grant),
+	}
+}
+
+func (h *holder) addEntry(e *entry) {
+	h.entries[e.id] = e
+	h.entriesDigest.add(e.id)
+}
+
+func (h *holder) removeEntry(e *entry) {
+	delete(h.entries, e.id)
+	h.entriesDigest.remove(e.id)
+}
+
+func (h *holder) addGrant(g *grant) {
+	h.grants[g.id] = g
+	h.grantsDigest.add(g.id)
+}
+
+func (h *holder) removeGrant(g *grant) {
+	delete(h.grants, g.id)
+	h.grantsDigest.remove(g.id)
+}
+
+func (h *holder) empty() bool { return len(h.entries) == 0 && len(h.grants) == 0 }
--- /dev/null
+++ b/capacity/renewals.go
@@ -0,0 +1,154 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// registerChunk is the most records in one message.
+const registerChunk = 256
+
+// renew tells every owner, in one message each, what this node holds of it.
+func (s *Service) renew() {
+	for _, r := range s.renewals() {
+		if r.owner.SameLife(s.self) {
+			s.renewWith(s.base, r)
+			continue
+		}
+		s.background(func(ctx context.Context) { s.renewWith(ctx, r) })
+	}
+	s.repeatLeaving()
+}
+
+// ownerRenewal is the renewal for one owner.
+type ownerRenewal struct {
+	owner domain.Member
+	links []*link
+	pools []poolRenewal
+}
+
+// renewals gathers the renewals by owner, in the order of the links.
+func (s *Service) renewals() []*ownerRenewal {
+	var all []*ownerRenewal
+	byOwner := make(map[lifeOf]*ownerRenewal)
+	for _, l := range s.links.all() {
+		owner, r, ok := l.renewal()
+		if !ok {
+			continue
+		}
+		found, ok := byOwner[lifeOfMember(owner)]
+		if !ok {
+			found = &ownerRenewal{owner: owner}
+			byOwner[lifeOfMember(owner)] = found
+			all = append(all, found)
+		}
+		found.links = append(found.links, l)
+		found.pools = append(found.pools, r)
+	}
+	return all
+}
+
+func (s *Service) renewWith(ctx context.Context, r *ownerRenewal) {
+	reply, err := call(ctx, s, r.owner, s.options.CallTimeout, methodRenew, renewal{Pools: r.pools}, s.serveRenew)
+	if err != nil {
+		s.counts.unreachable.Inc()
+		return
+	}
+	for _, l := range r.links {
+		s.reconcile(ctx, l, r.owner, &reply)
+	}
+}
+
+// reconcile settles what a renewal's reply says of one pool.
+func (s *Service) reconcile(ctx context.Context, l *link, owner domain.Member, reply *renewalReply) {
+	for _, name := range reply.Differ {
+		if name == l.key.pool {
+			s.list(ctx, l, owner)
+		}
+	}
+	for i := range reply.Moved {
+		if reply.Moved[i].Pool == l.key.pool && l.follow(reply.Moved[i].Owner, time.Now()) {
+			s.registerAll(ctx, l)
+		}
+	}
+}
+
+// list names all that this node holds to the owner, and registers what the owner
+// does not know.
+func (s *Service) list(ctx context.Context, l *link, owner domain.Member) {
+	s.counts.lists.Inc()
+	grants, asks := l.names()
+	request := listRequest{Pool: l.key.pool, Grants: encodeIDs(grants), Asks: encodeIDs(asks)}
+	local := func(from domain.Member, r *listRequest) listReply {
+		reply, _ := s.serveList(from, r)
+		return reply
+	}
+	reply, err := call(ctx, s, owner, s.options.CallTimeout, methodList, request, local)
+	if err != nil {
+		return
+	}
+	unknown, err := decodeIDs(reply.Unknown)
+	if err != nil || len(unknown) == 0 {
+		return
+	}
+	s.registerRecords(ctx, l, l.records(unknown, time.Now()))
+}
+
+// registerAll tells the link's owner in full of all that this node holds.
+func (s *Service) registerAll(ctx context.Context, l *link) {
+	s.registerRecords(ctx, l, l.records(nil, time.Now()))
+}
+
+func (s *Service) registerRecords(ctx context.Context, l *link, records []record) {
+	for len(records) > 0 {
+		n := min(len(records), registerChunk)
+		if !s.registerSome(ctx, l, records[:n]) {
+			return
+		}
+		records = records[n:]
+	}
+}
+
+// registerSome sends one message. It reports whether the owner took it.
+func (s *Service) registerSome(ctx context.Context, l *link, records []record) bool {
+	owner, known := l.current()
+	if !known {
+		return false
+	}
+	request := registerRequest{Pool: l.key.pool, Records: records}
+	reply, err := call(ctx, s, owner, s.options.CallTimeout, methodRegister, request, s.serveRegister)
+	if err != nil {
+		l.failAsks(records)
+		return false
+	}
+	if reply.Owner != nil {
+		l.follow(*reply.Owner, time.Now())
+		l.failAsks(records)
+		return false
+	}
+	s.noticed(owner, notice{Pool: l.key.pool, Rulings: reply.Rulings})
+	return true
+}
+
+// failAsks marks the waiting ones of the records, so that they are asked for anew.
+func (l *link) failAsks(records []record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range records {
+		if h, ok := l.holds[records[i].ID]; ok {
+			h.fail()
+		}
+	}
+}
+
+// rehome registers what this node holds with owners that are new.
+func (s *Service) rehome() {
+	view := s.current()
+	for _, l := range s.links.all() {
+		if l.look(view) {
+			s.background(func(ctx context.Context) { s.registerAll(ctx, l) })
+		}
+	}
+}
