ledger: claims and commits at a key's home, held twice, and recovery after table changes

Each key is decided by the first member of its data centre's table in rendezvous order. A commit counts when two members hold it in one epoch; members that have answered a collection refuse commits of earlier epochs, so that a new home finds every commit that was acknowledged.

--- /dev/null
+++ b/ledger/basic_test.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// inCluster runs a test in virtual time.
+func inCluster(t *testing.T, size int, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, size)
+		defer c.close()
+		test(t, c)
+	})
+}
+
+func TestWayOfOneRequest(t *testing.T) {
+	inCluster(t, 7, func(t *testing.T, c *cluster) {
+		for home := range 7 {
+			for entry := range 7 {
+				k := c.keyAt(nodeName(home))
+				n, other := c.nodes[nodeName(entry)], c.nodes[nodeName((entry+1)%7)]
+				claim, err := n.dispatch(k)
+				assert.NilError(t, err)
+				assert.Equal(t, claim.Verdict, VerdictGranted)
+
+				again, err := other.dispatch(k)
+				assert.NilError(t, err)
+				assert.Equal(t, again.Verdict, VerdictAttached)
+				assert.Equal(t, again.Holder, n.member)
+
+				assert.NilError(t, n.Finish(t.Context(), claim, true))
+				again, err = other.dispatch(k)
+				assert.NilError(t, err)
+				assert.Equal(t, again.Verdict, VerdictFinished)
+
+				_, err = other.Claim(t.Context(), k, Fingerprint{2})
+				assert.ErrorIs(t, err, ErrFingerprint)
+			}
+		}
+	})
+}
+
+func TestReleasedKeyIsAsNew(t *testing.T) {
+	inCluster(t, 7, func(t *testing.T, c *cluster) {
+		k := c.keyAt(nodeName(0))
+		claim, err := c.nodes[nodeName(1)].Claim(t.Context(), k, Fingerprint{1})
+		assert.NilError(t, err)
+		assert.NilError(t, c.nodes[nodeName(1)].Release(t.Context(), claim))
+		assert.ErrorIs(t, c.nodes[nodeName(1)].commit(claim), ErrRevoked)
+		_, _, err = c.nodes[nodeName(2)].Lookup(t.Context(), k)
+		assert.ErrorIs(t, err, ErrNotFound)
+		again, err := c.nodes[nodeName(2)].dispatch(k)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Verdict, VerdictGranted)
+	})
+}
+
+func TestRecordsExpire(t *testing.T) {
+	inCluster(t, 3, func(t *testing.T, c *cluster) {
+		for i := range 3 {
+			k := c.keyAt(nodeName(i))
+			claim, err := c.nodes[nodeName(1)].dispatch(k)
+			assert.NilError(t, err)
+			assert.NilError(t, c.nodes[nodeName(1)].Finish(t.Context(), claim, true))
+		}
+		time.Sleep(DefaultRetention - time.Minute)
+		assert.Equal(t, c.nodes[nodeName(1)].Dump().Records, 3)
+		time.Sleep(3 * time.Minute)
+		for i := range 3 {
+			assert.Equal(t, c.nodes[nodeName(i)].Dump().Records, 0)
+		}
+	})
+}
+
+func TestCommitIsHeldTwice(t *testing.T) {
+	inCluster(t, 7, func(t *testing.T, c *cluster) {
+		for entry := range 7 {
+			k := c.keyAt(nodeName(0))
+			_, err := c.nodes[nodeName(entry)].dispatch(k)
+			assert.NilError(t, err)
+			copies := 0
+			for _, n := range c.nodes {
+				if rec, ok := n.book.get(hashKey(k)); ok && rec.state == StateCommitted {
+					copies++
+				}
+			}
+			assert.Equal(t, copies, 2, "entry %d", entry)
+		}
+	})
+}
+
+func TestHomeCrashes(t *testing.T) {
+	inCluster(t, 7, func(t *testing.T, c *cluster) {
+		home, entry, other := nodeName(0), c.nodes[nodeName(1)], c.nodes[nodeName(2)]
+		committed, claimed, outside := c.keyAt(home), c.keyAt(home), c.keyAt(home)
+		_, err := entry.dispatch(committed)
+		assert.NilError(t, err)
+		claim, err := entry.Claim(t.Context(), claimed, Fingerprint{1})
+		assert.NilError(t, err)
+		far := c.start("far", "catania")
+		_, err = far.dispatch(outside)
+		assert.NilError(t, err)
+		c.crash(home)
+
+		_, err = other.dispatch(committed)
+		assert.ErrorIs(t, err, ErrUnknown)
+		c.remove(home)
+		c.settle()
+		for _, k := range []int{0, 1} {
+			kk := committed
+			if k == 1 {
+				kk = claimed
+			}
+			again, err := other.dispatch(kk)
+			assert.NilError(t, err)
+			assert.Equal(t, again.Verdict, VerdictAttached)
+			assert.Equal(t, again.Holder, entry.member)
+		}
+		again, err := other.dispatch(outside)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Holder, far.member)
+		assert.NilError(t, entry.commit(claim))
+		fresh, err := other.dispatch(key(-1))
+		assert.NilError(t, err)
+		assert.Equal(t, fresh.Verdict, VerdictGranted)
+	})
+}
+
+func TestNodeScopeNeedsNoMessages(t *testing.T) {
+	inCluster(t, 3, func(t *testing.T, c *cluster) {
+		n := c.nodes[nodeName(0)]
+		k := key(1)
+		k.Scope.Kind, k.Scope.DataCentre = 1, ""
+		k.Scope.Node, k.Scope.Incarnation = n.member.Node, n.member.Incarnation
+		c.network.ResetCounts()
+		claim, err := n.dispatch(k)
+		assert.NilError(t, err)
+		assert.NilError(t, n.Finish(context.Background(), claim, true))
+		assert.Equal(t, c.network.Total("").Messages, 0)
+		again, err := c.nodes[nodeName(1)].dispatch(k)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Verdict, VerdictFinished)
+		c.crash(n.member.Node)
+		_, err = c.nodes[nodeName(1)].dispatch(k)
+		assert.ErrorIs(t, err, ErrUnknown)
+	})
+}
--- /dev/null
+++ b/ledger/doubt.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/peer"
+)
+
+// doubt is a record whose holder should be asked whether it still stands: the
+// message that ended the claim, or the reply that gave it, may have been lost.
+type doubt struct {
+	key     KeyHash
+	claim   ClaimID
+	attempt uint64
+	state   State
+	holder  domain.Member
+	scoped  bool
+}
+
+// doubtOf returns the doubt about a record that has stood for a while, or nil. The
+// lock is held.
+func (r *Replica) doubtOf(d desk, key KeyHash, rec record) *doubt {
+	if time.Duration(r.book.clock(d.now)-rec.since) < r.options.HoldsAfter {
+		return nil
+	}
+	return &doubt{
+		key:     key,
+		claim:   rec.claim,
+		attempt: rec.attempt,
+		state:   rec.state,
+		holder:  r.book.members.value(rec.holder),
+		scoped:  !rec.tabled(),
+	}
+}
+
+// settleDoubt asks the holder and brings the record up to its word. It reports
+// whether the record has changed.
+func (r *Replica) settleDoubt(ctx context.Context, q doubt) bool {
+	state, ok := r.askHolder(ctx, q)
+	if !ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.book.get(q.key)
+	if !ok || rec.claim != q.claim || rec.state != q.state {
+		return true
+	}
+	return r.applyWord(q.key, rec, state)
+}
+
+// askHolder returns what the holder remembers of the claim.
+func (r *Replica) askHolder(ctx context.Context, q doubt) (State, bool) {
+	request := holdsRequest{q.key, q.claim, q.attempt}
+	if q.holder.SameLife(r.self) {
+		return r.serveHolds(ctx, r.self, request).State, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
+	defer cancel()
+	reply, err := peer.Call[holdsRequest, holdsReply](ctx, r.transport, q.holder, methodHolds, request)
+	return reply.State, err == nil
+}
+
+// applyWord changes a record to what its holder remembers, and reports whether it
+// did. A claim that its holder does not know is over. The lock is held.
+func (r *Replica) applyWord(key KeyHash, rec record, word State) bool {
+	switch {
+	case rec.state == StateClaimed && (word == 0 || word == stateWithdrawn):
+		r.book.drop(key)
+	case rec.state == StateCommitted && word == stateWithdrawn && !rec.has(flagTakenOver):
+		r.book.set(key, rec, stateWithdrawn, time.Now())
+	case rec.state == StateCommitted && (word == StateFinished || word == StateFailed):
+		r.book.set(key, rec, word, time.Now())
+	default:
+		return false
+	}
+	return true
+}
+
+// serveHolds tells what this life remembers of a claim that it holds or held.
+func (r *Replica) serveHolds(_ context.Context, _ domain.Member, request holdsRequest) holdsReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec, ok := r.book.get(request.Key); ok && rec.claim == request.Claim && rec.state != StateClaimed {
+		return holdsReply{rec.state}
+	}
+	if _, ok := r.open[openAttempt{request.Key, request.Attempt}]; ok {
+		return holdsReply{StateClaimed}
+	}
+	return holdsReply{}
+}
--- /dev/null
+++ b/ledger/home_commit.go
@@ -0,0 +1,133 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/peer"
+)
+
+// serveCommit decides about a commit as the key's home. It answers statusOK only
+// when two members hold the commit in the home's epoch, or this one is alone.
+func (r *Replica) serveCommit(ctx context.Context, from domain.Member, request commitRequest) statusReply {
+	d, e, st := r.beginCommit(ctx, from, request)
+	if st != statusOK || e == nil {
+		return statusReply{st, d.epoch()}
+	}
+	witness, st := r.findWitness(ctx, d.history, *e)
+	if st != statusOK {
+		return statusReply{st, d.epoch()}
+	}
+	return statusReply{r.endCommit(d, request, witness), d.epoch()}
+}
+
+// beginCommit records the commit here. It returns an entry if another member has
+// to hold it too before it counts.
+func (r *Replica) beginCommit(ctx context.Context, from domain.Member, request commitRequest) (desk, *entry, status) {
+	d, st := r.openDesk(ctx, from, request.Key, request.Epoch)
+	defer r.mu.Unlock()
+	if st != statusOK {
+		return d, nil, st
+	}
+	rec, ok := r.book.get(request.Key)
+	if !r.knows(d, request.Key) {
+		return d, nil, statusRecovering
+	}
+	if !ok || rec.claim != request.Claim || rec.state > StateCommitted || rec.has(flagTakenOver) {
+		return d, nil, statusRevoked
+	}
+	if !r.mayDecide(d) {
+		return d, nil, statusUnheld
+	}
+	rec.endpoint = r.book.endpoints.number(request.Endpoint)
+	rec.flags |= flagPending
+	if held := r.secondCopy(d, from, request, &rec); held {
+		rec.flags &^= flagPending
+	}
+	rec = r.book.set(request.Key, rec, StateCommitted, d.now)
+	if !rec.has(flagPending) {
+		return d, nil, statusOK
+	}
+	e := r.book.export(request.Key, rec, d.now)
+	return d, &e, statusOK
+}
+
+// secondCopy reports whether no other member needs to be sent the commit: the key
+// is this life's own, the sender is a member and holds it, or there is no other.
+// The lock is held.
+func (r *Replica) secondCopy(d desk, from domain.Member, request commitRequest, rec *record) bool {
+	if d.history == nil {
+		return true
+	}
+	if request.Copied && !from.SameLife(r.self) && d.history.table.Eligible(from) {
+		rec.witness = r.book.members.number(from)
+		return true
+	}
+	return len(d.history.current()) == 1
+}
+
+// findWitness gives the commit to the first member that takes it.
+func (r *Replica) findWitness(ctx context.Context, h *history, e entry) (domain.Member, status) {
+	for _, member := range r.others(h, e.Key) {
+		switch st := r.mirror(ctx, member, h.table.Epoch, []entry{e}); st {
+		case statusOK:
+			return member, statusOK
+		case statusStale:
+			return domain.Member{}, statusStale
+		}
+	}
+	return domain.Member{}, statusUnheld
+}
+
+// mirror has a member hold entries. It returns statusUnheld if it may not.
+func (r *Replica) mirror(ctx context.Context, to domain.Member, epoch uint64, entries []entry) status {
+	tryCtx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
+	defer cancel()
+	called := time.Now()
+	reply, err := peer.Call[mirrorRequest, statusReply](tryCtx, r.transport, to, methodMirror, mirrorRequest{epoch, entries})
+	if err != nil {
+		return statusUnheld
+	}
+	r.hear(to, reply.Epoch, called)
+	r.catchUp(ctx, to, reply.Epoch)
+	return reply.Status
+}
+
+// endCommit completes a commit that another member now holds too, unless the
+// table or the claim changed meanwhile.
+func (r *Replica) endCommit(d desk, request commitRequest, witness domain.Member) status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.epoch() != d.epoch() {
+		return statusStale
+	}
+	rec, ok := r.book.get(request.Key)
+	if !ok || rec.claim != request.Claim || rec.state != StateCommitted {
+		return statusRevoked
+	}
+	rec.witness = r.book.members.number(witness)
+	rec.flags &^= flagPending
+	r.book.put(request.Key, rec)
+	return statusOK
+}
+
+// serveMirror holds copies for a home of this epoch.
+func (r *Replica) serveMirror(ctx context.Context, from domain.Member, request mirrorRequest) statusReply {
+	r.catchUp(ctx, from, request.Epoch)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.book.expire(now)
+	h := r.history.Load()
+	if h == nil || h.table.Epoch != request.Epoch || !h.table.Eligible(r.self) {
+		return statusReply{statusStale, r.epoch()}
+	}
+	if len(r.book.records)+len(request.Entries) > 2*r.options.MaxRecords {
+		return statusReply{statusFull, r.epoch()}
+	}
+	for _, e := range request.Entries {
+		r.book.merge(e, now)
+	}
+	return statusReply{statusOK, r.epoch()}
+}
--- /dev/null
+++ b/ledger/run.go
@@ -0,0 +1,64 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// recoveryRetry is the pause before an unfinished recovery goes on.
+const recoveryRetry = 100 * time.Millisecond
+
+// Run follows the tables, recovers after changes and checks old records, until the
+// context ends. It returns the context's error.
+func (r *Replica) Run(ctx context.Context) error {
+	cancel := r.options.Tables.Subscribe(r.tableChanged)
+	defer cancel()
+	r.tableChanged(r.self.DataCentre)
+	var group errgroup.Group
+	group.Go(func() error { return r.recoverOnChange(ctx) })
+	group.Go(func() error { return every(ctx, r.options.FenceTimeout/4, r.confirmAll) })
+	group.Go(func() error { return every(ctx, r.options.AuditInterval, r.audit) })
+	return group.Wait()
+}
+
+// every calls f at each interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
+// recoverOnChange works on the current recovery until it is done.
+func (r *Replica) recoverOnChange(ctx context.Context) error {
+	retry := time.NewTimer(0)
+	defer retry.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wake:
+		case <-retry.C:
+		}
+		if r.recover(ctx) {
+			retry.Reset(recoveryRetry)
+		}
+	}
+}
+
+// tableChanged takes the latest table of a data centre.
+func (r *Replica) tableChanged(dataCentre domain.DataCentre) {
+	if dataCentre == r.self.DataCentre {
+		r.adopt(r.options.Tables.Table(dataCentre))
+	}
+}
--- /dev/null
+++ b/ledger/tablestore.go
@@ -0,0 +1,132 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/store"
+)
+
+// ErrTable means that the stored table can't be read.
+var ErrTable = errors.New("ledger: stored table is not valid")
+
+// TableKey is the store's key of a data centre's table.
+func TableKey(dataCentre domain.DataCentre) string { return "ledger/" + string(dataCentre) }
+
+// EncodeTable and DecodeTable are the stored form.
+func EncodeTable(t *Table) ([]byte, error) { return cbor.Marshal(t) }
+
+// DecodeTable reads the stored form, or returns ErrTable.
+func DecodeTable(value []byte) (*Table, error) {
+	var t Table
+	if err := cbor.Unmarshal(value, &t); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrTable, err)
+	}
+	return &t, nil
+}
+
+// TableStore keeps a data centre's table in the platform's store. It implements
+// TableEditor and is safe for concurrent use.
+type TableStore struct {
+	store      store.Store
+	dataCentre domain.DataCentre
+	keep       time.Duration
+
+	mu sync.Mutex
+	// seen tells when a departure was first seen, less its age then.
+	seen map[domain.Member]time.Time
+}
+
+// NewTableStore returns a TableStore that keeps departures for the loss window of
+// the options.
+func NewTableStore(s store.Store, dataCentre domain.DataCentre, options Options) *TableStore {
+	return &TableStore{
+		store:      s,
+		dataCentre: dataCentre,
+		keep:       options.withDefaults().LossWindow(),
+		seen:       make(map[domain.Member]time.Time),
+	}
+}
+
+// maxEditTries bounds the conflicts of one Edit.
+const maxEditTries = 16
+
+// Edit implements TableEditor. A lost acknowledgement is settled by reading back:
+// every change is idempotent, so that a second try finds it done. The error wraps
+// that of the store.
+func (s *TableStore) Edit(ctx context.Context, change TableChange) (*Table, error) {
+	var last error
+	for range maxEditTries {
+		t, err := s.editOnce(ctx, change)
+		if err == nil {
+			return t, nil
+		}
+		last = err
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknownOutcome) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("ledger: edit table of %s: %w", s.dataCentre, last)
+}
+
+// editOnce reads, changes and writes the table.
+func (s *TableStore) editOnce(ctx context.Context, change TableChange) (*Table, error) {
+	current, revision, err := s.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	next, err := change(current)
+	if err != nil || next == current {
+		return next, err
+	}
+	if next, err = Forget(s.keep)(next); err != nil {
+		return nil, err
+	}
+	value, err := EncodeTable(next)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := s.store.CompareAndSwap(ctx, TableKey(s.dataCentre), revision, value, 0); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// Read returns the stored table, empty if there is none, and its store revision.
+func (s *TableStore) Read(ctx context.Context) (*Table, store.Revision, error) {
+	entry, err := s.store.Get(ctx, TableKey(s.dataCentre))
+	if errors.Is(err, store.ErrNotFound) {
+		return &Table{DataCentre: s.dataCentre}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	t, err := DecodeTable(entry.Value)
+	if err != nil {
+		return nil, 0, err
+	}
+	s.age(t, time.Now())
+	return t, entry.Revision, nil
+}
+
+// age counts the departures' ages on from when this process first saw them.
+func (s *TableStore) age(t *Table, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := make(map[domain.Member]time.Time, len(t.Departed))
+	for i, d := range t.Departed {
+		since, ok := s.seen[d.TableMember.Member]
+		if from := now.Add(-d.Age); !ok || from.Before(since) {
+			since = from
+		}
+		seen[d.TableMember.Member] = since
+		t.Departed[i].Age = now.Sub(since)
+	}
+	s.seen = seen
+}
--- /dev/null
+++ b/ledger/target.go
@@ -0,0 +1,115 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// target is a key on its way to its home.
+type target struct {
+	key   domain.RequestKey
+	hash  KeyHash
+	flags recordFlags
+}
+
+// targetOf returns the target of a key as seen from this node.
+func (r *Replica) targetOf(key domain.RequestKey) target {
+	return target{key, hashKey(key), r.copyFlags(key.Scope)}
+}
+
+// copyFlags are the flags of the copy that this life keeps as the holder of a
+// claim.
+func (r *Replica) copyFlags(scope domain.Scope) recordFlags {
+	switch {
+	case scope.Kind == domain.ScopeNode && r.isSelf(scope):
+		return flagNodeScope
+	case scope.Kind == domain.ScopeNode, scope.DataCentre != r.self.DataCentre:
+		return flagForeign
+	}
+	return 0
+}
+
+func (r *Replica) isSelf(scope domain.Scope) bool {
+	return scope.Node == r.self.Node && scope.Incarnation == r.self.Incarnation
+}
+
+// route is where a key is decided.
+type route struct {
+	home domain.Member
+	// epoch is zero for keys of node scope.
+	epoch uint64
+}
+
+// route finds the key's home by what this node knows now.
+func (r *Replica) route(t target) (route, error) {
+	if t.key.Scope.Kind == domain.ScopeNode {
+		return r.routeToLife(t.key.Scope)
+	}
+	h := r.historyOf(t.key.Scope.DataCentre)
+	if h == nil {
+		return route{}, fmt.Errorf("%w: no table of data centre %s", ErrUnknown, t.key.Scope.DataCentre)
+	}
+	home, ok := h.home(t.hash)
+	if !ok {
+		return route{}, fmt.Errorf("%w: empty table of data centre %s", ErrUnknown, t.key.Scope.DataCentre)
+	}
+	return route{home, h.table.Epoch}, nil
+}
+
+// routeToLife finds the life that decides about a key of node scope.
+func (r *Replica) routeToLife(scope domain.Scope) (route, error) {
+	if r.isSelf(scope) {
+		return route{home: r.self}, nil
+	}
+	life := domain.Member{Node: scope.Node, Incarnation: scope.Incarnation}
+	if r.options.Membership == nil || r.lifeGone(life) {
+		return route{}, fmt.Errorf("%w: %s is gone", ErrUnknown, life)
+	}
+	for _, p := range r.options.Membership.Current().Peers {
+		if p.SameLife(life) {
+			return route{home: p.Member}, nil
+		}
+	}
+	return route{}, fmt.Errorf("%w: %s is not known", ErrUnknown, life)
+}
+
+// historyOf returns the latest table known of a data centre, or nil.
+func (r *Replica) historyOf(dataCentre domain.DataCentre) *history {
+	if dataCentre == r.self.DataCentre {
+		return r.history.Load()
+	}
+	r.mu.Lock()
+	known := r.foreign[dataCentre]
+	r.mu.Unlock()
+	return r.learn(known, r.options.Tables.Table(dataCentre))
+}
+
+// learn keeps the later of a known table of another data centre and one just met.
+func (r *Replica) learn(known *history, met *Table) *history {
+	if met == nil || known != nil && met.Epoch <= known.table.Epoch {
+		return known
+	}
+	next := newHistory(met)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.foreign[met.DataCentre] = next
+	return next
+}
+
+// refresh fetches the table of the key's data centre from a member that has
+// another epoch.
+func (r *Replica) refresh(ctx context.Context, t target, at route, epoch uint64) {
+	dataCentre := t.key.Scope.DataCentre
+	if dataCentre == r.self.DataCentre {
+		r.catchUp(ctx, at.home, epoch)
+		return
+	}
+	if epoch <= at.epoch {
+		return
+	}
+	if met, err := r.fetchTable(ctx, at.home, dataCentre); err == nil {
+		r.learn(r.historyOf(dataCentre), met)
+	}
+}
