Scheduler: outcome of each step under faults; a caller that comes back; drain

A node that was paused while its caller left no longer cancels at the engine a stream that another node has taken over: it asks the key's home first. An attempt that is being cancelled is not joined by a new one.

--- a/answer/audience.go
+++ b/answer/audience.go
@@ -45,6 +45,13 @@
 	a.start()
 }
 
+// Empty reports whether there is no reader.
+func (a *Audience) Empty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.count == 0
+}
+
 func (a *Audience) start() {
 	if a.count > 0 || a.idle == nil {
 		return
--- a/answer/code.go
+++ b/answer/code.go
@@ -34,6 +34,8 @@
 	CodeBroken Code = "endpoint_broken"
 	// CodePreempted: the place was taken back for a higher tier.
 	CodePreempted Code = "preempted"
+	// CodeOvertaken: another node has taken the request over.
+	CodeOvertaken Code = "overtaken"
 	// CodeCancelled: the caller cancelled the request.
 	CodeCancelled Code = "cancelled"
 	// CodeCallerGone: the caller was away for longer than the grace time.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -75,7 +75,7 @@
 		c.readUsage()
 		return Result{Use: c.use}
 	}
-	if !errors.Is(err, endpoint.ErrRefused) {
+	if !errors.Is(err, endpoint.ErrRefused) && !errors.Is(err, ErrOvertaken) {
 		c.cancel(ctx)
 	}
 	end := endOf(err)
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -21,6 +21,9 @@
 	ErrCancelled = errors.New("dispatch: cancelled by the caller")
 	// ErrCallerGone: the caller has been away for longer than the grace time.
 	ErrCallerGone = errors.New("dispatch: caller gone")
+	// ErrOvertaken: another node has taken the request over and reads its stream,
+	// which must not be cancelled at the engine.
+	ErrOvertaken = errors.New("dispatch: taken over by another node")
 	// ErrStopped: the node stops without a drain.
 	ErrStopped = errors.New("dispatch: node stopped")
 	// ErrTooLong: the request has run for longer than any may.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"hawthornrill.example/hawthornrill/answer"
 	"hawthornrill.example/hawthornrill/capacity"
@@ -24,9 +25,13 @@
 	return Result{NotSent: err, Use: capacity.Result{Unreachable: unreachable}}
 }
 
-// endOf translates what ended a run before its answer was complete. The outcome
-// is always ran: something was sent.
+// endOf translates what ended a run before its answer was complete. Something
+// was sent: the outcome is ran, unless the run goes on at another node.
 func endOf(err error) answer.End {
+	if errors.Is(err, ErrOvertaken) {
+		// The answer goes on elsewhere: a retry finds it there.
+		return answer.End{Outcome: domain.OutcomeUnknown, Reason: "another node has taken the request over", Code: answer.CodeOvertaken, RetryAfter: time.Second}
+	}
 	return answer.End{Outcome: domain.OutcomeRan, Reason: reason(err), Code: codeOf(err)}
 }
 
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -33,7 +33,6 @@
 	capacity *schedulertest.Capacity
 	engine   *schedulertest.Engine
 	service  *schedulertest.Service
-	options  entry.Options
 	nodes    map[domain.NodeID]*node
 	view     *config.StaticView
 	sessions *session.Authority
--- a/scheduler/attach.go
+++ b/scheduler/attach.go
@@ -105,6 +105,7 @@
 // takeOver reads the rest of an answer that a life now gone had dispatched.
 // Nothing is dispatched; a plain call can't be read again.
 func (t *task) takeOver(claim ledger.Claim) step {
+	t.claimed.Store(uint64(claim.ID))
 	t.scheduler.parts.Answers.Open(t.request.Key, t.buffer)
 	t.setPhase(PhaseRunning)
 	if t.request.Call != nil {
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -39,8 +39,4 @@
 	s.work.Wait()
 }
 
-func (s *Scheduler) inProgress() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.tasks) + int(s.unsettled.Load())
-}
+func (s *Scheduler) inProgress() int64 { return s.active.Load() + s.unsettled.Load() }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,8 @@
 	// work counts tasks and unconfirmed releases and finishes.
 	work     sync.WaitGroup
 	draining atomic.Bool
+	// active counts tasks, those being cancelled and replaced in the index included.
+	active atomic.Int64
 	// unsettled counts messages to keys' homes that are not confirmed yet.
 	unsettled atomic.Int64
 
@@ -59,11 +61,11 @@
 }
 
 // Submit takes the request up, or joins the attempt of the same key that is in
-// progress here, and returns at once. Whatever becomes of it, a refusal
+// progress here and not being cancelled, and returns at once. Whatever becomes of it, a refusal
 // included, is read from the handle.
 func (s *Scheduler) Submit(request Request) *Handle {
 	s.mu.Lock()
-	if running, ok := s.tasks[request.Key]; ok {
+	if running, ok := s.tasks[request.Key]; ok && !running.leaving.Load() {
 		defer s.mu.Unlock()
 		return running.join(request)
 	}
@@ -75,6 +77,7 @@
 	s.tasks[request.Key] = t
 	handle := t.handle()
 	s.work.Add(1)
+	s.active.Add(1)
 	s.mu.Unlock()
 	go t.run()
 	return handle
--- a/scheduler/schedulertest/ledger.go
+++ b/scheduler/schedulertest/ledger.go
@@ -44,6 +44,7 @@
 	records map[domain.RequestKey]*record
 	faults  map[Step]*Fault
 	gone    map[domain.Member]bool
+	dead    map[domain.Member]bool
 	last    ledger.ClaimID
 }
 
@@ -53,6 +54,7 @@
 		records: make(map[domain.RequestKey]*record),
 		faults:  make(map[Step]*Fault),
 		gone:    make(map[domain.Member]bool),
+		dead:    make(map[domain.Member]bool),
 	}
 }
 
@@ -63,7 +65,16 @@
 	h.faults[step] = &fault
 }
 
-// Lose tells the home that a member's life is over.
+// Kill ends a member's life: it reaches the home no more, and the home knows.
+func (h *Home) Kill(member domain.Member) {
+	h.Lose(member)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dead[member] = true
+}
+
+// Lose makes the home believe that a member's life is over, though it may only
+// have been paused.
 func (h *Home) Lose(member domain.Member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -90,10 +101,13 @@
 // For returns the ledger of one member.
 func (h *Home) For(self domain.Member) ledger.Ledger { return &client{home: h, self: self} }
 
-// do runs a call between the faults of its step.
-func (h *Home) do(step Step, effect func() error) error {
+// do runs a call of a member between the faults of its step. The dead don't call.
+func (h *Home) do(self domain.Member, step Step, effect func() error) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.dead[self] {
+		return ledger.ErrUnknown
+	}
 	fault := h.strike(step)
 	if fault != nil && !fault.Late {
 		return fault.Err
@@ -125,7 +139,7 @@
 }
 
 func (c *client) Claim(_ context.Context, key domain.RequestKey, fingerprint ledger.Fingerprint) (claim ledger.Claim, err error) {
-	err = c.home.do(StepClaim, func() error {
+	err = c.home.do(c.self, StepClaim, func() error {
 		claim, err = c.claim(key, fingerprint)
 		return err
 	})
@@ -188,7 +202,7 @@
 
 // held runs an effect if the claim is the one that holds the key.
 func (c *client) held(step Step, claim ledger.Claim, effect func(*record)) error {
-	return c.home.do(step, func() error {
+	return c.home.do(c.self, step, func() error {
 		r, ok := c.home.records[claim.Key]
 		if !ok || r.claim.ID != claim.ID {
 			return ledger.ErrRevoked
@@ -199,7 +213,7 @@
 }
 
 func (c *client) Lookup(_ context.Context, key domain.RequestKey) (state ledger.State, claim ledger.Claim, err error) {
-	err = c.home.do(StepLookup, func() error {
+	err = c.home.do(c.self, StepLookup, func() error {
 		r, ok := c.home.records[key]
 		if !ok {
 			return ledger.ErrNotFound
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -14,6 +14,7 @@
 
 // serve runs a request whose claim was granted to this attempt.
 func (t *task) serve(claim ledger.Claim) step {
+	t.claimed.Store(uint64(claim.ID))
 	if t.scheduler.draining.Load() {
 		return t.refuse(claim, notRun(answer.CodeDraining, "the node is leaving", retrySoon))
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -29,6 +29,9 @@
 	leaving atomic.Bool
 	copying atomic.Bool
 
+	// claimed is the claim under which the request may have been dispatched.
+	claimed atomic.Uint64
+
 	// attempts counts claims tried again, lost is since when a holder is out of reach.
 	attempts int
 	lost     time.Time
@@ -83,8 +86,9 @@
 // run does the task's work until the answer has ended and been delivered.
 func (t *task) run() {
 	defer t.scheduler.work.Done()
+	defer t.scheduler.active.Add(-1)
 	defer t.stop(nil)
-	t.watchCaller(func() { t.cancel(dispatch.ErrCallerGone) })
+	t.watchCaller(t.callerGone)
 	for t.attempt() == stepAgain {
 	}
 	t.buffer.Audience.Watch(nil, nil)
@@ -92,15 +96,44 @@
 	t.scheduler.remove(t)
 }
 
+// copyGrace is how long another attempt's answer is followed without a caller: it
+// can be read again.
+const copyGrace = 2 * time.Second
+
 // grace is how long the caller may be away: not at all once it has got all, or
 // if it can't come back.
 func (t *task) grace() time.Duration {
-	if t.request.NoReturn || t.buffer.EndRead() {
+	switch {
+	case t.request.NoReturn, t.buffer.EndRead():
 		return 0
+	case t.copying.Load():
+		return min(copyGrace, t.scheduler.options.Grace)
 	}
 	return t.scheduler.options.Grace
 }
 
+// callerGone cancels the task. A dispatched request is cancelled at the engine only
+// while the key's home confirms that this node still holds it: after a pause
+// another node may have taken it over.
+func (t *task) callerGone() {
+	id := ledger.ClaimID(t.claimed.Load())
+	if id == 0 || t.phaseNow() != PhaseRunning || t.copying.Load() {
+		t.cancel(dispatch.ErrCallerGone)
+		return
+	}
+	_, claim, err := t.scheduler.lookup(t.ctx, t.request.Key)
+	switch {
+	case !t.buffer.Audience.Empty():
+		t.watchCaller(t.callerGone)
+	case err == nil && claim.ID == id:
+		t.cancel(dispatch.ErrCallerGone)
+	case err == nil:
+		t.cancel(dispatch.ErrOvertaken)
+	case t.ctx.Err() == nil:
+		t.watchCaller(t.callerGone)
+	}
+}
+
 func (t *task) watchCaller(gone func()) { t.buffer.Audience.Watch(t.grace, gone) }
 
 // linger keeps an ended answer at hand until its caller has got it or has been
