--- a/queue/tier.go
+++ b/queue/tier.go
@@ -7,8 +7,9 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// idleSlack is how many idle organisations a tier remembers beside the waiting ones.
-const idleSlack = 64
+// firstSweep is the number of organisations in a tier's index at which it first
+// looks for idle ones to forget.
+const firstSweep = 64
 
 // tier shares its turn between organisations by start-time fair queueing
 // (Goyal, Vin and Cheng 1996).
@@ -23,12 +24,14 @@
 	// virtual is the start time of the ask served last.
 	virtual float64
 	count   int
+	// sweepAt is the size of the index at which idle organisations are forgotten.
+	sweepAt int
 	// weights is the sum over order.
 	weights float64
 }
 
 func newTier[T any](rank domain.Tier) *tier[T] {
-	return &tier[T]{rank: rank, index: make(map[domain.OrganisationID]*backlog[T])}
+	return &tier[T]{rank: rank, index: make(map[domain.OrganisationID]*backlog[T]), sweepAt: firstSweep}
 }
 
 func (t *tier[T]) push(item *Item[T]) {
@@ -110,10 +113,10 @@
 	heap.Remove(&t.byFinish, b.rank)
 }
 
-// forgetIdle drops idle organisations that have no charge ahead, when there are
-// many of them.
+// forgetIdle drops idle organisations that have no charge ahead, each time that
+// the index has doubled.
 func (t *tier[T]) forgetIdle() {
-	if len(t.index) < 2*len(t.order)+idleSlack {
+	if len(t.index) < t.sweepAt {
 		return
 	}
 	for id, b := range t.index {
@@ -121,4 +124,5 @@
 			delete(t.index, id)
 		}
 	}
+	t.sweepAt = max(2*len(t.index), firstSweep)
 }
