--- a/answer/registry.go
+++ b/answer/registry.go
@@ -57,9 +57,10 @@
 // Expire drops finished answers that are too old.
 func (r *Registry) Expire() { r.cache.Expire(time.Now()) }
 
-// Open answers and finished ones, with the bytes that the latter take.
+// RegistrySize is how much a registry holds.
 type RegistrySize struct {
 	Open          int `json:"open"`
+	OpenBytes     int `json:"open_bytes"`
 	Finished      int `json:"finished"`
 	FinishedBytes int `json:"finished_bytes"`
 }
@@ -67,8 +68,11 @@
 // Size returns what is held now.
 func (r *Registry) Size() RegistrySize {
 	r.mu.RLock()
-	open := len(r.open)
+	size := RegistrySize{Open: len(r.open)}
+	for _, buffer := range r.open {
+		size.OpenBytes += buffer.Bytes()
+	}
 	r.mu.RUnlock()
-	finished, bytes := r.cache.Size()
-	return RegistrySize{Open: open, Finished: finished, FinishedBytes: bytes}
+	size.Finished, size.FinishedBytes = r.cache.Size()
+	return size
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	name := c.Param("service")
+	name := pathParam(c, "service")
 	service := who.snapshot.Services[name]
 	if service == nil {
 		return s.refuse(c.Request().Context(), id, invalid(http.StatusNotFound, "unknown_service", "path", "there is no service %q", name))
@@ -84,6 +85,20 @@
 	}, nil
 }
 
+// pathParam returns a decoded path parameter. The router leaves it encoded when
+// the path has an encoded slash.
+func pathParam(c echo.Context, name string) string {
+	value := c.Param(name)
+	if c.Request().URL.RawPath == "" {
+		return value
+	}
+	decoded, err := url.PathUnescape(value)
+	if err != nil {
+		return value
+	}
+	return decoded
+}
+
 // pathAtService returns the path and query as the service sees them.
 func pathAtService(r *http.Request, service string) string {
 	path := strings.TrimPrefix(r.URL.EscapedPath(), servicesPath)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -35,11 +35,16 @@
 	if err != nil {
 		return err
 	}
+	// Nothing may be refused after Submit but by its answer.
+	position, err := resumePosition(c.Request())
+	if err != nil {
+		return err
+	}
 	handle := s.parts.Scheduler.Submit(request)
 	defer handle.Close()
 	s.advise(c)
 	if chat.Stream {
-		return s.streamEvents(c, handle, id)
+		return s.streamEvents(c, handle, id, position)
 	}
 	return s.writeCompletion(c, handle, id)
 }
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -30,9 +30,12 @@
 
 // next returns the next batch, an empty one after a silence.
 func (a *answerReader) next() (answer.Batch, error) {
+	if a.wait.Err() != nil {
+		// The time passed while the last batch was being written.
+		a.arm()
+	}
 	batch, err := a.handle.Read(a.wait, a.position)
 	if err != nil && a.wait.Err() != nil && a.request.Err() == nil {
-		a.arm()
 		return answer.Batch{}, nil
 	}
 	if err != nil {
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -38,13 +38,17 @@
 	if err != nil {
 		return err
 	}
+	position, err := resumePosition(c.Request())
+	if err != nil {
+		return err
+	}
 	progress, handle, err := s.parts.Scheduler.Find(c.Request().Context(), id.key)
 	if err != nil {
 		return findProblem(err, id)
 	}
 	defer handle.Close()
 	if strings.Contains(c.Request().Header.Get("Accept"), "text/event-stream") {
-		return s.streamEvents(c, handle, id)
+		return s.streamEvents(c, handle, id, position)
 	}
 	state := requestState{Key: id.key.Client, State: progress}
 	if progress == scheduler.ProgressFinished || progress == scheduler.ProgressFailed {
@@ -76,7 +80,7 @@
 	if err != nil {
 		return identity{}, err
 	}
-	key, err := who.requestKey(c.Param("key"))
+	key, err := who.requestKey(pathParam(c, "key"))
 	return identity{key: key}, err
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -33,11 +33,7 @@
 // streamEvents writes the answer until it ends or the caller is gone. Until the
 // first event an error still has its HTTP status; after that it is an event of
 // type "error" with the problem document as data.
-func (s *Server) streamEvents(c echo.Context, handle *scheduler.Handle, id identity) error {
-	position, err := resumePosition(c.Request())
-	if err != nil {
-		return err
-	}
+func (s *Server) streamEvents(c echo.Context, handle *scheduler.Handle, id identity, position answer.Position) error {
 	silence := s.options.KeepAlive
 	if id.minted {
 		silence = s.options.HeaderDelay
