--- /dev/null
+++ b/routing/dump.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// EndpointDump shows what has been learned of an endpoint.
+type EndpointDump struct {
+	Endpoint   domain.EndpointID `json:"endpoint"`
+	Generation string            `json:"generation"`
+	Speed      Speed             `json:"speed"`
+	Samples    int               `json:"samples"`
+	// Ratio is how many times as long as its generation it takes.
+	Ratio     float64 `json:"ratio"`
+	Straggler bool    `json:"straggler"`
+	Health    string  `json:"health"`
+	Failures  int     `json:"failures"`
+	// CacheTrust is the part of predicted cached tokens that results confirm.
+	CacheTrust float64 `json:"cache_trust"`
+	Blocks     int     `json:"prefix_blocks"`
+}
+
+// State returns what has been learned of the endpoints, by name.
+func (rt *Router) State() []EndpointDump {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	state := make([]EndpointDump, 0, len(rt.endpoints))
+	for _, e := range rt.endpoints {
+		state = append(state, rt.dump(e))
+	}
+	slices.SortFunc(state, func(a, b EndpointDump) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return state
+}
+
+func (rt *Router) dump(e *Endpoint) EndpointDump {
+	return EndpointDump{
+		Endpoint:   e.id,
+		Generation: e.generationName,
+		Speed:      e.Speed(),
+		Samples:    e.profile.Samples(),
+		Ratio:      e.straggler.Ratio(),
+		Straggler:  e.straggler.Slow(rt.options.StragglerRatio),
+		Health:     e.ejector.Health(e.seenAt).String(),
+		Failures:   e.ejector.failures,
+		CacheTrust: e.trust.Part(),
+		Blocks:     e.prefixes.Len(),
+	}
+}
--- /dev/null
+++ b/routing/options.go
@@ -0,0 +1,135 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Options are the numbers of a Router. Zero values are replaced by the defaults
+// below; negative ones switch off what can be switched off.
+type Options struct {
+	// Prior is the speed assumed of hardware of which nothing is known, Priors that
+	// of hardware generations by name.
+	Prior  Speed
+	Priors map[string]Speed
+	// LearnRate is the part by which each sample moves a learned speed.
+	LearnRate float64
+	// RequestTokens is the work that a request is taken for beyond its tokens; it
+	// stands for the queue of plain services too.
+	RequestTokens int
+	// TokenInterval bounds the batch of an engine: it is saturated where its
+	// learned time between tokens would exceed both this and twice that of a batch
+	// of one. Negative for no bound.
+	TokenInterval time.Duration
+	// PrefillWeight is how much computing a prompt counts beyond the time that the
+	// ask itself waits for it, because it delays the other requests there.
+	PrefillWeight float64
+	// TieMargin is the part of the best cost within which candidates count as equal.
+	TieMargin float64
+	// HoldRatio keeps an ask waiting for a better endpoint that has no room now, if
+	// the best one that has would take so many times as long as the better one,
+	// its wait included. Zero or below 1 for never.
+	HoldRatio float64
+	// PrefixBlocks bounds the prompt blocks remembered for an endpoint.
+	PrefixBlocks int
+	// EvictionLag is how old a cache event may be: an eviction does not count for
+	// a block that was dispatched more recently.
+	EvictionLag time.Duration
+	// Sessions bounds the sessions remembered, SessionTTL for how long.
+	Sessions   int
+	SessionTTL time.Duration
+	// StragglerRatio is how many times as long as its hardware generation an
+	// endpoint must take to be a straggler.
+	StragglerRatio float64
+	// ProbeEvery is the time without a sample after which a straggler is tried again.
+	ProbeEvery time.Duration
+	// Silence is how long an endpoint may hold prompts without any progress being
+	// heard of, beyond three times the time expected for them.
+	Silence time.Duration
+	// EjectFirst is the time out of service after a failure; it doubles with each
+	// further one up to EjectMost.
+	EjectFirst time.Duration
+	EjectMost  time.Duration
+	// EjectPart is the part of a pool group's endpoints that crashes may take out of
+	// service at a time; the rest is tried by single requests instead.
+	EjectPart float64
+	// ProbeTimeout is how long a single request may be out before another is tried.
+	ProbeTimeout time.Duration
+	// ReportAge is the age up to which a load report is used.
+	ReportAge time.Duration
+	// ReportWeight is the part that a load report counts.
+	ReportWeight float64
+	// ForecastSamples is the number of samples below which nothing is forecast.
+	ForecastSamples int
+	// Quarantine remembers contents that crash endpoints; nil for none.
+	Quarantine Quarantine
+	// Metrics is where counters are registered; nil for a set of its own.
+	Metrics *metrics.Set
+}
+
+// The defaults of Options.
+const (
+	DefaultLearnRate       = 0.05
+	DefaultRequestTokens   = 16
+	DefaultTokenInterval   = 62 * time.Millisecond
+	DefaultTieMargin       = 0.01
+	DefaultPrefixBlocks    = 4096
+	DefaultEvictionLag     = 3 * time.Second
+	DefaultSessions        = 8192
+	DefaultSessionTTL      = 10 * time.Minute
+	DefaultStragglerRatio  = 1.8
+	DefaultProbeEvery      = 5 * time.Second
+	DefaultSilence         = 6 * time.Second
+	DefaultEjectFirst      = time.Second
+	DefaultEjectMost       = time.Minute
+	DefaultEjectPart       = 0.5
+	DefaultProbeTimeout    = 30 * time.Second
+	DefaultReportAge       = 3 * time.Second
+	DefaultReportWeight    = 0.25
+	DefaultForecastSamples = 8
+)
+
+// DefaultPrior is the speed of hardware of which nothing is known.
+var DefaultPrior = Speed{
+	First:    Line{Base: 0.02, Slope: 100e-6},
+	Interval: Line{Base: 0.02, Slope: 0.5e-3},
+}
+
+// WithDefaults returns the options with every zero replaced.
+func (o Options) WithDefaults() Options {
+	if o.Prior == (Speed{}) {
+		o.Prior = DefaultPrior
+	}
+	if o.Quarantine == nil {
+		o.Quarantine = noQuarantine{}
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	setDefault(&o.LearnRate, DefaultLearnRate)
+	setDefault(&o.RequestTokens, DefaultRequestTokens)
+	setDefault(&o.TokenInterval, DefaultTokenInterval)
+	setDefault(&o.TieMargin, DefaultTieMargin)
+	setDefault(&o.PrefixBlocks, DefaultPrefixBlocks)
+	setDefault(&o.EvictionLag, DefaultEvictionLag)
+	setDefault(&o.Sessions, DefaultSessions)
+	setDefault(&o.SessionTTL, DefaultSessionTTL)
+	setDefault(&o.StragglerRatio, DefaultStragglerRatio)
+	setDefault(&o.ProbeEvery, DefaultProbeEvery)
+	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.EjectFirst, DefaultEjectFirst)
+	setDefault(&o.EjectMost, DefaultEjectMost)
+	setDefault(&o.EjectPart, DefaultEjectPart)
+	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&o.ReportAge, DefaultReportAge)
+	setDefault(&o.ReportWeight, DefaultReportWeight)
+	setDefault(&o.ForecastSamples, DefaultForecastSamples)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/routing/speed.go
@@ -0,0 +1,9 @@
+package routing
+
+// Speed is how fast an endpoint is. First is the time to the first token by
+// prompt tokens to compute, those ahead included; Interval is the time between
+// tokens by requests in the batch.
+type Speed struct {
+	First    Line `json:"first_token"`
+	Interval Line `json:"interval"`
+}
--- /dev/null
+++ b/routing/steps_test.go
@@ -0,0 +1,202 @@
+package routing
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// testSpeed takes 1 ms a prompt token after 0.1 s, and 10 ms between tokens with
+// 1 ms more for each request.
+var testSpeed = Speed{First: Line{0.1, 1e-3}, Interval: Line{0.009, 1e-3}}
+
+// candidate returns an idle healthy endpoint.
+func candidate(id domain.EndpointID, change ...func(c *Candidate)) Candidate {
+	c := Candidate{
+		State:   &capacity.EndpointState{ID: id, Row: &config.EndpointRow{}},
+		Learned: NewEndpoint(t0, id, "", NewGeneration(testSpeed), 100),
+	}
+	c.Learned.heard.At = t0
+	for _, f := range change {
+		f(&c)
+	}
+	return c
+}
+
+func request(change ...func(r *Request)) *Request {
+	r := &Request{Now: t0, Ask: &capacity.Ask{PromptTokens: 640, AnswerTokens: 100, Blocks: []uint64{1, 2, 3, 4, 5}}}
+	for _, f := range change {
+		f(r)
+	}
+	return r
+}
+
+// straggling makes the endpoint take so many times as long as its generation.
+func straggling(ratio float64) func(c *Candidate) {
+	return func(c *Candidate) {
+		c.Learned.straggler = Straggler{log: math.Log(ratio), samples: stragglerSamples, touchedAt: t0}
+	}
+}
+
+func failed(times int, ago time.Duration) func(c *Candidate) {
+	return func(c *Candidate) {
+		for range times {
+			at := t0.Add(-ago)
+			c.Learned.ejector.until = time.Time{}
+			c.Learned.ejector.Fail(at, at, time.Second, time.Minute)
+			ago--
+		}
+	}
+}
+
+func TestFilters(t *testing.T) {
+	suspect := func(r *Request) { r.Suspect = true }
+	plain := func(*Request) {}
+	ejected := EjectedFilter{ProbeTimeout: 30 * time.Second}
+	saturation := SaturationFilter{SaturationDetector{TokenInterval: 0.015}}
+	probe := func(c *Candidate) { c.Learned.ejector.Probe(t0.Add(-time.Second), true) }
+	for name, tt := range map[string]struct {
+		filter  Filter
+		request func(*Request)
+		change  func(c *Candidate)
+		keep    bool
+	}{
+		"in service":                {LeavingFilter{}, plain, func(*Candidate) {}, true},
+		"leaving":                   {LeavingFilter{}, plain, func(c *Candidate) { c.State.Leaving = true }, false},
+		"drained":                   {LeavingFilter{}, plain, func(c *Candidate) { c.State.Row = &config.EndpointRow{Drain: true} }, false},
+		"healthy":                   {ejected, plain, func(*Candidate) {}, true},
+		"just failed":               {ejected, plain, failed(1, 900*time.Millisecond), false},
+		"failed a while ago":        {ejected, plain, failed(1, 2*time.Second), true},
+		"failed often":              {ejected, plain, failed(4, 2*time.Second), false},
+		"being tried":               {ejected, plain, func(c *Candidate) { failed(1, 2*time.Second)(c); probe(c) }, false},
+		"no suspect":                {SuspectFilter{}, plain, func(c *Candidate) { c.Learned.suspects = 1 }, true},
+		"suspect, free":             {SuspectFilter{}, suspect, func(*Candidate) {}, true},
+		"suspect beside a suspect":  {SuspectFilter{}, suspect, func(c *Candidate) { c.Learned.suspects = 1 }, false},
+		"shallow batch":             {saturation, plain, func(c *Candidate) { c.State.Requests = 10 }, true},
+		"deep batch":                {saturation, plain, func(c *Candidate) { c.State.Requests = 11 }, false},
+		"slow hardware, not deep":   {SaturationFilter{SaturationDetector{TokenInterval: 0.001}}, plain, func(c *Candidate) { c.State.Requests = 10 }, true},
+		"saturation not looked for": {SaturationFilter{SaturationDetector{TokenInterval: -1}}, plain, func(c *Candidate) { c.State.Requests = 99 }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := candidate("e", tt.change)
+			assert.Equal(t, tt.filter.Keep(request(tt.request), &c), tt.keep)
+		})
+	}
+}
+
+func TestScorers(t *testing.T) {
+	plain := func(*Request) {}
+	none := func(*Candidate) {}
+	straggler := StragglerScorer{Ratio: 1.8, ProbeEvery: 5 * time.Second}
+	estimated := func(c *Candidate) { c.Estimate.Work, c.Estimate.Batch, c.Estimate.Cost = 100, 1, 1.2 }
+	later := func(r *Request) { r.Now = t0.Add(6 * time.Second) }
+	cached := func(c *Candidate) float64 { return c.Estimate.CachedTokens }
+	work := func(c *Candidate) float64 { return c.Estimate.Work }
+	batch := func(c *Candidate) float64 { return c.Estimate.Batch }
+	cost := func(c *Candidate) float64 { return c.Estimate.Cost }
+	session := func(r *Request) { r.Session = SessionPlace{Endpoint: "e", Tokens: 500, At: t0.Add(-time.Minute)} }
+	distrusted := func(c *Candidate) {
+		c.Learned.prefixes.Dispatched(t0, []uint64{1, 2, 3})
+		c.Learned.trust.distrust = 0.5
+	}
+	report := func(requests int, ago time.Duration) func(*Candidate) {
+		return func(c *Candidate) {
+			c.State.Requests, c.Estimate.Batch = 2, 3
+			c.Learned.report = loadReport{Requests: requests, At: t0.Add(-ago)}
+		}
+	}
+	silent := func(c *Candidate) { c.State.PrefillTokens, c.Estimate.Work = 700, 700 }
+	for name, tt := range map[string]struct {
+		scorer  Scorer
+		request func(*Request)
+		change  func(c *Candidate)
+		read    func(c *Candidate) float64
+		want    float64
+	}{
+		"nothing held":       {PrefixScorer{}, plain, none, cached, 0},
+		"prefix held":        {PrefixScorer{}, plain, func(c *Candidate) { c.Learned.prefixes.Dispatched(t0, []uint64{1, 2, 3, 9}) }, cached, 192},
+		"another prefix":     {PrefixScorer{}, plain, func(c *Candidate) { c.Learned.prefixes.Dispatched(t0, []uint64{7, 2, 3}) }, cached, 0},
+		"prefix distrusted":  {PrefixScorer{}, plain, distrusted, cached, 96},
+		"session here":       {SessionScorer{TTL: time.Hour}, session, none, cached, 500},
+		"session elsewhere":  {SessionScorer{TTL: time.Hour}, session, func(c *Candidate) { c.State.ID = "f" }, cached, 0},
+		"session forgotten":  {SessionScorer{TTL: time.Second}, session, none, cached, 0},
+		"idle":               {OutstandingScorer{}, plain, none, work, 640},
+		"cached is saved":    {OutstandingScorer{}, plain, func(c *Candidate) { c.Estimate.CachedTokens = 600 }, work, 40},
+		"prompts ahead":      {OutstandingScorer{RequestTokens: 16}, plain, func(c *Candidate) { c.State.PrefillTokens, c.State.Requests = 1000, 2 }, work, 1672},
+		"half cached ahead":  {OutstandingScorer{}, plain, func(c *Candidate) { c.State.PrefillTokens = 1000; c.Learned.place(flight{prompt: 8, cached: 4}, 1) }, work, 1140},
+		"long batch":         {OutstandingScorer{}, plain, func(c *Candidate) { c.State.Requests, c.State.AnswerTokens = 4, 4000 }, batch, 5},
+		"batch about to end": {OutstandingScorer{}, plain, func(c *Candidate) { c.State.Requests, c.State.AnswerTokens = 4, 40 }, batch, 1.4},
+		"reports more":       {ReportScorer{MaxAge: time.Second, Weight: 0.25}, plain, report(4, 0), batch, 3.5},
+		"reports far more":   {ReportScorer{MaxAge: time.Second, Weight: 0.25}, plain, report(99, 0), batch, 3.75},
+		"reports less":       {ReportScorer{MaxAge: time.Second, Weight: 0.25}, plain, report(0, 0), batch, 3},
+		"reported long ago":  {ReportScorer{MaxAge: time.Second, Weight: 0.25}, plain, report(4, 2*time.Second), batch, 3},
+		"completion":         {SpeedScorer{}, plain, estimated, cost, 0.1 + 0.1 + 100*0.010},
+		"weighted prefill":   {SpeedScorer{PrefillWeight: 2}, plain, func(c *Candidate) { estimated(c); c.Estimate.Own = 50 }, cost, 1.2 + 2*0.05},
+		"no straggler":       {straggler, plain, func(c *Candidate) { estimated(c); straggling(1.7)(c) }, cost, 1.2},
+		"straggler":          {straggler, plain, func(c *Candidate) { estimated(c); straggling(4)(c) }, cost, 4.8},
+		"straggler tried":    {straggler, later, func(c *Candidate) { estimated(c); straggling(4)(c) }, cost, 1.2},
+		"not by a pressed":   {straggler, func(r *Request) { later(r); r.Due = r.Now.Add(4 * time.Second) }, func(c *Candidate) { estimated(c); straggling(4)(c) }, cost, 4.8},
+		"silent a little":    {SilenceScorer{Allowed: 6}, later, silent, cost, 0},
+		"silent long":        {SilenceScorer{Allowed: 6}, func(r *Request) { r.Now = t0.Add(9 * time.Second) }, silent, cost, 9},
+		"idle and silent":    {SilenceScorer{Allowed: 6}, func(r *Request) { r.Now = t0.Add(9 * time.Second) }, none, cost, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := []Candidate{candidate("e", tt.change)}
+			tt.scorer.Score(request(tt.request), c)
+			assert.Assert(t, math.Abs(tt.read(&c[0])-tt.want) < 1e-9, "%v, not %v", tt.read(&c[0]), tt.want)
+		})
+	}
+}
+
+func TestCompletionPicker(t *testing.T) {
+	picker := CompletionPicker{TieMargin: 0.01}
+	costs := func(costs ...float64) []Candidate {
+		var list []Candidate
+		for i, cost := range costs {
+			list = append(list, candidate(domain.EndpointID('a'+rune(i)), func(c *Candidate) { c.Estimate.Cost = cost }))
+		}
+		return list
+	}
+	assert.Equal(t, picker.Pick(request(), costs(3, 1, 2)), 1)
+	chosen := make(map[int]int)
+	for affinity := range uint64(300) {
+		r := request(func(r *Request) { r.Affinity = mix(affinity) })
+		first := picker.Pick(r, costs(1.005, 1, 9, 1))
+		assert.Equal(t, picker.Pick(r, costs(1, 1.005, 9, 1)), first)
+		chosen[first]++
+	}
+	assert.Assert(t, chosen[0] > 60 && chosen[1] > 60 && chosen[3] > 60 && chosen[2] == 0, "%v", chosen)
+}
+
+func TestEstimatorLearnsALine(t *testing.T) {
+	prior := Line{Base: 0.02, Slope: 1e-4}
+	for name, tt := range map[string]struct {
+		truth   Line
+		amounts []float64
+	}{
+		"slower hardware": {Line{0.05, 4e-4}, []float64{50, 400, 3000, 8000}},
+		"faster hardware": {Line{0.01, 2e-5}, []float64{50, 400, 3000, 8000}},
+		"always alike":    {Line{0.03, 1e-4}, []float64{1000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e Estimator
+			assert.Equal(t, e.Line(prior, workSpread), prior)
+			for i := range 200 {
+				amount := tt.amounts[i%len(tt.amounts)]
+				e.Add(amount, tt.truth.At(amount), 0.05)
+			}
+			for _, amount := range tt.amounts {
+				got := e.Line(prior, workSpread).At(amount)
+				assert.Assert(t, math.Abs(got/tt.truth.At(amount)-1) < 0.05, "%v: %v, not %v", amount, got, tt.truth.At(amount))
+			}
+		})
+	}
+}
