Node: the parts put together; the whole path over seven nodes in virtual time

A request sent to each of Cucine's seven nodes under one key is run once and answered alike by all. The test runs whole nodes over the in-memory network, the in-memory store and the engine stand-ins.

--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/document"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+	"hawthornrill.example/hawthornrill/standin/engine"
+	"hawthornrill.example/hawthornrill/store/memstore"
+)
+
+// cluster is a deployment in memory, in virtual time: whole nodes over an
+// in-memory network, a store and engines that are the witnesses.
+type cluster struct {
+	t       *testing.T
+	network *peertest.Network
+	store   *memstore.Store
+	engines map[domain.EndpointID]*engine.Engine
+	members []domain.Member
+	nodes   map[domain.NodeID]*runningNode
+	view    atomic.Pointer[[]membership.Peer]
+}
+
+type runningNode struct {
+	*Node
+	echo *echo.Echo
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// viewOf is a node's members: what the test says.
+type viewOf struct {
+	c    *cluster
+	self domain.Member
+	last atomic.Pointer[viewCache]
+}
+
+type viewCache struct {
+	peers    *[]membership.Peer
+	snapshot *membership.Snapshot
+}
+
+func (v *viewOf) Current() *membership.Snapshot {
+	peers := v.c.view.Load()
+	if cached := v.last.Load(); cached != nil && cached.peers == peers {
+		return cached.snapshot
+	}
+	s := &membership.Snapshot{Self: v.self, Peers: *peers}
+	v.last.Store(&viewCache{peers: peers, snapshot: s})
+	return s
+}
+
+func (v *viewOf) Run(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+
+func (v *viewOf) Leave(context.Context) error {
+	v.c.setStatus(v.self, membership.StatusLeaving)
+	return nil
+}
+
+// engineAdapters gives the in-process engines as endpoints.
+type engineAdapters struct{ c *cluster }
+
+func (a engineAdapters) Engine(row *config.EndpointRow) endpoint.Engine { return a.c.engines[row.ID] }
+func (a engineAdapters) Service(*config.EndpointRow) endpoint.Service   { return nil }
+
+// newCluster starts nodes in the data centres of a deployment: as many hosts as
+// it has, one engine for each of its engine rows.
+func newCluster(t *testing.T, d *deployment.Deployment, options engine.Options) *cluster {
+	c := &cluster{
+		t:       t,
+		network: peertest.NewNetwork(),
+		store:   memstore.New(memstore.Options{}),
+		engines: make(map[domain.EndpointID]*engine.Engine),
+		nodes:   make(map[domain.NodeID]*runningNode),
+	}
+	for i := range d.Table.Endpoints {
+		row := &d.Table.Endpoints[i]
+		row.Address = fmt.Sprintf("http://192.0.2.%d:80", i+1)
+		if row.Kind == config.KindEngine {
+			c.engines[row.ID] = engine.New(options)
+		}
+	}
+	var peers []membership.Peer
+	for i, host := range d.Hosts {
+		m := domain.Member{Node: host.Node, Incarnation: 1, DataCentre: host.DataCentre, Address: fmt.Sprintf("198.51.100.%d:7", i+1)}
+		c.members = append(c.members, m)
+		peers = append(peers, membership.Peer{Member: m})
+	}
+	slices.SortFunc(peers, func(a, b membership.Peer) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	c.view.Store(&peers)
+	for _, m := range c.members {
+		c.start(m)
+	}
+	c.accept(d.Table)
+	time.Sleep(10 * time.Second)
+	return c
+}
+
+// start runs a life of a node.
+func (c *cluster) start(m domain.Member) *runningNode {
+	n, err := New(Options{
+		Transport:      c.network.Node(m),
+		Store:          c.store.NewClient(),
+		Members:        &viewOf{c: c, self: m},
+		Adapters:       engineAdapters{c},
+		Log:            zerolog.Nop(),
+		Metrics:        metrics.NewSet(),
+		SessionSecrets: [][]byte{[]byte(strings.Repeat("s", 32))},
+	})
+	assert.NilError(c.t, err)
+	e := echo.New()
+	n.Callers(e)
+	n.Health(e)
+	n.Observe(e)
+	ctx, stop := context.WithCancel(context.Background())
+	running := &runningNode{Node: n, echo: e, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(running.done)
+		_ = n.Run(ctx)
+	}()
+	c.nodes[m.Node] = running
+	return running
+}
+
+// accept writes a configuration.
+func (c *cluster) accept(table config.Table) {
+	var text strings.Builder
+	assert.NilError(c.t, config.WriteTOML(&text, table))
+	first := c.nodes[c.members[0].Node]
+	_, err := first.documents.Update(context.Background(), configDocument, document.Edit{ID: document.NewEditID()},
+		func(document.Version, []byte) (document.Value, error) {
+			return document.Single([]byte(text.String())), nil
+		})
+	assert.NilError(c.t, err)
+}
+
+// setStatus changes what all nodes believe of a life.
+func (c *cluster) setStatus(m domain.Member, status membership.Status) {
+	peers := slices.Clone(*c.view.Load())
+	for i := range peers {
+		if peers[i].Node == m.Node {
+			peers[i] = membership.Peer{Member: m, Status: status}
+		}
+	}
+	c.view.Store(&peers)
+}
+
+// crash ends a life at once: nothing that it has in hand gets out any more.
+func (c *cluster) crash(node domain.NodeID) {
+	n := c.nodes[node]
+	c.network.Crash(node)
+	n.stop()
+	<-n.done
+	delete(c.nodes, node)
+}
+
+// close ends all nodes and engines.
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		<-n.done
+	}
+	c.network.Close()
+	synctest.Wait()
+}
+
+// runs counts how often each request was run, over all engines.
+func (c *cluster) runs() map[string]int {
+	counts := make(map[string]int)
+	for _, e := range c.engines {
+		for _, run := range e.Runs() {
+			counts[run.Key]++
+		}
+	}
+	return counts
+}
+
+// assertAtMostOnce fails if any request was dispatched twice.
+func (c *cluster) assertAtMostOnce() {
+	for key, n := range c.runs() {
+		assert.Check(c.t, n <= 1, "%s was run %d times", key, n)
+	}
+}
+
+// chat sends a chat request to a node and returns the response.
+func (c *cluster) chat(ctx context.Context, node domain.NodeID, org domain.OrganisationID, key, prompt string, tokens int) *httptest.ResponseRecorder {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":%d}`, "quote", prompt, tokens)
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+deployment.DemoKey(org))
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	recorder := httptest.NewRecorder()
+	c.nodes[node].echo.ServeHTTP(recorder, request)
+	return recorder
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornrill.example/hawthornrill/answer"
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/dispatch"
+	"hawthornrill.example/hawthornrill/document"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/entry"
+	"hawthornrill.example/hawthornrill/ledger"
+	"hawthornrill.example/hawthornrill/routing"
+	"hawthornrill.example/hawthornrill/scheduler"
+	"hawthornrill.example/hawthornrill/session"
+)
+
+const (
+	// expireEvery is the interval at which finished answers that are too old go.
+	expireEvery = 10 * time.Second
+	// configDocument is the name of the configuration's document.
+	configDocument = "config"
+	// configHistory is how many earlier configurations the store keeps.
+	configHistory = 50
+)
+
+// Node is one node of the system. Its parts are made by New, and work while Run
+// runs.
+type Node struct {
+	options   Options
+	self      domain.Member
+	documents *document.Service
+	config    *configuration
+	tables    *tables
+	ledger    *ledger.Replica
+	capacity  *capacity.Service
+	routers   *routing.Factory
+	endpoints *endpoints
+	reports   *reports
+	answers   *answer.Registry
+	scheduler *scheduler.Scheduler
+	entry     *entry.Server
+	enrolment *enrolment
+	started   time.Time
+	draining  atomic.Bool
+	// enrol ends the enrolment, so that a node that departs does not join again.
+	enrol    context.CancelFunc
+	enrolled chan struct{}
+}
+
+// New puts a node together and registers its handlers with the transport.
+func New(options Options) (*Node, error) {
+	n := &Node{
+		options:  options,
+		self:     options.Transport.Self(),
+		config:   newConfiguration(options.Log),
+		started:  time.Now(),
+		enrolled: make(chan struct{}),
+	}
+	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildCapacity, n.buildScheduler, n.buildEntry} {
+		if err := build(); err != nil {
+			return nil, fmt.Errorf("node: %w", err)
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) buildDocuments() error {
+	documents, err := document.New(document.Options{
+		Transport: n.options.Transport,
+		Members:   n.options.Members,
+		Store:     n.options.Store,
+		Logger:    n.options.Log,
+		Metrics:   n.options.Metrics,
+	})
+	if err != nil {
+		return err
+	}
+	n.documents = documents
+	return documents.Register(document.Spec{
+		Name:        configDocument,
+		Apply:       n.config.apply,
+		KeepHistory: configHistory,
+	})
+}
+
+func (n *Node) buildLedger() error {
+	options := ledger.Options{
+		Transport:  n.options.Transport,
+		Membership: n.options.Members,
+		Metrics:    n.options.Metrics,
+		Logger:     n.options.Log,
+		Retention:  n.options.Retention,
+		MaxRecords: n.options.MaxKeys,
+	}
+	n.tables = newTables(n.documents, n.self, options.LossWindow())
+	options.Tables = n.tables
+	options.Editor = n.tables
+	replica, err := ledger.New(options)
+	if err != nil {
+		return err
+	}
+	n.ledger = replica
+	n.enrolment = &enrolment{self: n.self, tables: n.tables, members: n.options.Members, log: n.options.Log}
+	return n.tables.follow(n.self.DataCentre)
+}
+
+func (n *Node) buildCapacity() error {
+	n.routers = routing.NewFactory(n.options.Routing)
+	n.capacity = capacity.New(capacity.Options{
+		Transport:  n.options.Transport,
+		Membership: n.options.Members,
+		Config:     n.config,
+		NewChooser: n.routers.New,
+		Metrics:    n.options.Metrics,
+		Logger:     n.options.Log,
+	})
+	n.endpoints = newEndpoints(n.config, n.options.Adapters)
+	n.reports = newReports(n.capacity, n.endpoints)
+	return nil
+}
+
+func (n *Node) buildScheduler() error {
+	n.answers = answer.NewRegistry(answer.NewCache(answer.CacheOptions{
+		Bytes:     n.options.AnswerBytes,
+		Retention: n.options.Retention,
+	}))
+	limits := n.options.Limits
+	if limits == nil {
+		limits = scheduler.NoLimits{}
+	}
+	n.scheduler = scheduler.New(scheduler.Parts{
+		Ledger:     n.ledger,
+		Limits:     limits,
+		Capacity:   n.capacity,
+		Dispatcher: dispatch.New(n.endpoints, dispatch.Options{}),
+		Answers:    n.answers,
+		Relay:      answer.NewRelay(n.options.Transport, n.answers),
+		Transport:  n.options.Transport,
+	}, n.options.Scheduler)
+	return nil
+}
+
+func (n *Node) buildEntry() error {
+	sessions, err := session.NewAuthority(n.options.SessionSecrets, n.options.SessionTTL)
+	if err != nil {
+		return err
+	}
+	n.entry = entry.New(entry.Parts{
+		Self:      n.self,
+		Config:    n.config,
+		Sessions:  sessions,
+		Scheduler: n.scheduler,
+	}, n.options.Entry)
+	return nil
+}
+
+// Run works until the context ends. A graceful end calls Drain first.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	enrolCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	n.enrol = stop
+	group.Go(func() error { return n.options.Members.Run(ctx) })
+	group.Go(func() error { return n.documents.Run(ctx) })
+	group.Go(func() error { return n.ledger.Run(ctx) })
+	group.Go(func() error { return n.capacity.Run(ctx) })
+	group.Go(func() error { return n.reports.run(ctx) })
+	group.Go(func() error { return n.expire(ctx) })
+	group.Go(func() error {
+		defer close(n.enrolled)
+		_ = n.enrolment.run(enrolCtx)
+		return nil
+	})
+	err := group.Wait()
+	n.scheduler.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// expire drops old answers and follows the tables of data centres that appear.
+func (n *Node) expire(ctx context.Context) error {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		n.followTables()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			n.answers.Expire()
+		}
+	}
+}
+
+// followTables keeps the ledger tables of all known data centres up to date.
+func (n *Node) followTables() {
+	for _, p := range n.options.Members.Current().Peers {
+		if err := n.tables.follow(p.DataCentre); err != nil {
+			n.options.Log.Error().Err(err).Msg("ledger table not followed")
+		}
+	}
+}
+
+// Drain ends the node gracefully: it says that it is not ready, its peers are
+// told, new requests are served for the notice period and then refused, requests
+// in progress finish and are delivered, and its records are handed over. It
+// returns when nothing is left, or the context's error; Run goes on until its own
+// context ends.
+func (n *Node) Drain(ctx context.Context) error {
+	n.draining.Store(true)
+	if err := n.options.Members.Leave(ctx); err != nil {
+		n.options.Log.Warn().Err(err).Msg("peers not told of leaving")
+	}
+	if err := sleep(ctx, n.options.NoticePeriod); err != nil {
+		return err
+	}
+	if err := n.scheduler.Drain(ctx); err != nil {
+		return fmt.Errorf("node: requests still in progress: %w", err)
+	}
+	n.enrol()
+	<-n.enrolled
+	return n.enrolment.depart(ctx)
+}
+
+// sleep waits for d, or returns the context's error.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Callers registers the routes towards callers.
+func (n *Node) Callers(e *echo.Echo) { n.entry.Register(e) }
+
+// Ready returns nil if the node can take requests, else the reason why not.
+func (n *Node) Ready() error {
+	if n.draining.Load() {
+		return ErrDraining
+	}
+	return n.documents.Ready()
+}
--- /dev/null
+++ b/node/options.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/entry"
+	"hawthornrill.example/hawthornrill/peer"
+	"hawthornrill.example/hawthornrill/routing"
+	"hawthornrill.example/hawthornrill/scheduler"
+	"hawthornrill.example/hawthornrill/store"
+)
+
+// Options are the seams and numbers of a Node. Transport, Store, Members and
+// Adapters are required; the transport must not have started.
+type Options struct {
+	Transport peer.Transport
+	Store     store.Store
+	Members   Members
+	Adapters  Adapters
+	Limits    scheduler.Limits
+	Log       zerolog.Logger
+	Metrics   *metrics.Set
+
+	// SessionSecrets sign session tokens, the first; all verify.
+	SessionSecrets [][]byte
+	SessionTTL     time.Duration
+
+	// Retention is how long finished requests are remembered, MaxKeys how many, and
+	// AnswerBytes how much of their answers.
+	Retention   time.Duration
+	MaxKeys     int
+	AnswerBytes int
+
+	// NoticePeriod is how long a draining node still serves what is new, for the
+	// balancer to notice.
+	NoticePeriod time.Duration
+
+	Entry     entry.Options
+	Scheduler scheduler.Options
+	Routing   routing.Options
+}
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/standin/engine"
+)
+
+// TestWholePath sends each request to every node in turn: one runs it, the others
+// give the same answer.
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, deployment.Cucine(), engine.Options{Speed: engine.GenerationA()})
+		defer c.close()
+		for i := range 5 {
+			key := fmt.Sprintf("key-%d", i)
+			var first string
+			for _, m := range c.members {
+				response := c.chat(context.Background(), m.Node, "showrooms", key, "quote for kitchen "+key, 20)
+				assert.Equal(t, response.Code, http.StatusOK, "%s at %s: %s", key, m.Node, response.Body)
+				if first == "" {
+					first = response.Body.String()
+				}
+				assert.Equal(t, response.Body.String(), first)
+			}
+		}
+		assert.Equal(t, len(c.runs()), 5)
+		c.assertAtMostOnce()
+	})
+}
