--- a/routing/length.go
+++ b/routing/length.go
@@ -83,10 +83,10 @@
 }
 
 // lengthKeys returns the keys to look at, the finest first: by organisation, pool
-// and prompt length, by organisation and pool, by pool.
-func lengthKeys(organisation domain.OrganisationID, pool domain.PoolName, promptTokens int) [3]uint64 {
+// and prompt length, by organisation and pool, by pool and prompt length, by pool.
+func lengthKeys(organisation domain.OrganisationID, pool domain.PoolName, promptTokens int) [4]uint64 {
 	ofPool := xxhash.Sum64String(string(pool))
 	ofBoth := mix(ofPool ^ mix(xxhash.Sum64String(string(organisation))))
 	magnitude := uint64(bits.Len(uint(max(promptTokens, 0))) / 2)
-	return [3]uint64{mix(ofBoth + magnitude + 1), ofBoth, ofPool}
+	return [4]uint64{mix(ofBoth + magnitude + 1), ofBoth, mix(ofPool + magnitude + 1), ofPool}
 }
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -63,11 +63,16 @@
 }
 
 // learn takes a result as a sample of the endpoint's and its generation's speed.
-// While an endpoint is a straggler its own speed stays what it was before.
+// A straggler's own speed is not learned, and begins anew when it has recovered: the
+// samples by which it was found out are in the old one.
 func (rt *Router) learn(now time.Time, e *Endpoint, f flight, state *capacity.EndpointState, result capacity.Result) {
 	s := sampleOf(f, state.Requests+1, result)
+	wasSlow := e.straggler.Slow(rt.options.StragglerRatio)
 	e.straggler.Observe(now, s.ratio(e.generation.Speed()), f.probe)
 	slow := e.straggler.Slow(rt.options.StragglerRatio)
+	if wasSlow && !slow {
+		e.profile = NewProfile(e.generation.Speed())
+	}
 	if slow {
 		rt.counters.stragglers.Inc()
 	} else {
--- a/routing/options.go
+++ b/routing/options.go
@@ -23,7 +23,8 @@
 	// of one. Negative for no bound.
 	TokenInterval time.Duration
 	// PrefillWeight is how much computing a prompt counts beyond the time that the
-	// ask itself waits for it, because it delays the other requests there.
+	// ask itself waits for it, because it delays the other requests there. Negative
+	// for not at all.
 	PrefillWeight float64
 	// TieMargin is the part of the best cost within which candidates count as equal.
 	TieMargin float64
@@ -73,6 +74,7 @@
 	DefaultLearnRate       = 0.05
 	DefaultRequestTokens   = 16
 	DefaultTokenInterval   = 62 * time.Millisecond
+	DefaultPrefillWeight   = 2.0
 	DefaultTieMargin       = 0.01
 	DefaultPrefixBlocks    = 4096
 	DefaultEvictionLag     = 3 * time.Second
@@ -110,6 +112,8 @@
 	setDefault(&o.LearnRate, DefaultLearnRate)
 	setDefault(&o.RequestTokens, DefaultRequestTokens)
 	setDefault(&o.TokenInterval, DefaultTokenInterval)
+	setDefault(&o.PrefillWeight, DefaultPrefillWeight)
+	o.PrefillWeight = max(o.PrefillWeight, 0)
 	setDefault(&o.TieMargin, DefaultTieMargin)
 	setDefault(&o.PrefixBlocks, DefaultPrefixBlocks)
 	setDefault(&o.EvictionLag, DefaultEvictionLag)
