--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -103,6 +103,31 @@
 	}
 }
 
+// What a stream says after Start went well can't take the dispatch back.
+func TestNotDispatchedAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := lyingEngine{schedulertest.NewEngine(schedulertest.Script{})}
+		d, permit := authorised(t, engine, dispatch.Options{})
+		result := d.RunEngine(t.Context(), permit, dispatch.EngineRun{Buffer: answer.NewBuffer(0)})
+		assert.NilError(t, result.NotSent)
+		assert.Equal(t, result.End.Outcome, domain.OutcomeRan)
+	})
+}
+
+type lyingEngine struct{ *schedulertest.Engine }
+
+func (lyingEngine) Start(context.Context, endpoint.EngineRequest) (endpoint.Stream, error) {
+	return lyingStream{}, nil
+}
+
+type lyingStream struct{}
+
+func (lyingStream) Next(context.Context) (endpoint.Event, error) {
+	return endpoint.Event{}, endpoint.ErrNotDispatched
+}
+
+func (lyingStream) Close() error { return nil }
+
 func TestUsageIsReadFromTheLastEvent(t *testing.T) {
 	engine := usageEngine{schedulertest.NewEngine(schedulertest.Script{})}
 	d, permit := authorised(t, engine, dispatch.Options{})
--- a/dispatch/enginecopy.go
+++ b/dispatch/enginecopy.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -155,15 +154,13 @@
 
 // accept appends one event; done is true for the end marker.
 func (c *engineCopy) accept(ctx context.Context, event endpoint.Event) (done bool, err error) {
-	next := c.next
-	switch {
-	case event.Offset < next:
+	if event.Offset < c.next {
 		return false, nil
-	case event.Offset > next:
-		return false, fmt.Errorf("%w: got %d, want %d", errGap, event.Offset, next)
-	case bytes.Equal(event.Data, doneMarker):
+	}
+	if event.Offset == c.next && bytes.Equal(event.Data, doneMarker) {
 		return true, nil
 	}
+	// The buffer refuses a gap.
 	if err := c.buffer.Append(ctx, event.Offset, event.Data); err != nil {
 		return false, err
 	}
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -30,5 +30,4 @@
 	ErrTooLong = errors.New("dispatch: request ran too long")
 
 	errStalled = errors.New("dispatch: endpoint stalled")
-	errGap     = errors.New("dispatch: gap in the endpoint's stream")
 )
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -150,6 +150,10 @@
 	}
 	blocked := func(b *bench) { b.capacity.Block(true) }
 	limited := func(b *bench) { b.limits.err = &scheduler.LimitError{Reason: "in flight"} }
+	revokedMeanwhile := func(b *bench) {
+		b.home.Break("commit", schedulertest.Fault{Delay: 2 * time.Second})
+		time.AfterFunc(time.Second, func() { b.capacity.Grants()[0].Revoke() })
+	}
 	const (
 		notRun  = domain.OutcomeNotRun
 		unknown = domain.OutcomeUnknown
@@ -184,6 +188,8 @@
 		{name: "commit: reply lost", fault: fault("commit", errLost, true, 0), outcome: notRun, code: answer.CodeHomeUnreachable},
 		{name: "commit and release lost", fault: both(fault("commit", errLost, true, 0), fault("release", errLost, false, 1)), outcome: unknown, code: answer.CodeUnsettled},
 		{name: "commit: revoked once", fault: fault("commit", ledger.ErrRevoked, false, 1), outcome: "", starts: 1, state: ledger.StateFinished},
+		{name: "commit: recorded, then revoked", fault: fault("commit", ledger.ErrRevoked, true, 1), outcome: unknown, code: answer.CodeHolderUnreachable, state: ledger.StateCommitted},
+		{name: "commit: place taken back meanwhile", fault: revokedMeanwhile, outcome: notRun, code: answer.CodePreempted},
 		{name: "commit: revoked always", fault: fault("commit", ledger.ErrRevoked, false, 0), outcome: unknown, code: answer.CodeHistoryUnknown, state: ledger.StateClaimed},
 		{name: "dispatch: connection refused", script: schedulertest.Script{Start: endpoint.ErrNotDispatched}, outcome: notRun, code: answer.CodeUnreachable},
 		{name: "dispatch: connection refused, release lost", script: schedulertest.Script{Start: endpoint.ErrNotDispatched}, fault: fault("release", errLost, false, 1), outcome: unknown, code: answer.CodeUnsettled},
@@ -316,25 +322,52 @@
 	})
 }
 
-// An attempt that follows another takes its turn when that one was not run.
+// An attempt that follows another takes its turn when that one was not run,
+// unless the caller had cancelled.
 func TestFollowerTakesItsTurn(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(schedulertest.Script{}, scheduler.Options{})
+			defer b.close()
+			b.capacity.Block(true)
+			hurried := request("k")
+			hurried.Deadline = time.Second
+			first := b.nodes["a"].Submit(hurried)
+			synctest.Wait()
+			second := b.nodes["b"].Submit(request("k"))
+			synctest.Wait()
+			b.capacity.Block(false)
+			if cancelled {
+				assert.NilError(t, b.nodes["b"].Cancel(t.Context(), request("k").Key))
+			}
+			_, end := readAll(t, first)
+			assert.Equal(t, end.Outcome, domain.OutcomeNotRun)
+			text, end := readAll(t, second)
+			if cancelled {
+				assert.Equal(t, end.Code, answer.CodeCancelled)
+				assert.Equal(t, len(b.engine.Started()), 0)
+				return
+			}
+			assert.Assert(t, end.Complete(), end)
+			assert.Equal(t, text, whole(request("k").Key, 0, 10))
+			assert.Equal(t, len(b.engine.Started()), 1)
+		})
+	}
+}
+
+// A caller that comes back while its request is being given up gets its turn.
+func TestBackWhileGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(schedulertest.Script{}, scheduler.Options{})
+		b := newBench(schedulertest.Script{}, scheduler.Options{Grace: time.Second})
 		defer b.close()
 		b.capacity.Block(true)
-		hurried := request("k")
-		hurried.Deadline = time.Second
-		first := b.nodes["a"].Submit(hurried)
-		synctest.Wait()
-		second := b.nodes["b"].Submit(request("k"))
-		synctest.Wait()
+		b.home.Break(schedulertest.StepRelease, schedulertest.Fault{Delay: 2 * time.Second})
+		b.nodes["a"].Submit(request("k")).Close()
+		time.Sleep(2 * time.Second)
 		b.capacity.Block(false)
-		_, end := readAll(t, first)
-		assert.Equal(t, end.Outcome, domain.OutcomeNotRun)
-		text, end := readAll(t, second)
+		text, end := readAll(t, b.nodes["a"].Submit(request("k")))
 		assert.Assert(t, end.Complete(), end)
 		assert.Equal(t, text, whole(request("k").Key, 0, 10))
-		assert.Equal(t, len(b.engine.Started()), 1)
 	})
 }
 
--- a/scheduler/schedulertest/ledger.go
+++ b/scheduler/schedulertest/ledger.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/ledger"
@@ -28,6 +29,8 @@
 type Fault struct {
 	Err  error
 	Late bool
+	// Delay holds the call up before it takes effect; with a nil Err it then succeeds.
+	Delay time.Duration
 	// Times is how often it strikes; zero for always.
 	Times int
 }
@@ -103,34 +106,34 @@
 
 // do runs a call of a member between the faults of its step. The dead don't call.
 func (h *Home) do(self domain.Member, step Step, effect func() error) error {
+	fault := h.strike(step)
+	time.Sleep(fault.Delay)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.dead[self] {
 		return ledger.ErrUnknown
 	}
-	fault := h.strike(step)
-	if fault != nil && !fault.Late {
+	if fault.Err != nil && !fault.Late {
 		return fault.Err
 	}
 	if err := effect(); err != nil {
 		return err
 	}
-	if fault != nil {
-		return fault.Err
-	}
-	return nil
+	return fault.Err
 }
 
-func (h *Home) strike(step Step) *Fault {
+func (h *Home) strike(step Step) Fault {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	fault := h.faults[step]
 	if fault == nil {
-		return nil
+		return Fault{}
 	}
 	if fault.Times == 1 {
 		delete(h.faults, step)
 	}
 	fault.Times--
-	return fault
+	return *fault
 }
 
 type client struct {
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -74,8 +74,8 @@
 	return t.finish(claim, result.End)
 }
 
-// commitAndRun dispatches only after the home's acknowledgement, and not if the
-// place was taken back or the caller left meanwhile.
+// commitAndRun dispatches only after the home's acknowledgement. The dispatcher
+// sends nothing if the place was taken back or the caller left meanwhile.
 func (t *task) commitAndRun(claim ledger.Claim, grant capacity.Grant) dispatch.Result {
 	ctx, stop := t.runContext(grant)
 	defer stop()
@@ -83,9 +83,6 @@
 	if err != nil {
 		return dispatch.Result{NotSent: fmt.Errorf("%w: %w", errCommit, err)}
 	}
-	if ctx.Err() != nil {
-		return dispatch.Result{NotSent: context.Cause(ctx)}
-	}
 	t.setPhase(PhaseRunning)
 	if t.request.Call != nil {
 		return t.scheduler.parts.Dispatcher.RunService(ctx, permit, dispatch.ServiceRun{Request: *t.request.Call, Buffer: t.buffer})
