--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -42,6 +43,7 @@
 
 type runningNode struct {
 	*Node
+	gate *gate
 	echo *echo.Echo
 	stop context.CancelFunc
 	done chan struct{}
@@ -77,10 +79,16 @@
 }
 
 // engineAdapters gives the in-process engines as endpoints.
-type engineAdapters struct{ c *cluster }
+type engineAdapters struct {
+	c    *cluster
+	gate *gate
+}
+
+func (a engineAdapters) Engine(row *config.EndpointRow) endpoint.Engine {
+	return gatedEngine{a.c.engines[row.ID], a.gate}
+}
 
-func (a engineAdapters) Engine(row *config.EndpointRow) endpoint.Engine { return a.c.engines[row.ID] }
-func (a engineAdapters) Service(*config.EndpointRow) endpoint.Service   { return nil }
+func (a engineAdapters) Service(*config.EndpointRow) endpoint.Service { return nil }
 
 // newCluster starts nodes in the data centres of a deployment: as many hosts as
 // it has, one engine for each of its engine rows.
@@ -117,11 +125,12 @@
 
 // start runs a life of a node.
 func (c *cluster) start(m domain.Member) *runningNode {
+	g := newGate()
 	n, err := New(Options{
 		Transport:      c.network.Node(m),
 		Store:          c.store.NewClient(),
 		Members:        &viewOf{c: c, self: m},
-		Adapters:       engineAdapters{c},
+		Adapters:       engineAdapters{c, g},
 		Log:            zerolog.Nop(),
 		Metrics:        metrics.NewSet(),
 		SessionSecrets: [][]byte{[]byte(strings.Repeat("s", 32))},
@@ -132,7 +141,7 @@
 	n.Health(e)
 	n.Observe(e)
 	ctx, stop := context.WithCancel(context.Background())
-	running := &runningNode{Node: n, echo: e, stop: stop, done: make(chan struct{})}
+	running := &runningNode{Node: n, gate: g, echo: e, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(running.done)
 		_ = n.Run(ctx)
@@ -168,11 +177,24 @@
 func (c *cluster) crash(node domain.NodeID) {
 	n := c.nodes[node]
 	c.network.Crash(node)
+	n.gate.crash()
 	n.stop()
 	<-n.done
 	delete(c.nodes, node)
 }
 
+// pause stops a life in everything that it sends and receives.
+func (c *cluster) pause(node domain.NodeID) {
+	c.network.Pause(node)
+	c.nodes[node].gate.pause()
+}
+
+// resume ends a pause.
+func (c *cluster) resume(node domain.NodeID) {
+	c.nodes[node].gate.resume()
+	c.network.Resume(node)
+}
+
 // close ends all nodes and engines.
 func (c *cluster) close() {
 	for _, n := range c.nodes {
@@ -216,3 +238,17 @@
 	c.nodes[node].echo.ServeHTTP(recorder, request)
 	return recorder
 }
+
+// content returns the text of a complete answer.
+func content(t *testing.T, response *httptest.ResponseRecorder) string {
+	var completion struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	assert.NilError(t, json.Unmarshal(response.Body.Bytes(), &completion), "%s", response.Body)
+	assert.Equal(t, len(completion.Choices), 1, "%s", response.Body)
+	return completion.Choices[0].Message.Content
+}
