ledger: random schedules of claims, faults and table changes hold the promises

rapid draws calls, crashes, pauses, cuts, partitions, lost messages, late tables, wrong removals and long waits over five members and one node outside; the watch outside counts dispatches per key and what callers were told. Recovery pauses longer and longer while a member can't be asked: it used to ask ten times a second.

--- a/ledger/api.go
+++ b/ledger/api.go
@@ -15,16 +15,19 @@
 	ErrUnknown = errors.New("ledger: history of the key is unknown")
 	// ErrFingerprint means that the key was used before with another request.
 	ErrFingerprint = errors.New("ledger: key reused with another request")
-	// ErrFull means that the home holds as many keys as it may; nothing was run.
+	// ErrFull means that the home holds as many keys as it may. The key is new and
+	// was not run.
 	ErrFull = errors.New("ledger: too many keys held")
 	// ErrRevoked means that the claim is no longer valid: the request must not be
-	// dispatched by this attempt.
+	// dispatched by this attempt. Another attempt may have dispatched it; a new
+	// Claim tells.
 	ErrRevoked = errors.New("ledger: claim revoked")
 	// ErrNotFound means that the home knows nothing of the key.
 	ErrNotFound = errors.New("ledger: key not found")
 )
 
-// ClaimID names one claim; the home gives a greater one each time.
+// ClaimID names one claim; for one key a later claim has a greater one, also from
+// a later home.
 type ClaimID uint64
 
 // Fingerprint is a hash of what was asked, to notice a key used twice.
@@ -81,10 +84,12 @@
 	// After ErrRevoked nothing was and nothing will be dispatched by this claim.
 	// After any other error the outcome is unknown and nothing may be dispatched.
 	Commit(ctx context.Context, claim Claim, endpoint domain.EndpointID) error
-	// Release gives the claim up before a commit. After a nil error the request has
-	// not been run by this claim and never will be.
+	// Release gives the claim up, before a commit or after one that was not followed
+	// by a dispatch. After a nil error the request has not been run, by this claim
+	// or any other that was given before, and never will be by one of them.
 	Release(ctx context.Context, claim Claim) error
-	// Finish records how a committed request ended: complete, or not.
+	// Finish records how a committed request ended: complete, or not. ErrRevoked
+	// means that another attempt has taken the request over.
 	Finish(ctx context.Context, claim Claim, complete bool) error
 	// Lookup tells where the key stands, or ErrNotFound or ErrUnknown.
 	Lookup(ctx context.Context, key domain.RequestKey) (State, Claim, error)
--- a/ledger/audit.go
+++ b/ledger/audit.go
@@ -44,7 +44,7 @@
 		if rec.state.ended() || rec.since > limit || r.inUse(key, rec) {
 			continue
 		}
-		list = append(list, r.auditOf(key, rec, now))
+		list = append(list, r.auditOf(key, rec))
 	}
 	return list
 }
@@ -57,14 +57,14 @@
 }
 
 // auditOf describes an old record. The lock is held.
-func (r *Replica) auditOf(key KeyHash, rec record, now time.Time) auditWork {
+func (r *Replica) auditOf(key KeyHash, rec record) auditWork {
 	home := rec.has(flagNodeScope)
 	if h := r.history.Load(); rec.tabled() && h != nil {
 		m, ok := h.home(key)
 		home = ok && m.SameLife(r.self)
 	}
 	return auditWork{
-		doubt: *r.doubtOf(desk{nil, now}, key, rec),
+		doubt: *r.doubtAbout(key, rec),
 		home:  home,
 		gone:  r.holderGone(rec),
 	}
--- a/ledger/cluster_test.go
+++ b/ledger/cluster_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
-	"testing"
+	"sync/atomic"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +12,6 @@
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer/peertest"
-	"hawthornrill.example/hawthornrill/store"
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
 
@@ -20,7 +19,7 @@
 
 // cluster is a data centre of replicas over an in-memory network and store.
 type cluster struct {
-	t       testing.TB
+	t       reporter
 	network *peertest.Network
 	store   *memstore.Store
 	options Options
@@ -31,10 +30,19 @@
 	table    *Table
 	watchers map[int]func(domain.DataCentre)
 	// held are nodes that do not see new tables until released.
-	held   map[domain.NodeID]*Table
-	serial int
-	// dispatched counts by key.
-	dispatched map[string]int
+	held     map[domain.NodeID]*Table
+	serial   int
+	promises *promises
+}
+
+// reporter is what *testing.T and *rapid.T have in common.
+type reporter interface {
+	Helper()
+	Fail()
+	FailNow()
+	Log(args ...any)
+	Fatalf(format string, args ...any)
+	Errorf(format string, args ...any)
 }
 
 // testNode is one life.
@@ -45,18 +53,19 @@
 	editor  *TableStore
 	stop    context.CancelFunc
 	done    chan struct{}
+	ended   atomic.Bool
 }
 
-func newCluster(t testing.TB, size int) *cluster {
+func newCluster(t reporter, size int) *cluster {
 	c := &cluster{
-		t:          t,
-		network:    peertest.NewNetwork(),
-		store:      memstore.New(memstore.Options{}),
-		nodes:      make(map[domain.NodeID]*testNode),
-		gone:       make(map[domain.Member]bool),
-		watchers:   make(map[int]func(domain.DataCentre)),
-		held:       make(map[domain.NodeID]*Table),
-		dispatched: make(map[string]int),
+		t:        t,
+		network:  peertest.NewNetwork(),
+		store:    memstore.New(memstore.Options{}),
+		nodes:    make(map[domain.NodeID]*testNode),
+		gone:     make(map[domain.Member]bool),
+		watchers: make(map[int]func(domain.DataCentre)),
+		held:     make(map[domain.NodeID]*Table),
+		promises: newPromises(),
 	}
 	c.network.SetDelay(func(_, _ domain.Member) time.Duration { return time.Millisecond })
 	for i := range size {
@@ -86,7 +95,7 @@
 	options.Transport = c.network.Node(member)
 	options.Tables = n
 	options.Membership = n
-	n.editor = NewTableStore(c.store.NewClient(), dataCentre, options)
+	n.editor = NewTableStore(c.store.NewClient(), testDataCentre, options)
 	if dataCentre == testDataCentre {
 		options.Editor = n
 	}
@@ -151,6 +160,7 @@
 // Edit implements TableEditor and spreads the new table.
 func (n *testNode) Edit(ctx context.Context, change TableChange) (*Table, error) {
 	t, err := n.editor.Edit(ctx, change)
+	n.cluster.promises.note("table %+v %v", t, err)
 	if err == nil {
 		n.cluster.spread(t)
 	}
@@ -174,7 +184,7 @@
 
 func (c *cluster) edit(n *testNode, change TableChange) {
 	c.t.Helper()
-	_, err := n.Edit(c.t.Context(), change)
+	_, err := n.Edit(context.Background(), change)
 	assert.NilError(c.t, err)
 }
 
@@ -210,6 +220,8 @@
 // crash ends a node's life without a word.
 func (c *cluster) crash(id domain.NodeID) {
 	n := c.nodes[id]
+	n.ended.Store(true)
+	c.promises.died(n.member)
 	c.network.Crash(id)
 	n.stop()
 	<-n.done
@@ -247,17 +259,21 @@
 			return n
 		}
 	}
-	c.t.Fatal("no node left")
+	c.t.Fatalf("no node left")
 	return nil
 }
 
-// close ends everything. It must be called before a synctest bubble ends.
+// close ends everything and checks the promises. It must be called before a
+// synctest bubble ends.
 func (c *cluster) close() {
 	c.network.Close()
 	for _, n := range c.nodes {
 		n.stop()
 		<-n.done
 	}
+	for _, broken := range c.promises.violations() {
+		c.t.Errorf("%s", broken)
+	}
 }
 
 // key returns the i-th key of the data centre's scope.
@@ -289,25 +305,20 @@
 	return claim, n.commit(claim)
 }
 
+// commit commits and, if it may, dispatches, once the node is not paused.
 func (n *testNode) commit(claim Claim) error {
-	err := n.Commit(context.Background(), claim, "runner-1")
-	if err != nil {
+	granted := time.Now()
+	if err := n.Commit(context.Background(), claim, "runner-1"); err != nil {
 		return err
 	}
-	if n.cluster.network.AwaitResume(context.Background(), n.member.Node) == nil {
-		n.cluster.sent(claim.Key)
-	}
+	n.send(claim, granted)
 	return nil
 }
 
-// sent counts a dispatch and fails at the second of a key.
-func (c *cluster) sent(k domain.RequestKey) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dispatched[k.String()]++
-	if c.dispatched[k.String()] > 1 {
-		c.t.Errorf("%s dispatched %d times", k, c.dispatched[k.String()])
+// send dispatches what was committed, unless the life has ended.
+func (n *testNode) send(claim Claim, granted time.Time) *attemptRun {
+	if n.cluster.network.AwaitResume(context.Background(), n.member.Node) != nil || n.ended.Load() {
+		return nil
 	}
+	return n.cluster.promises.dispatched(claim.Key, n.member, granted)
 }
-
-var _ store.Store = (*memstore.Client)(nil)
--- a/ledger/doubt.go
+++ b/ledger/doubt.go
@@ -19,12 +19,18 @@
 	scoped  bool
 }
 
-// doubtOf returns the doubt about a record that has stood for a while, or nil. The
-// lock is held.
-func (r *Replica) doubtOf(d desk, key KeyHash, rec record) *doubt {
-	if time.Duration(r.book.clock(d.now)-rec.since) < r.options.HoldsAfter {
+// doubtOf returns the doubt about a record that has stood for a while, or that
+// its own holder asks for anew; else nil. The lock is held.
+func (r *Replica) doubtOf(d desk, from domain.Member, key KeyHash, rec record) *doubt {
+	age := time.Duration(r.book.clock(d.now) - rec.since)
+	if age < r.options.HoldsAfter && !r.book.members.value(rec.holder).SameLife(from) {
 		return nil
 	}
+	return r.doubtAbout(key, rec)
+}
+
+// doubtAbout spells a doubt out. The lock is held.
+func (r *Replica) doubtAbout(key KeyHash, rec record) *doubt {
 	return &doubt{
 		key:     key,
 		claim:   rec.claim,
--- a/ledger/dump.go
+++ b/ledger/dump.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
@@ -41,11 +42,7 @@
 	for _, rec := range r.book.records {
 		d.States[rec.state.String()]++
 	}
-	if r.recovery != nil {
-		for m := range r.recovery.pending {
-			d.Awaiting = append(d.Awaiting, m.Node)
-		}
-	}
+	d.Awaiting = r.awaitedLocked()
 	if h := r.history.Load(); h != nil {
 		d.Revision, d.Epoch, d.Settled = h.table.Revision, h.table.Epoch, h.table.Settled()
 		d.Fenced = r.fenced(h, now)
@@ -56,3 +53,30 @@
 	}
 	return d
 }
+
+// recordCount returns how many records are held.
+func (r *Replica) recordCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.book.records)
+}
+
+// awaited returns the members that have not yet sent their records.
+func (r *Replica) awaited() []domain.NodeID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.awaitedLocked()
+}
+
+// awaitedLocked is awaited with the lock held.
+func (r *Replica) awaitedLocked() []domain.NodeID {
+	if r.recovery == nil {
+		return nil
+	}
+	var nodes []domain.NodeID
+	for m := range r.recovery.pending {
+		nodes = append(nodes, m.Node)
+	}
+	slices.Sort(nodes)
+	return nodes
+}
--- a/ledger/home_claim.go
+++ b/ledger/home_claim.go
@@ -114,7 +114,7 @@
 	case rec.state == StateFinished:
 		return r.verdict(d, VerdictFinished, rec), nil
 	}
-	return r.verdict(d, VerdictAttached, rec), r.doubtOf(d, request.Key, rec)
+	return r.verdict(d, VerdictAttached, rec), r.doubtOf(d, from, request.Key, rec)
 }
 
 // verdict spells the reply out. The lock is held.
--- a/ledger/meters.go
+++ b/ledger/meters.go
@@ -54,12 +54,9 @@
 	for err, name := range errorNames {
 		m.errors[err] = set.GetOrCreateCounter(`hawthornrill_ledger_errors_total{reason="` + name + `"}`)
 	}
-	gauge := func(name string, value func(Dump) float64) {
-		set.GetOrCreateGauge(name, func() float64 { return value(r.Dump()) })
-	}
-	gauge("hawthornrill_ledger_records", func(d Dump) float64 { return float64(d.Records) })
-	gauge("hawthornrill_ledger_epoch", func(d Dump) float64 { return float64(d.Epoch) })
-	gauge("hawthornrill_ledger_recovering_members", func(d Dump) float64 { return float64(len(d.Awaiting)) })
+	set.GetOrCreateGauge("hawthornrill_ledger_records", func() float64 { return float64(r.recordCount()) })
+	set.GetOrCreateGauge("hawthornrill_ledger_epoch", func() float64 { return float64(r.epoch()) })
+	set.GetOrCreateGauge("hawthornrill_ledger_awaited_members", func() float64 { return float64(len(r.awaited())) })
 	return m
 }
 
--- a/ledger/run.go
+++ b/ledger/run.go
@@ -9,8 +9,12 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// recoveryRetry is the pause before an unfinished recovery goes on.
-const recoveryRetry = 100 * time.Millisecond
+// The pause before an unfinished recovery goes on doubles from the first to the
+// last, and begins anew in each epoch.
+const (
+	firstRecoveryRetry = 50 * time.Millisecond
+	lastRecoveryRetry  = 5 * time.Second
+)
 
 // Run follows the tables, recovers after changes and checks old records, until the
 // context ends. It returns the context's error.
@@ -43,6 +47,7 @@
 func (r *Replica) recoverOnChange(ctx context.Context) error {
 	retry := time.NewTimer(0)
 	defer retry.Stop()
+	pause, epoch := firstRecoveryRetry, uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -50,8 +55,12 @@
 		case <-r.wake:
 		case <-retry.C:
 		}
+		if now := r.epoch(); now != epoch {
+			pause, epoch = firstRecoveryRetry, now
+		}
 		if r.recover(ctx) {
-			retry.Reset(recoveryRetry)
+			retry.Reset(pause)
+			pause = min(2*pause, lastRecoveryRetry)
 		}
 	}
 }
--- a/ledger/tablestore.go
+++ b/ledger/tablestore.go
@@ -39,6 +39,8 @@
 	keep       time.Duration
 
 	mu sync.Mutex
+	// latest is the latest table that this process has met.
+	latest *Table
 	// seen tells when a departure was first seen, less its age then.
 	seen map[domain.Member]time.Time
 }
@@ -81,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	current = s.Observe(current)
 	next, err := change(current)
 	if err != nil || next == current {
 		return next, err
@@ -98,6 +101,17 @@
 	return next, nil
 }
 
+// Observe takes note of a table met elsewhere and returns the latest one known. A
+// store that has been set back to an old copy is written forward from it.
+func (s *TableStore) Observe(t *Table) *Table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest == nil || t.Revision >= s.latest.Revision {
+		s.latest = t
+	}
+	return s.latest
+}
+
 // Read returns the stored table, empty if there is none, and its store revision.
 func (s *TableStore) Read(ctx context.Context) (*Table, store.Revision, error) {
 	entry, err := s.store.Get(ctx, TableKey(s.dataCentre))
