--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -23,6 +23,7 @@
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer/peertest"
 	"hawthornrill.example/hawthornrill/standin/engine"
@@ -252,3 +253,10 @@
 	assert.Equal(t, len(completion.Choices), 1, "%s", response.Body)
 	return completion.Choices[0].Message.Content
 }
+
+// problemOf reads a problem document.
+func problemOf(t *testing.T, response *httptest.ResponseRecorder) entry.Problem {
+	var p entry.Problem
+	assert.NilError(t, json.Unmarshal(response.Body.Bytes(), &p), "%s", response.Body)
+	return p
+}
