Quarantine of contents that crash endpoints, spread as soft state

Sixteen contents in two data centres, one of which crashes every endpoint that runs it and all of which are sent again, 60 rounds: 3 crashes in 3 minutes, no healthy content refused.

--- /dev/null
+++ b/routing/quarantine/evidence.go
@@ -0,0 +1,37 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Evidence is what one node tells another of one content.
+type Evidence struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// Endpoint is a hash of the endpoint's identifier.
+	Endpoint uint64 `cbor:"2,keyasint,omitempty"`
+	// Crashes is the number of the endpoint's crashes at which the content was
+	// running there; 0 if the evidence clears the content.
+	Crashes int `cbor:"3,keyasint,omitempty"`
+	// Alone is true if it once was the only one there.
+	Alone bool `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the last of them, or since the content completed.
+	Age time.Duration `cbor:"5,keyasint"`
+}
+
+// Clears reports whether the evidence says that the content completed.
+func (e Evidence) Clears() bool { return e.Crashes == 0 }
+
+// hash returns a hash of all but the age.
+func (e Evidence) hash() uint64 {
+	var b [25]byte
+	binary.LittleEndian.PutUint64(b[0:], e.Fingerprint)
+	binary.LittleEndian.PutUint64(b[8:], e.Endpoint)
+	binary.LittleEndian.PutUint64(b[16:], uint64(e.Crashes))
+	if e.Alone {
+		b[24] = 1
+	}
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/routing/quarantine/quarantine_test.go
@@ -0,0 +1,227 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+	"hawthornrill.example/hawthornrill/routing"
+)
+
+var t0 = time.Unix(1000, 0)
+
+const poison uint64 = 666
+
+func TestScore(t *testing.T) {
+	crash := func(endpoint domain.EndpointID, after time.Duration, alone bool) func(*Set) {
+		return func(s *Set) { s.Crashed(t0.Add(after), endpoint, poison, alone) }
+	}
+	clear := func(after time.Duration) func(*Set) {
+		return func(s *Set) { s.Completed(t0.Add(after), poison) }
+	}
+	old := func(s *Set) {
+		s.Merge(t0.Add(9*time.Second), []Evidence{{Fingerprint: poison, Endpoint: 1, Crashes: 3, Age: 8 * time.Second}})
+	}
+	type steps []func(*Set)
+	for name, tt := range map[string]struct {
+		steps   steps
+		suspect bool
+		left    time.Duration
+	}{
+		"nothing":                 {nil, false, 0},
+		"one crash":               {steps{crash("a", 0, false)}, true, 0},
+		"two of one endpoint":     {steps{crash("a", 0, false), crash("a", 5*time.Second, false)}, true, 0},
+		"three of one endpoint":   {steps{crash("a", 0, false), crash("a", 0, false), crash("a", 10*time.Second, false)}, true, 2 * time.Minute},
+		"two endpoints":           {steps{crash("a", 0, false), crash("b", 10*time.Second, false)}, true, 2 * time.Minute},
+		"three endpoints":         {steps{crash("a", 0, false), crash("b", 0, false), crash("c", 10*time.Second, false)}, true, 8 * time.Minute},
+		"alone":                   {steps{crash("a", 10*time.Second, true)}, true, 2 * time.Minute},
+		"completed elsewhere":     {steps{crash("a", 0, false), crash("b", 0, false), clear(9 * time.Second)}, false, 0},
+		"crashed after completed": {steps{crash("a", 0, false), clear(9 * time.Second), crash("b", 10*time.Second, false)}, true, 0},
+		"older than completed":    {steps{crash("a", 0, false), clear(5 * time.Second), old}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewSet(Options{})
+			for _, step := range tt.steps {
+				step(s)
+			}
+			now := t0.Add(10 * time.Second)
+			assert.Equal(t, s.Suspect(now, poison), tt.suspect)
+			assert.Equal(t, s.Quarantined(now, poison), tt.left)
+			assert.Equal(t, s.Quarantined(now.Add(tt.left), poison), time.Duration(0))
+			assert.Equal(t, s.Suspect(now.Add(DefaultMemory), poison), false)
+		})
+	}
+}
+
+func TestSetIsBoundedAndForgets(t *testing.T) {
+	s := NewSet(Options{Contents: 3})
+	assert.Equal(t, len(s.Crashed(t0, "a", 0, true)), 0, "no content, no evidence")
+	for i := range uint64(5) {
+		s.Crashed(t0.Add(time.Duration(i)*time.Second), "a", i+1, false)
+	}
+	assert.Equal(t, s.Len(), 3)
+	assert.Assert(t, !s.Suspect(t0, 2) && s.Suspect(t0.Add(5*time.Second), 3))
+	s.Crashed(t0.Add(2*DefaultMemory), "a", 9, false)
+	assert.Equal(t, s.Len(), 1)
+}
+
+// view is a membership in which all are alive.
+type view membership.Snapshot
+
+func (v *view) Current() *membership.Snapshot { return (*membership.Snapshot)(v) }
+
+// cluster is two data centres of three nodes.
+type cluster struct {
+	network  *peertest.Network
+	services []*Service
+}
+
+func run(t *testing.T, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{network: peertest.NewNetwork()}
+		defer c.network.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var peers []membership.Peer
+		for i := range 6 {
+			m := domain.Member{Node: domain.NodeID(fmt.Sprint(i)), Incarnation: 1, DataCentre: domain.DataCentre('A' + rune(i/3))}
+			peers = append(peers, membership.Peer{Member: m})
+		}
+		for _, p := range peers {
+			s := New(Options{Transport: c.network.Node(p.Member), Membership: &view{Self: p.Member, Peers: peers}})
+			c.services = append(c.services, s)
+		}
+		for _, s := range c.services {
+			go func() { _ = s.Run(ctx) }()
+		}
+		f(t, c)
+	})
+}
+
+// suspecting counts the nodes that suspect the content.
+func (c *cluster) suspecting() int {
+	count := 0
+	for _, s := range c.services {
+		if s.Suspect(poison) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestEvidenceReachesAllNodes(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		time.Sleep(time.Second)
+		c.network.ResetCounts()
+		c.services[0].Crashed("e1", poison, false)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.suspecting(), 6)
+		assert.Equal(t, c.network.Total(methodReport).Messages, 5, "two here, one there and two passed on")
+		c.services[4].Crashed("e2", poison, false)
+		time.Sleep(time.Second)
+		for _, s := range c.services {
+			assert.Assert(t, s.Quarantined(poison) > time.Minute)
+		}
+		c.services[5].Completed(poison)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.suspecting(), 0)
+	})
+}
+
+func TestLostEvidenceIsAskedFor(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		c.network.Partition([]domain.NodeID{"0", "1", "2"}, []domain.NodeID{"3", "4", "5"})
+		c.services[0].Crashed("e1", poison, false)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.suspecting(), 3)
+		c.network.HealAll()
+		time.Sleep(6 * DefaultPullEvery)
+		assert.Equal(t, c.suspecting(), 6)
+		c.network.ResetCounts()
+		time.Sleep(DefaultPullEvery)
+		assert.Assert(t, c.network.Total(methodPull).Bytes < 6*2*16, "no evidence is repeated: %v", c.network.Total(methodPull))
+	})
+}
+
+// site is a pool of a data centre whose owner is one node; its endpoints crash
+// when they run the poison.
+type site struct {
+	router  *routing.Router
+	states  []*capacity.EndpointState
+	running map[int][]capacity.Ask
+}
+
+func newSite(name string, q routing.Quarantine) *site {
+	s := &site{router: routing.NewRouter(routing.Options{Quarantine: q}), running: make(map[int][]capacity.Ask)}
+	for i := range 4 {
+		s.states = append(s.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(name, i)), Row: &config.EndpointRow{}})
+	}
+	return s
+}
+
+// offer places an ask with the content, or reports that it was quarantined.
+func (s *site) offer(fingerprint uint64) bool {
+	now := time.Now()
+	ask := capacity.Ask{Pool: "model/m", Fingerprint: fingerprint, PromptTokens: 100, AnswerTokens: 10}
+	if s.router.Admit(now, &ask) != nil {
+		return false
+	}
+	if at, ok := s.router.Choose(now, &capacity.Waiting{Ask: &ask}, s.states); ok {
+		s.router.Granted(now, s.states[at], &ask)
+		s.states[at].Requests++
+		s.running[at] = append(s.running[at], ask)
+	}
+	return true
+}
+
+// finish ends all that runs and returns how many endpoints crashed.
+func (s *site) finish() int {
+	crashes := 0
+	for at, asks := range s.running {
+		result := capacity.Result{Dispatched: true, Complete: true, FirstToken: time.Second, Total: 2 * time.Second, AnswerTokens: 10}
+		for _, ask := range asks {
+			if ask.Fingerprint == poison {
+				result = capacity.Result{Dispatched: true, Crashed: true}
+				crashes++
+			}
+		}
+		for _, ask := range asks {
+			s.states[at].Requests--
+			s.router.Observe(time.Now(), s.states[at], &ask, result)
+		}
+	}
+	clear(s.running)
+	return crashes
+}
+
+// TestPoisonIsStoppedAndNeighboursAreNot sends a poisonous content among healthy
+// ones to two data centres in turn, each with a retry of all that crashed.
+func TestPoisonIsStoppedAndNeighboursAreNot(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		sites := []*site{newSite("a", c.services[0]), newSite("b", c.services[3])}
+		crashes, refusals := 0, 0
+		for round := range 60 {
+			s := sites[round%2]
+			for i := range uint64(16) {
+				if i == 5 && !s.offer(poison) {
+					refusals++
+				}
+				assert.Assert(t, s.offer(1000+i), "a neighbour was quarantined in round %d", round)
+			}
+			time.Sleep(2 * time.Second)
+			crashes += s.finish()
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, crashes, 3, "two, and one more when the first quarantine ends")
+		assert.Assert(t, refusals > 50, "%d", refusals)
+	})
+}
