--- a/sizing/constants_test.go
+++ b/sizing/constants_test.go
@@ -22,7 +22,7 @@
 intercept = 10.0
 intercept_error = 0.0
 date = "2026-12-02"
-points = [{size = 1.0, total = 12.0}, {size = 2.0, total = 14.0}, {size = 4.0, total = 18.0}]
+points = [[1.0, 12.0], [2.0, 14.0], [4.0, 18.0]]
 `
 
 func TestReadConstantsRefuses(t *testing.T) {
@@ -32,7 +32,7 @@
 		want string
 	}{
 		"good":             {size + goodSlope, ""},
-		"two sizes":        {strings.Replace(goodSlope, "size = 4.0, total = 18.0", "size = 2.0, total = 14.0", 1), "2 sizes, 3 needed"},
+		"two sizes":        {strings.Replace(goodSlope, "[4.0, 18.0]", "[2.0, 14.0]", 1), "2 sizes, 3 needed"},
 		"no points":        {goodSlope[:strings.Index(goodSlope, "points")], "0 sizes, 3 needed"},
 		"another line":     {strings.Replace(goodSlope, "slope = 2.0", "slope = 1.0", 1), "its points give"},
 		"no command":       {strings.Replace(goodSlope, "BenchmarkSlopeRecords", "", 1), "does not say how it was measured"},
--- a/sizing/derivation.go
+++ b/sizing/derivation.go
@@ -19,6 +19,13 @@
 		{"answer_tokens", "tokens", "tokens_per_second / requests_per_second"},
 		{"stream_seconds", "s", "first_token_seconds + answer_tokens * token_gap_seconds"},
 		{"node_streams", "streams", "node_requests * stream_seconds"},
+		{"pool_endpoints", "runners", "runners / pools"},
+		{"owned_endpoints", "runners", "runners / nodes"},
+		{"node_waiting", "asks", "node_requests * queue_seconds"},
+		{"prompt_blocks", "blocks", "prompt_tokens / block_tokens"},
+		{"progress_changes", "changes a request", "stream_seconds / renew_seconds"},
+		{"message_overhead", "bytes", "link_message_bytes_base + ip_tcp_bytes"},
+		{"renewal_messages", "messages/s", "2 * min(models, nodes_per_dc) / renew_seconds"},
 		{"node_tokens", "tokens/s", "tokens_per_second / nodes"},
 	}
 }
--- a/sizing/fit.go
+++ b/sizing/fit.go
@@ -7,11 +7,14 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Point is one measurement: the total cost at a size.
-type Point struct {
-	Size  float64 `toml:"size"`
-	Total float64 `toml:"total"`
-}
+// Point is one measurement: a size and the total cost at it.
+type Point [2]float64
+
+// Size returns the size measured at.
+func (p Point) Size() float64 { return p[0] }
+
+// Total returns the cost in all.
+func (p Point) Total() float64 { return p[1] }
 
 // Fit is a straight line through points by least squares, with the standard
 // errors of its two coefficients.
@@ -43,8 +46,8 @@
 
 func columns(points []Point) (sizes, totals []float64) {
 	for _, p := range points {
-		sizes = append(sizes, p.Size)
-		totals = append(totals, p.Total)
+		sizes = append(sizes, p.Size())
+		totals = append(totals, p.Total())
 	}
 	return sizes, totals
 }
--- a/sizing/measurement.go
+++ b/sizing/measurement.go
@@ -88,7 +88,7 @@
 	if s.Each {
 		total *= size
 	}
-	return Point{Size: size, Total: total}, true
+	return Point{size, total}, true
 }
 
 func (m Measurement) has(parts []string) bool {
--- a/sizing/render_constants.go
+++ b/sizing/render_constants.go
@@ -63,9 +63,9 @@
 	var sizes []string
 	seen := make(map[float64]bool)
 	for _, p := range s.Points {
-		if !seen[p.Size] {
-			seen[p.Size] = true
-			sizes = append(sizes, plain(p.Size))
+		if !seen[p.Size()] {
+			seen[p.Size()] = true
+			sizes = append(sizes, plain(p.Size()))
 		}
 	}
 	return fmt.Sprintf("%s (%d points)", strings.Join(sizes, "; "), len(s.Points))
--- a/sizing/render_sums.go
+++ b/sizing/render_sums.go
@@ -4,12 +4,14 @@
 type reading struct {
 	name  string
 	kinds []Kind
+	// limited is false if no limit speaks of it.
+	limited bool
 }
 
 var readings = []reading{
-	{"control", []Kind{Control}},
-	{"control and per-request coordination", []Kind{Control, Request}},
-	{"all, callers' data too", []Kind{Control, Request, Data}},
+	{"control", []Kind{Control}, true},
+	{"control and per-request coordination", []Kind{Control, Request}, true},
+	{"callers' requests and answers themselves", []Kind{Data}, false},
 }
 
 // breaksMark is set where a sum is over its limit.
@@ -37,6 +39,10 @@
 		}
 		cells = append(cells, show(sum, unit))
 	}
+	if !way.limited {
+		t.add(append(cells, notCounted, "not control: no limit")...)
+		return nil
+	}
 	bound, _ := r.constants.Figure(limit.Name)
 	sum, err := r.total(Design, way, limit.Quantity)
 	if err != nil {
--- a/sizing/role_entry.go
+++ b/sizing/role_entry.go
@@ -3,10 +3,14 @@
 func entryRole() Role {
 	return Role{
 		Name:      "entry",
-		Mechanism: "the node that holds the caller dispatches by itself: an answer takes no hop between nodes",
+		Mechanism: "the node that holds the caller dispatches by itself, so that an answer takes no hop between nodes; finished answers are packed and bounded in bytes",
 		Items: []Item{
-			{"answers kept for replay", Data, Memory, "node_requests * retention_seconds * (answer_bytes_base + answer_bytes * answer_tokens)"},
-			{"tokens relayed", Data, Processor, "node_tokens * relay_ns / ns_per_second"},
+			{"open streams", Data, Memory, "node_streams * stream_bytes"},
+			{"answers being produced, half done", Data, Memory, "node_streams * (open_answer_bytes_base + open_answer_bytes * answer_tokens / 2)"},
+			{"finished answers kept for replay", Data, Memory, "min(answer_bytes_bound, node_requests * retention_seconds * (finished_answer_bytes_base + finished_answer_bytes * answer_tokens))"},
+			{"requests", Data, Processor, "node_requests * answer_ns_base / ns_per_second"},
+			{"tokens", Data, Processor, "node_tokens * answer_ns / ns_per_second"},
+			{"packing of finished answers", Data, Processor, "node_requests * (pack_answer_ns_base + pack_answer_ns * answer_tokens) / ns_per_second"},
 		},
 	}
 }
--- a/sizing/slope.go
+++ b/sizing/slope.go
@@ -50,7 +50,7 @@
 func distinctSizes(points []Point) int {
 	sizes := make(map[float64]bool)
 	for _, p := range points {
-		sizes[p.Size] = true
+		sizes[p.Size()] = true
 	}
 	return len(sizes)
 }
