--- a/limits/allocate.go
+++ b/limits/allocate.go
@@ -8,17 +8,11 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// claims sums up what the nodes of an organisation want.
-type claims struct {
-	nodes  int
-	wanted int
-}
-
 // target returns how many requests a node that wants some should be given of a
 // limit. If there is enough for all, each gets half as much again and one more, as
 // long as that lasts; else it is divided by demand. Turn is between 0 and 1 and
 // decides who gets the parts that can't be divided.
-func target(limit int, all claims, wanted int, turn float64) int {
+func target(limit int, all sums, wanted int, turn float64) int {
 	if wanted <= 0 {
 		return 0
 	}
--- a/limits/book.go
+++ b/limits/book.go
@@ -1,23 +1,27 @@
 package limits
 
 import (
-	"maps"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
 )
 
+// expireEvery is how often a book looks for holdings that no longer count.
+const expireEvery = time.Second
+
 // book is what an owner knows of an organisation. It is pure: it has no clock and
-// does no I/O.
+// does no I/O. Its sums make an answer's time independent of the number of nodes.
 type book struct {
 	organisation domain.OrganisationID
-	holdings     map[domain.NodeID]*holding
+	holdings     map[domain.NodeID]holding
+	sums         sums
 	bucket       bucket
 	answeredAt   time.Time
+	expiredAt    time.Time
 }
 
 func newBook(organisation domain.OrganisationID) *book {
-	return &book{organisation: organisation, holdings: make(map[domain.NodeID]*holding)}
+	return &book{organisation: organisation, holdings: make(map[domain.NodeID]holding)}
 }
 
 // terms are what an owner goes by when it answers a demand.
@@ -42,15 +46,15 @@
 func (b *book) answer(now time.Time, from domain.Member, d demand, t terms) allotment {
 	b.answeredAt = now
 	b.expire(now, t)
-	h, known := b.holdings[from.Node]
-	if known && h.outdated(from.Incarnation, d.Sequence) {
+	old, known := b.holdings[from.Node]
+	if known && old.outdated(from.Incarnation, d.Sequence) {
 		return allotment{Ignored: true}
 	}
-	if !known {
-		h = &holding{}
-		b.holdings[from.Node] = h
+	if !known && t.settling {
+		b.bucket.fill(now, t.tokensPerMinute)
+		b.bucket.spend(min(d.Recent, t.tokensPerMinute))
 	}
-	*h = holding{
+	h := holding{
 		incarnation: from.Incarnation,
 		sequence:    d.Sequence,
 		committed:   max(d.Share, d.InFlight),
@@ -58,25 +62,25 @@
 		tokens:      max(d.Tokens, 0),
 		at:          now,
 	}
-	a := allotment{Limit: t.limit, Share: b.share(from.Node, d, t)}
+	b.sums.add(old, -1)
+	others := b.sums.committed
+	b.sums.add(h, 1)
+	a := allotment{Limit: t.limit, Share: b.share(from.Node, d, h, t, others)}
+	b.sums.committed += max(a.Share-h.committed, 0)
 	h.committed = max(h.committed, a.Share)
-	if !known && t.settling {
-		b.bucket.fill(now, t.tokensPerMinute)
-		b.bucket.spend(min(d.Recent, t.tokensPerMinute))
-	}
+	b.holdings[from.Node] = h
 	a.Tokens, a.Wait = b.tokens(now, d, t)
 	return a
 }
 
 // share returns the node's new share. With the most that all others may use it is
 // no more than the pool.
-func (b *book) share(node domain.NodeID, d demand, t terms) int {
-	h := b.holdings[node]
-	share := target(t.pool, b.claims(), h.wanted, turn(b.organisation, node, t.round))
+func (b *book) share(node domain.NodeID, d demand, h holding, t terms, others int) int {
+	share := target(t.pool, b.sums, h.wanted, turn(b.organisation, node, t.round))
 	if t.settling {
 		share = max(min(share, equalPart(t.pool, t.nodes)), min(d.Share, h.wanted))
 	}
-	return max(min(share, t.pool-b.committedBesides(node)), 0)
+	return max(min(share, t.pool-others), 0)
 }
 
 // tokens fills the bucket and gives the node its part by demand.
@@ -90,38 +94,20 @@
 	if d.Tokens <= 0 {
 		return 0, 0
 	}
-	wanted := 0
-	for _, h := range b.holdings {
-		wanted += h.tokens
-	}
-	given := b.bucket.take(d.Tokens, float64(d.Tokens)/float64(wanted))
+	given := b.bucket.take(d.Tokens, float64(d.Tokens)/float64(b.sums.tokens))
 	return given, b.bucket.debt()
 }
 
-func (b *book) claims() claims {
-	c := claims{}
-	for _, h := range b.holdings {
-		if h.wanted > 0 {
-			c.nodes++
-			c.wanted += h.wanted
-		}
+// expire drops the holdings of nodes that are gone or have long been silent.
+func (b *book) expire(now time.Time, t terms) {
+	if now.Sub(b.expiredAt) < expireEvery {
+		return
 	}
-	return c
-}
-
-func (b *book) committedBesides(node domain.NodeID) int {
-	sum := 0
-	for id, h := range b.holdings {
-		if id != node {
-			sum += h.committed
+	b.expiredAt = now
+	for node, h := range b.holdings {
+		if now.Sub(h.at) >= t.expiry || t.gone(node, h.incarnation) {
+			b.sums.add(h, -1)
+			delete(b.holdings, node)
 		}
 	}
-	return sum
-}
-
-// expire drops the holdings of nodes that are gone or have long been silent.
-func (b *book) expire(now time.Time, t terms) {
-	maps.DeleteFunc(b.holdings, func(node domain.NodeID, h *holding) bool {
-		return now.Sub(h.at) >= t.expiry || t.gone(node, h.incarnation)
-	})
 }
--- a/limits/holding.go
+++ b/limits/holding.go
@@ -18,6 +18,25 @@
 	at        time.Time
 }
 
+// sums are over all holdings of an organisation.
+type sums struct {
+	// nodes counts those that want some.
+	nodes     int
+	wanted    int
+	committed int
+	tokens    int
+}
+
+// add counts a holding in, or out with sign -1.
+func (s *sums) add(h holding, sign int) {
+	if h.wanted > 0 {
+		s.nodes += sign
+	}
+	s.wanted += sign * h.wanted
+	s.committed += sign * h.committed
+	s.tokens += sign * h.tokens
+}
+
 // outdated reports whether a demand is older than what is known.
 func (h *holding) outdated(incarnation domain.Incarnation, sequence uint64) bool {
 	if incarnation != h.incarnation {
