Capacity: slopes; revocation and tick bounded in the number of endpoints and asks

Cause: the choice of a grant to revoke looked at 8 grants of each endpoint and made a plan for each; a tick judged every waiting ask. Now about 256 grants are looked at over all endpoints, and 1,000 asks of a tier in a tick.

--- a/capacity/owner.go
+++ b/capacity/owner.go
@@ -1,6 +1,9 @@
 package capacity
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornrill.example/hawthornrill/config"
@@ -18,7 +21,9 @@
 	config  *config.Snapshot
 	queue   *queue.Queue[*entry]
 	pools   map[domain.PoolName]*pool
-	places  map[domain.EndpointID]*place
+	// poolList holds the pools, sorted.
+	poolList []*pool
+	places   map[domain.EndpointID]*place
 	// revoking holds the grants that are revoked and not released.
 	revoking map[*grant]struct{}
 	// settled is true once the holders have registered what they hold.
@@ -26,6 +31,7 @@
 	// collectAgain asks for another collection.
 	collectAgain bool
 	lastTick     time.Time
+	ticks        uint64
 	out          []outgoing
 	// answering is the ask whose ruling is returned and not put into out.
 	answering *entry
@@ -33,6 +39,7 @@
 	round      uint64
 	candidates []*EndpointState
 	choices    []*place
+	prospects  []prospect
 	counts     ownerCounts
 }
 
@@ -77,9 +84,14 @@
 	o.configurePools(group, l)
 	o.configurePlaces(group)
 	o.link()
+	o.listPools()
 	o.place(now)
 }
 
+func (o *owner) listPools() {
+	o.poolList = slices.SortedFunc(maps.Values(o.pools), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+}
+
 func (o *owner) configurePools(group *groupLayout, l *layout) {
 	kept := make(map[domain.PoolName]bool, len(group.pools))
 	for _, name := range group.pools {
--- a/capacity/ownertick.go
+++ b/capacity/ownertick.go
@@ -6,6 +6,9 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
+// scanShare is the number of asks of a tier that each tick may look at.
+const scanShare = 1000
+
 // tick does what time demands: expires silent holders and marks of leaving
 // endpoints, serves the queue, looks after asks that would be late, and repeats
 // revocations. It must be called every Options.Tick.
@@ -65,12 +68,19 @@
 }
 
 // considerAll looks after the asks that would be late, in order; refusing one
-// brings those behind it forward.
+// brings those behind it forward. A tier in which more wait than scanShare is
+// looked at in proportionately fewer ticks.
 func (o *owner) considerAll(now time.Time) {
+	o.ticks++
 	var late []*entry
-	for item, ahead := range o.queue.Positions() {
-		if o.lateness(now, item.Value, ahead) != onTime {
-			late = append(late, item.Value)
+	for tier, waiting := range o.queue.Tiers() {
+		if o.ticks%uint64(1+waiting/scanShare) != 0 {
+			continue
+		}
+		for item, ahead := range o.queue.TierPositions(tier) {
+			if o.lateness(now, item.Value, ahead) != onTime {
+				late = append(late, item.Value)
+			}
 		}
 	}
 	for _, e := range late {
--- a/capacity/placement.go
+++ b/capacity/placement.go
@@ -52,7 +52,7 @@
 // placeable counts the asks of the pools that have room.
 func (o *owner) placeable() int {
 	count := 0
-	for _, p := range o.pools {
+	for _, p := range o.poolList {
 		if p.open > 0 && p.missed(o.round) < o.options.LookAhead {
 			count += p.waiting
 		}
--- a/capacity/revocation.go
+++ b/capacity/revocation.go
@@ -7,9 +7,13 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// victimSample is the most grants of a tier looked at per endpoint, the newest
-// first, because these have lost least.
-const victimSample = 8
+const (
+	// victimSample is the most grants of a tier looked at per endpoint, the newest
+	// first, because these have lost least.
+	victimSample = 8
+	// victimsSeen is about the most looked at over all endpoints of a pool.
+	victimsSeen = 256
+)
 
 // plan is a set of grants at one place whose revocation makes room for an ask.
 type plan struct {
@@ -57,54 +61,62 @@
 	o.send(g.holder, g.pool, ruling{ID: g.id, Verdict: verdictRevoked})
 }
 
-// victims returns the best plan for the ask, or nil if there is none.
-func (o *owner) victims(now time.Time, e *entry) *plan {
-	tier, ok := o.lowestBelow(e)
-	if !ok {
-		return nil
-	}
-	var best *plan
-	for _, p := range e.pool.places {
-		if lowest, ok := p.lowest(); !ok || !p.serving || lowest != tier {
-			continue
-		}
-		if candidate := p.planFor(now, e); candidate != nil && candidate.better(best) {
-			best = candidate
-		}
-	}
-	if best != nil {
-		return best
+// prospect is a place that holds a grant to revoke, with the least loss there.
+type prospect struct {
+	place *place
+	tier  domain.Tier
+	loss  loss
+}
+
+// compare orders prospects: the lowest tier first, then the least loss.
+func (p prospect) compare(o prospect) int {
+	switch {
+	case p.tier != o.tier:
+		return int(o.tier) - int(p.tier)
+	case p.loss.less(o.loss):
+		return -1
+	case o.loss.less(p.loss):
+		return 1
+	default:
+		return 0
 	}
-	return o.anyPlan(now, e)
 }
 
-// anyPlan looks at the places whose lowest tier is not the pool's lowest too.
-func (o *owner) anyPlan(now time.Time, e *entry) *plan {
+// victims returns the plan for the ask, or nil if there is none: at the place
+// whose first victim is of the lowest tier and loses least, unless making room
+// there reaches into a higher tier than at another one.
+func (o *owner) victims(now time.Time, e *entry) *plan {
+	o.gather(now, e)
 	var best *plan
-	for _, p := range e.pool.places {
-		if !p.serving {
+	for _, p := range o.prospects {
+		candidate := p.place.planFor(now, e)
+		if candidate == nil {
 			continue
 		}
-		if candidate := p.planFor(now, e); candidate != nil && candidate.better(best) {
+		if candidate.tier == o.prospects[0].tier {
+			return candidate
+		}
+		if candidate.better(best) {
 			best = candidate
 		}
 	}
 	return best
 }
 
-// lowestBelow returns the lowest tier below the ask's that holds a grant.
-func (o *owner) lowestBelow(e *entry) (domain.Tier, bool) {
-	var lowest domain.Tier
-	found := false
+// gather collects the places that hold a grant below the ask's tier, best first.
+// The more places there are, the fewer grants it looks at in each.
+func (o *owner) gather(now time.Time, e *entry) {
+	o.prospects = o.prospects[:0]
+	sample := min(max(victimsSeen/max(len(e.pool.places), 1), 1), victimSample)
 	for _, p := range e.pool.places {
-		if !p.serving {
+		tier, ok := p.lowest()
+		if !ok || !p.serving || !e.ask.Tier.Above(tier) {
 			continue
 		}
-		if tier, ok := p.lowest(); ok && e.ask.Tier.Above(tier) && (!found || lowest.Above(tier)) {
-			lowest, found = tier, true
-		}
+		g := p.tier(tier).cheapest(now, nil, sample)
+		o.prospects = append(o.prospects, prospect{p, tier, g.loss(now)})
 	}
-	return lowest, found
+	slices.SortFunc(o.prospects, prospect.compare)
 }
 
 // planFor returns the grants at this place to revoke for the ask, or nil.
@@ -123,7 +135,7 @@
 			break
 		}
 		for count > 0 || tokens > 0 {
-			g := t.cheapest(now, result.victims)
+			g := t.cheapest(now, result.victims, victimSample)
 			if g == nil {
 				break
 			}
@@ -152,17 +164,18 @@
 
 // cheapest returns the grant whose revocation loses least, among the newest that
 // are neither revoked nor in the plan.
-func (t *tierGrants) cheapest(now time.Time, planned []*grant) *grant {
+func (t *tierGrants) cheapest(now time.Time, planned []*grant, sample int) *grant {
 	var best *grant
+	var least loss
 	seen := 0
 	for _, g := range slices.Backward(t.grants) {
 		if g.revoked() || slices.Contains(planned, g) {
 			continue
 		}
-		if best == nil || g.loss(now).less(best.loss(now)) {
-			best = g
+		if l := g.loss(now); best == nil || l.less(least) {
+			best, least = g, l
 		}
-		if seen++; seen == victimSample {
+		if seen++; seen == sample {
 			break
 		}
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -142,6 +142,31 @@
 	}
 }
 
+// TierPositions yields what Positions does of one tier.
+func (q *Queue[T]) TierPositions(rank domain.Tier) iter.Seq2[*Item[T], int] {
+	return func(yield func(*Item[T], int) bool) {
+		higher := 0
+		for _, t := range q.tiers {
+			if t.rank == rank {
+				t.positions(higher, yield)
+				return
+			}
+			higher += t.count
+		}
+	}
+}
+
+// Tiers yields the tiers, the highest first, with the number of items that wait.
+func (q *Queue[T]) Tiers() iter.Seq2[domain.Tier, int] {
+	return func(yield func(domain.Tier, int) bool) {
+		for _, t := range q.tiers {
+			if !yield(t.rank, t.count) {
+				return
+			}
+		}
+	}
+}
+
 func (t *tier[T]) positions(higher int, yield func(*Item[T], int) bool) bool {
 	for _, b := range t.order {
 		for i, item := range b.items {
