--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,9 @@
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/ledger"
+	"hawthornrill.example/hawthornrill/limits"
 	"hawthornrill.example/hawthornrill/routing"
+	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/scheduler"
 	"hawthornrill.example/hawthornrill/session"
 )
@@ -34,22 +36,24 @@
 // Node is one node of the system. Its parts are made by New, and work while Run
 // runs.
 type Node struct {
-	options   Options
-	self      domain.Member
-	documents *document.Service
-	config    *configuration
-	tables    *tables
-	ledger    *ledger.Replica
-	capacity  *capacity.Service
-	routers   *routing.Factory
-	endpoints *endpoints
-	reports   *reports
-	answers   *answer.Registry
-	scheduler *scheduler.Scheduler
-	entry     *entry.Server
-	enrolment *enrolment
-	started   time.Time
-	draining  atomic.Bool
+	options    Options
+	self       domain.Member
+	documents  *document.Service
+	config     *configuration
+	tables     *tables
+	ledger     *ledger.Replica
+	limits     *limits.Service
+	quarantine *quarantine.Service
+	capacity   *capacity.Service
+	routers    *routing.Factory
+	endpoints  *endpoints
+	reports    *reports
+	answers    *answer.Registry
+	scheduler  *scheduler.Scheduler
+	entry      *entry.Server
+	enrolment  *enrolment
+	started    time.Time
+	draining   atomic.Bool
 	// enrol ends the enrolment, so that a node that departs does not join again.
 	enrol    context.CancelFunc
 	enrolled chan struct{}
@@ -64,7 +68,7 @@
 		started:  time.Now(),
 		enrolled: make(chan struct{}),
 	}
-	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildCapacity, n.buildScheduler, n.buildEntry} {
+	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildLimits, n.buildCapacity, n.buildScheduler, n.buildEntry} {
 		if err := build(); err != nil {
 			return nil, fmt.Errorf("node: %w", err)
 		}
@@ -112,8 +116,27 @@
 	return n.tables.follow(n.self.DataCentre)
 }
 
+func (n *Node) buildLimits() error {
+	n.limits = limits.New(limits.Options{
+		Transport:  n.options.Transport,
+		Membership: n.options.Members,
+		Config:     n.config,
+		Metrics:    n.options.Metrics,
+		Logger:     n.options.Log,
+	})
+	return nil
+}
+
 func (n *Node) buildCapacity() error {
-	n.routers = routing.NewFactory(n.options.Routing)
+	n.quarantine = quarantine.New(quarantine.Options{
+		Transport:  n.options.Transport,
+		Membership: n.options.Members,
+		Metrics:    n.options.Metrics,
+	})
+	options := n.options.Routing
+	options.Quarantine = n.quarantine
+	options.Metrics = n.options.Metrics
+	n.routers = routing.NewFactory(options)
 	n.capacity = capacity.New(capacity.Options{
 		Transport:  n.options.Transport,
 		Membership: n.options.Members,
@@ -132,13 +155,9 @@
 		Bytes:     n.options.AnswerBytes,
 		Retention: n.options.Retention,
 	}))
-	limits := n.options.Limits
-	if limits == nil {
-		limits = scheduler.NoLimits{}
-	}
 	n.scheduler = scheduler.New(scheduler.Parts{
 		Ledger:     n.ledger,
-		Limits:     limits,
+		Limits:     admission{n.limits},
 		Capacity:   n.capacity,
 		Dispatcher: dispatch.New(n.endpoints, dispatch.Options{}),
 		Answers:    n.answers,
@@ -171,6 +190,8 @@
 	group.Go(func() error { return n.options.Members.Run(ctx) })
 	group.Go(func() error { return n.documents.Run(ctx) })
 	group.Go(func() error { return n.ledger.Run(ctx) })
+	group.Go(func() error { return n.limits.Run(ctx) })
+	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.capacity.Run(ctx) })
 	group.Go(func() error { return n.reports.run(ctx) })
 	group.Go(func() error { return n.expire(ctx) })
@@ -181,6 +202,7 @@
 	})
 	err := group.Wait()
 	n.scheduler.Close()
+	n.limits.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/node/options.go
+++ b/node/options.go
@@ -20,7 +20,6 @@
 	Store     store.Store
 	Members   Members
 	Adapters  Adapters
-	Limits    scheduler.Limits
 	Log       zerolog.Logger
 	Metrics   *metrics.Set
 
