--- a/endpoint/httpengine/client_test.go
+++ b/endpoint/httpengine/client_test.go
@@ -13,6 +13,7 @@
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/httpengine"
 	"hawthornrill.example/hawthornrill/endpoint/onesend"
+	"hawthornrill.example/hawthornrill/prefix"
 	"hawthornrill.example/hawthornrill/standin/engine"
 )
 
@@ -77,3 +78,32 @@
 	_, err = client.CacheEvents(t.Context(), 0)
 	assert.NilError(t, err)
 }
+
+func TestOrdersAndKV(t *testing.T) {
+	options := engine.Options{Speed: engine.NoDelay(), Models: []string{"m"}}
+	client, _ := newClient(t, options)
+	other, _ := newClient(t, options)
+	ctx := t.Context()
+	assert.NilError(t, client.Order(ctx, endpoint.Order{Fence: 7, Kind: endpoint.OrderSetRole, Role: endpoint.RoleDecode}))
+	state, err := client.State(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, state, endpoint.EngineState{
+		Fence: 7, Role: endpoint.RoleDecode, Models: []endpoint.ModelState{{Model: "m", Ready: true}},
+	})
+	err = client.Order(ctx, endpoint.Order{Fence: 6, Kind: endpoint.OrderUnload, Model: "m"})
+	assert.ErrorIs(t, err, endpoint.ErrOldFence)
+	assert.ErrorIs(t, err, endpoint.ErrRefused)
+
+	long := strings.Replace(body, "hob", strings.Repeat("very ", 200)+"hob", 1)
+	s, err := client.Start(ctx, endpoint.EngineRequest{Key: "k", Body: []byte(long)})
+	assert.NilError(t, err)
+	text(t, s)
+	chain := prefix.NewChain("m")
+	chain.Add("user", "How wide is the "+strings.Repeat("very ", 200)+"hob?")
+	cache, err := client.ExportKV(ctx, append(chain.Blocks(), 1, 2, 3))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, cache.Blocks, chain.Blocks())
+	held, err := other.ImportKV(ctx, cache)
+	assert.NilError(t, err)
+	assert.Equal(t, held, len(cache.Blocks))
+}
--- a/endpoint/httpengine/status.go
+++ b/endpoint/httpengine/status.go
@@ -11,6 +11,7 @@
 
 // StatusError is an answer with a status other than success. It wraps
 // endpoint.ErrRefused where the status means that the request does not run,
+// endpoint.ErrOldFence beside it for an order so refused,
 // endpoint.ErrStreamNotFound for a missing stream, else endpoint.ErrBroken.
 type StatusError struct {
 	Status int
@@ -27,6 +28,9 @@
 // Unwrap returns the kind of error.
 func (e *StatusError) Unwrap() error { return e.kind }
 
+// errConflict is the refusal of an order with an old fencing number.
+var errConflict = fmt.Errorf("%w: %w", endpoint.ErrRefused, endpoint.ErrOldFence)
+
 const maxMessageBytes = 512
 
 func readStatus(response *http.Response) error {
@@ -45,6 +49,8 @@
 	switch {
 	case status == http.StatusRequestTimeout:
 		return endpoint.ErrBroken
+	case status == http.StatusConflict:
+		return errConflict
 	case status >= 400 && status < 500:
 		return endpoint.ErrRefused
 	case status == http.StatusServiceUnavailable:
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -65,3 +65,8 @@
 // len is the number of blocks, used the number of those in use.
 func (c *cache) len() int  { return len(c.blocks) }
 func (c *cache) used() int { return len(c.blocks) - c.unused.Len() }
+
+func (c *cache) has(hash uint64) bool {
+	_, ok := c.blocks[hash]
+	return ok
+}
--- a/standin/engine/cacheevents.go
+++ b/standin/engine/cacheevents.go
@@ -57,3 +57,13 @@
 	}
 	return events
 }
+
+// restart forgets the log. Sequence numbers go on from a round number, so that a
+// reader sees a gap.
+func (c *cacheEvents) restart(life uint64) {
+	c.log = nil
+	c.sequence = life << restartShift
+}
+
+// restartShift leaves room for the events of one life.
+const restartShift = 32
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -25,7 +25,14 @@
 	seen    map[uint64]struct{}
 	counts  Counts
 	runs    runLog
-	busy    bool
+	orders  []OrderRecord
+	models  models
+	faults  Faults
+	// unpaused is not nil while the engine is paused; it is closed at the end.
+	unpaused chan struct{}
+	busy     bool
+	// down is true between a crash and the restart. up is what Options.OnUp knows.
+	down, up bool
 	// life counts crashes; a step begun in an earlier life has no effect.
 	life uint64
 }
@@ -41,6 +48,8 @@
 		history: history{lag: options.LoadLag},
 		events:  newCacheEvents(options),
 		seen:    make(map[uint64]struct{}),
+		models:  newModels(options.Models),
+		up:      true,
 	}
 	e.memory = e.emptyMemory()
 	e.noteLoad()
@@ -65,6 +74,24 @@
 }
 
 func (e *Engine) start(ctx context.Context, er endpoint.EngineRequest) (request, *reader, error) {
+	if err := e.enter(ctx); err != nil {
+		return request{}, nil, err
+	}
+	r, stream, err := e.accept(er)
+	if err != nil {
+		return request{}, nil, err
+	}
+	if err := e.answerLate(ctx); err != nil {
+		return request{}, nil, err
+	}
+	if e.loseStart() {
+		return request{}, nil, fmt.Errorf("%w: %w", endpoint.ErrBroken, errCut)
+	}
+	return r, stream, nil
+}
+
+// accept takes a request into the engine.
+func (e *Engine) accept(er endpoint.EngineRequest) (request, *reader, error) {
 	r, err := parseRequest(er.Body)
 	if err != nil {
 		return request{}, nil, e.refuse(err)
@@ -72,6 +99,9 @@
 	s := newSequence(er.Key, r, e.options.Poison)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.refuses() {
+		return request{}, nil, fmt.Errorf("%w: connection refused", endpoint.ErrNotDispatched)
+	}
 	if err := e.check(r, s); err != nil {
 		e.counts.Refused++
 		return request{}, nil, refused(err)
@@ -89,6 +119,9 @@
 
 // check refuses what can never run here.
 func (e *Engine) check(r request, s *sequence) error {
+	if !e.models.serves(r.Model) {
+		return fmt.Errorf("%w: %q", ErrModel, r.Model)
+	}
 	need := s.prompt + len(s.answer.Tokens)
 	if need > e.options.KVTokens {
 		return fmt.Errorf("%w: %d tokens don't fit into %d of KV cache", ErrBadRequest, need, e.options.KVTokens)
@@ -104,6 +137,7 @@
 		Key:          s.stream.key,
 		Model:        s.model,
 		State:        RunWaiting,
+		Leaving:      e.faults.Leaving,
 		Arrived:      time.Now(),
 		Sum:          s.sum,
 		PromptTokens: s.prompt,
@@ -112,6 +146,10 @@
 	e.counts.Arrived++
 	e.streams[s.stream.key] = s.stream
 	s.stream.sequence = s
+	s.stream.setFaults(e.faults)
+	if e.faults.Poison != "" && s.request.contains(e.faults.Poison) {
+		s.poison = true
+	}
 	e.waiting = append(e.waiting, s)
 	e.noteLoad()
 	e.work()
@@ -127,6 +165,9 @@
 }
 
 func (e *Engine) resume(ctx context.Context, key string, from uint64) (*reader, error) {
+	if err := e.enter(ctx); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.forgetEnded()
@@ -140,6 +181,9 @@
 // Cancel implements endpoint.Engine. It frees the sequence's place and memory at
 // once and forgets the stream.
 func (e *Engine) Cancel(ctx context.Context, key string) error {
+	if err := e.enter(ctx); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.streams[key]
@@ -159,6 +203,9 @@
 
 // Load implements endpoint.Engine.
 func (e *Engine) Load(ctx context.Context) (endpoint.LoadReport, error) {
+	if err := e.enter(ctx); err != nil {
+		return endpoint.LoadReport{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.history.report(time.Now()), nil
@@ -166,6 +213,9 @@
 
 // CacheEvents implements endpoint.Engine.
 func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]endpoint.CacheEvent, error) {
+	if err := e.enter(ctx); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.events.after(time.Now(), after), nil
@@ -185,6 +235,14 @@
 	return e.runs.copy()
 }
 
+// usage returns the account of a finished request.
+func (e *Engine) usage(s *stream) usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run := s.sequence.run
+	return newUsage(run.PromptTokens, run.Emitted, run.Cached)
+}
+
 // noteLoad keeps the present load for later reports.
 func (e *Engine) noteLoad() {
 	e.history.add(time.Now(), endpoint.LoadReport{
@@ -192,5 +250,6 @@
 		Waiting:      len(e.waiting),
 		KVTokensUsed: e.memory.pinned(),
 		KVTokens:     e.memory.limit,
+		Leaving:      e.faults.Leaving,
 	})
 }
--- a/standin/engine/errors.go
+++ b/standin/engine/errors.go
@@ -15,8 +15,8 @@
 	// ErrFull means that too many requests wait already.
 	ErrFull      = errors.New("engine: too many waiting requests")
 	errCancelled = errors.New("engine: cancelled")
-	// ErrOldFence means that the order's fencing number is older than one seen.
-	ErrOldFence = errors.New("engine: old fencing number")
+	errCrashed   = errors.New("engine: crashed")
+	errCut       = errors.New("engine: connection cut")
 	// ErrBadOrder means that the order makes no sense.
 	ErrBadOrder = errors.New("engine: bad order")
 )
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -1,8 +1,8 @@
 package engine
 
 import (
-	"context"
-	"errors"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -25,15 +25,23 @@
 // NewHandler returns the engine's HTTP interface; see docs/operators/stand-ins.md.
 func NewHandler(e *Engine) http.Handler {
 	h := &handler{engine: e}
-	router := echo.New()
-	router.HTTPErrorHandler = writeError
+	router := newRouter()
 	router.POST("/v1/chat/completions", h.complete)
 	router.GET("/v1/streams/:key", h.resume)
 	router.DELETE("/v1/streams/:key", h.cancel)
 	router.GET("/v1/load", h.load)
 	router.GET("/v1/cache/events", h.cacheEvents)
-	router.GET("/standin/runs", h.runs)
-	router.GET("/standin/counts", h.counts)
+	router.POST("/v1/kv/export", h.exportKV)
+	router.POST("/v1/kv/import", h.importKV)
+	router.POST("/v1/orders", h.order)
+	router.GET("/v1/orders", h.state)
+	addControl(router, e)
+	return router
+}
+
+func newRouter() *echo.Echo {
+	router := echo.New()
+	router.HTTPErrorHandler = writeError
 	return router
 }
 
@@ -52,7 +60,7 @@
 	}
 	defer stream.Close()
 	if !r.Stream {
-		return writeCompletion(c, r, stream)
+		return h.writeCompletion(c, r, stream)
 	}
 	return writeEvents(c, stream)
 }
@@ -97,8 +105,59 @@
 	return c.JSON(http.StatusOK, events)
 }
 
-func (h *handler) runs(c echo.Context) error   { return c.JSON(http.StatusOK, h.engine.Runs()) }
-func (h *handler) counts(c echo.Context) error { return c.JSON(http.StatusOK, h.engine.Counts()) }
+func (h *handler) exportKV(c echo.Context) error {
+	var blocks []uint64
+	if err := readJSON(c, &blocks); err != nil {
+		return err
+	}
+	cache, err := h.engine.ExportKV(c.Request().Context(), blocks)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, cache)
+}
+
+func (h *handler) importKV(c echo.Context) error {
+	var cache endpoint.KVCache
+	if err := readJSON(c, &cache); err != nil {
+		return err
+	}
+	held, err := h.engine.ImportKV(c.Request().Context(), cache)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, held)
+}
+
+func (h *handler) order(c echo.Context) error {
+	var order endpoint.Order
+	if err := readJSON(c, &order); err != nil {
+		return err
+	}
+	if err := h.engine.Order(c.Request().Context(), order); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusAccepted)
+}
+
+func (h *handler) state(c echo.Context) error {
+	state, err := h.engine.State(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, state)
+}
+
+func readJSON(c echo.Context, value any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return fmt.Errorf("%w: %w", ErrBadRequest, err)
+	}
+	return nil
+}
 
 // streamKey returns the key in the path. The router leaves it escaped if the
 // path as a whole can't be told from its unescaped form.
@@ -125,42 +184,3 @@
 	}
 	return n, nil
 }
-
-// errorBody is the common shape of a model engine's errors.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string `json:"message"`
-	Code    int    `json:"code"`
-}
-
-func writeError(err error, c echo.Context) {
-	if c.Response().Committed || errors.Is(err, context.Canceled) {
-		return
-	}
-	status := statusOf(err)
-	_ = c.JSON(status, errorBody{Error: errorDetail{Message: err.Error(), Code: status}})
-}
-
-func statusOf(err error) int {
-	var he *echo.HTTPError
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &he):
-		return he.Code
-	case errors.As(err, &tooLarge):
-		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, ErrBadRequest), errors.Is(err, ErrBadOrder):
-		return http.StatusBadRequest
-	case errors.Is(err, ErrModel), errors.Is(err, endpoint.ErrStreamNotFound):
-		return http.StatusNotFound
-	case errors.Is(err, ErrOldFence):
-		return http.StatusConflict
-	case errors.Is(err, ErrFull):
-		return http.StatusTooManyRequests
-	default:
-		return http.StatusInternalServerError
-	}
-}
--- /dev/null
+++ b/standin/engine/lifecycle.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"time"
+)
+
+// Crash ends everything at once, as a dying process does: streams, waiting
+// requests, KV cache, orders obeyed. The engine refuses connections until it has
+// restarted.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
+func (e *Engine) crash() {
+	if e.down {
+		return
+	}
+	e.life++
+	e.down = true
+	e.busy = false
+	e.counts.Crashes++
+	for _, s := range append(e.batch, e.waiting...) {
+		e.counts.Crashed++
+		e.abandon(s, RunCrashed, errCrashed)
+	}
+	for _, s := range e.streams {
+		s.cut()
+	}
+	e.batch, e.waiting, e.ended = nil, nil, nil
+	clear(e.streams)
+	e.noteUp()
+	if e.options.RestartDelay >= 0 {
+		time.AfterFunc(e.options.RestartDelay, e.restart)
+	}
+}
+
+// restart brings a crashed engine back as it was when new.
+func (e *Engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+	e.memory = e.emptyMemory()
+	e.events.restart(e.life)
+	e.models = newModels(e.options.Models)
+	e.history = history{lag: e.options.LoadLag}
+	e.noteLoad()
+	e.noteUp()
+}
+
+// noteUp tells the owner of the listener whether there should be one.
+func (e *Engine) noteUp() {
+	up := !e.refuses()
+	if up == e.up {
+		return
+	}
+	e.up = up
+	if e.options.OnUp != nil {
+		e.options.OnUp(up)
+	}
+}
--- a/standin/engine/loop.go
+++ b/standin/engine/loop.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/prefix"
 )
 
@@ -14,6 +15,7 @@
 	prefill []prefillPart
 	decode  []*sequence
 	tokens  int
+	takes   time.Duration
 }
 
 type prefillPart struct {
@@ -38,20 +40,35 @@
 		if !ok {
 			return
 		}
-		due = due.Add(e.duration(s))
+		due = due.Add(s.takes)
 		if wait := time.Until(due); wait > 0 {
 			time.Sleep(wait)
 		}
+		due = e.await(due)
 		if !e.complete(life, s) {
 			return
 		}
 	}
 }
 
-func (e *Engine) duration(s step) time.Duration {
-	return e.options.Speed.step(len(s.decode), s.tokens)
+// await waits until the engine is not paused. What was due meanwhile is not made
+// up for.
+func (e *Engine) await(due time.Time) time.Time {
+	e.mu.Lock()
+	unpaused := e.unpaused
+	e.mu.Unlock()
+	if unpaused != nil {
+		<-unpaused
+	}
+	if now := time.Now(); now.Sub(due) > maxBehind {
+		return now
+	}
+	return due
 }
 
+// maxBehind is how far a loop that wakes up late may hurry to catch up.
+const maxBehind = 100 * time.Millisecond
+
 // begin admits what fits and plans a step; false ends the loop.
 func (e *Engine) begin(life uint64) (step, bool) {
 	e.mu.Lock()
@@ -88,7 +105,7 @@
 
 func (e *Engine) plan() step {
 	var st step
-	budget := e.options.Speed.Chunk
+	budget := e.chunk()
 	for _, s := range e.batch {
 		if !s.prefilling() {
 			st.decode = append(st.decode, s)
@@ -101,9 +118,28 @@
 		st.prefill = append(st.prefill, prefillPart{sequence: s, tokens: n})
 		st.tokens += n
 	}
+	st.takes = e.options.Speed.step(len(st.decode), st.tokens)
+	if e.faults.Straggle > 0 {
+		st.takes = time.Duration(float64(st.takes) * e.faults.Straggle)
+	}
 	return st
 }
 
+// chunk is the number of prompt tokens that a step computes at most, by role.
+func (e *Engine) chunk() int {
+	switch e.models.role {
+	case endpoint.RolePrefill:
+		return roleFactor * e.options.Speed.Chunk
+	case endpoint.RoleDecode:
+		return max(1, e.options.Speed.Chunk/roleFactor)
+	default:
+		return e.options.Speed.Chunk
+	}
+}
+
+// roleFactor is how much more, or less, prompt a step takes in by role.
+const roleFactor = 4
+
 // complete applies a step whose time has passed.
 func (e *Engine) complete(life uint64, st step) bool {
 	e.mu.Lock()
@@ -115,24 +151,34 @@
 		e.decode(s)
 	}
 	for _, p := range st.prefill {
-		e.prefill(p)
+		if !e.prefill(p) {
+			return false
+		}
 	}
 	e.noteLoad()
 	return true
 }
 
-func (e *Engine) prefill(p prefillPart) {
+// prefill computes a part of a prompt; it returns false if that crashed the
+// engine.
+func (e *Engine) prefill(p prefillPart) bool {
 	s := p.sequence
 	if !s.running {
-		return
+		return true
 	}
 	s.prefill(p.tokens, &e.memory, e.notePrefill)
 	s.run.Prefilled += p.tokens
 	e.counts.PrefillDone += uint64(p.tokens)
-	if !s.prefilling() {
-		// The last part of the prompt yields the first token.
-		e.decode(s)
+	if s.prefilling() {
+		return true
+	}
+	if s.poison {
+		e.crash()
+		return false
 	}
+	// The last part of the prompt yields the first token.
+	e.decode(s)
+	return true
 }
 
 // notePrefill counts blocks that are computed again.
--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -27,3 +27,27 @@
 	m.private += tokens
 	return true
 }
+
+// heldBlocks tells how many blocks hold found or stored, and how many it stored.
+type heldBlocks struct{ total, stored int }
+
+// hold puts leading blocks into the cache, unused, as far as they fit.
+func (m *memory) hold(blocks []uint64) heldBlocks {
+	var held heldBlocks
+	for _, hash := range blocks {
+		if !m.cache.acquire(hash) {
+			if !m.reserve(prefix.BlockTokens) {
+				break
+			}
+			m.private -= prefix.BlockTokens
+			m.cache.store(hash)
+			held.stored++
+		}
+		held.total++
+	}
+	// In use until here, so that the blocks don't evict each other.
+	for i := held.total - 1; i >= 0; i-- {
+		m.cache.release(blocks[i])
+	}
+	return held
+}
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -25,17 +25,27 @@
 	CacheEventGap   float64
 	// IgnoreFencing obeys orders with an old fencing number.
 	IgnoreFencing bool
-	// RestartDelay is how long the engine is down after a crash. Default Speed.Load.
+	// RestartDelay is how long the engine is down after a crash. Default Speed.Load;
+	// negative for ever.
 	RestartDelay time.Duration
 	// Poison crashes the engine that computes a prompt with this text in it.
 	Poison string
 	// Seed makes the gaps in cache events differ between engines.
 	Seed uint64
+	// FetchWeights, if set, gets weights before they are loaded, such as from the
+	// weight store. If it fails, the model or adapter is not there.
+	FetchWeights func(Weights) error
+	// OnUp, if set, is told when the engine begins and ceases to refuse
+	// connections. It must not call the engine.
+	OnUp func(up bool)
 	// OnPrefill, if set, is told of each prompt block that is computed. It must
 	// not call the engine.
 	OnPrefill func(block uint64)
 }
 
+// Weights names weights to load; Adapter is empty for a model's own.
+type Weights struct{ Model, Version, Adapter string }
+
 const (
 	defaultBatchLimit      = 32
 	defaultKVTokens        = 128 << 10
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -8,16 +8,17 @@
 
 // sequence is a request inside the engine.
 type sequence struct {
-	stream *stream
-	writer eventWriter
-	run    *Run
-	answer Answer
-	chain  *prefix.Chain
-	blocks []uint64
-	prompt int
-	sum    uint64
-	model  string
-	poison bool
+	stream  *stream
+	request request
+	writer  eventWriter
+	run     *Run
+	answer  Answer
+	chain   *prefix.Chain
+	blocks  []uint64
+	prompt  int
+	sum     uint64
+	model   string
+	poison  bool
 
 	// emitted counts answer tokens already sent.
 	emitted int
@@ -35,15 +36,16 @@
 func newSequence(key string, r request, poison string) *sequence {
 	chain := r.chain()
 	return &sequence{
-		stream: newStream(key),
-		writer: newEventWriter(key, r.Model, time.Now()),
-		answer: r.answer(chain.Sum()),
-		chain:  chain,
-		blocks: chain.Blocks(),
-		prompt: chain.Tokens(),
-		sum:    chain.Sum(),
-		model:  r.Model,
-		poison: poison != "" && r.contains(poison),
+		stream:  newStream(key),
+		request: r,
+		writer:  newEventWriter(key, r.Model, time.Now()),
+		answer:  r.answer(chain.Sum()),
+		chain:   chain,
+		blocks:  chain.Blocks(),
+		prompt:  chain.Tokens(),
+		sum:     chain.Sum(),
+		model:   r.Model,
+		poison:  poison != "" && r.contains(poison),
 	}
 }
 
--- a/standin/engine/sse.go
+++ b/standin/engine/sse.go
@@ -78,7 +78,7 @@
 	Content string `json:"content"`
 }
 
-func writeCompletion(c echo.Context, r request, stream *reader) error {
+func (h *handler) writeCompletion(c echo.Context, r request, stream *reader) error {
 	for {
 		_, err := stream.Next(c.Request().Context())
 		if errors.Is(err, io.EOF) {
@@ -97,6 +97,6 @@
 			Message:      completionMessage{Role: "assistant", Content: strings.TrimSpace(answer.Text())},
 			FinishReason: answer.FinishReason,
 		}},
-		Usage: newUsage(r.chain().Tokens(), len(answer.Tokens), stream.stream.sequence.run.Cached),
+		Usage: h.engine.usage(stream.stream),
 	})
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -1,13 +1,8 @@
 package engine
 
 import (
-	"context"
-	"fmt"
-	"io"
 	"sync"
 	"time"
-
-	"hawthornrill.example/hawthornrill/endpoint"
 )
 
 // stream holds the events of one answer, from the first on.
@@ -19,6 +14,7 @@
 	events  [][]byte
 	end     error // nil while open, io.EOF when complete
 	readers []*reader
+	faults  Faults
 }
 
 func newStream(key string) *stream { return &stream{key: key} }
@@ -49,68 +45,21 @@
 	}
 }
 
-// reader reads a stream from an offset; it implements endpoint.Stream.
-type reader struct {
-	stream *stream
-	next   uint64
-	wake   chan struct{}
-}
-
-func (s *stream) reader(from uint64) *reader {
-	r := &reader{stream: s, next: from, wake: make(chan struct{}, 1)}
+// setFaults makes the stream's readers see the faults.
+func (s *stream) setFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readers = append(s.readers, r)
-	return r
-}
-
-// Next implements endpoint.Stream.
-func (r *reader) Next(ctx context.Context) (endpoint.Event, error) {
-	for {
-		event, ok, err := r.poll()
-		if ok || err != nil {
-			return event, err
-		}
-		select {
-		case <-r.wake:
-		case <-ctx.Done():
-			return endpoint.Event{}, context.Cause(ctx)
-		}
-	}
+	s.faults = f
 }
 
-// poll returns the next event if there is one already.
-func (r *reader) poll() (event endpoint.Event, ok bool, err error) {
-	s := r.stream
+// cut breaks all readers that there are.
+func (s *stream) cut() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.next < uint64(len(s.events)) {
-		event = endpoint.Event{Offset: r.next, Data: s.events[r.next]}
-		r.next++
-		return event, true, nil
-	}
-	switch {
-	case s.end == nil:
-		return endpoint.Event{}, false, nil
-	case s.end == io.EOF:
-		return endpoint.Event{}, false, io.EOF
-	default:
-		return endpoint.Event{}, false, fmt.Errorf("%w: %w", endpoint.ErrBroken, s.end)
-	}
-}
-
-// Close implements endpoint.Stream. The engine goes on with the request.
-func (r *reader) Close() error {
-	s := r.stream
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, other := range s.readers {
-		if other == r {
-			s.readers = append(s.readers[:i], s.readers[i+1:]...)
-			break
-		}
+	for _, r := range s.readers {
+		r.broken = true
 	}
-	return nil
+	s.wake()
 }
 
 // endedStream is a stream that is kept for a while after its end.
