--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -33,6 +33,9 @@
 	busy     bool
 	// down is true between a crash and the restart. up is what Options.OnUp knows.
 	down, up bool
+	closed   bool
+	// lifeEnd is closed by the next crash.
+	lifeEnd chan struct{}
 	// life counts crashes; a step begun in an earlier life has no effect.
 	life uint64
 }
@@ -50,6 +53,7 @@
 		seen:    make(map[uint64]struct{}),
 		models:  newModels(options.Models),
 		up:      true,
+		lifeEnd: make(chan struct{}),
 	}
 	e.memory = e.emptyMemory()
 	e.noteLoad()
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -32,6 +32,27 @@
 	return endpoint.EngineRequest{Key: key, Body: body}
 }
 
+// followUp makes the next turn of a conversation.
+func followUp(t *testing.T, key string, before endpoint.EngineRequest, text string) endpoint.EngineRequest {
+	t.Helper()
+	var body map[string]any
+	assert.NilError(t, json.Unmarshal(before.Body, &body))
+	messages := append(body["messages"].([]any),
+		map[string]string{"role": "assistant", "content": expected(t, before)},
+		map[string]string{"role": "user", "content": text})
+	body["messages"] = messages
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	return endpoint.EngineRequest{Key: key, Body: data}
+}
+
+func newEngine(t *testing.T, options engine.Options) *engine.Engine {
+	t.Helper()
+	e := engine.New(options)
+	t.Cleanup(e.Close)
+	return e
+}
+
 func start(t *testing.T, e *engine.Engine, r endpoint.EngineRequest) endpoint.Stream {
 	t.Helper()
 	s, err := e.Start(t.Context(), r)
@@ -72,7 +93,7 @@
 
 func TestWholeAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := engine.New(engine.Options{Speed: engine.GenerationB()})
+		e := newEngine(t, engine.Options{Speed: engine.GenerationB()})
 		request := ask("k", "a", 100, 50)
 		begun := time.Now()
 		text, err := read(t.Context(), start(t, e, request))
--- a/standin/engine/lifecycle.go
+++ b/standin/engine/lifecycle.go
@@ -18,6 +18,7 @@
 		return
 	}
 	e.life++
+	close(e.lifeEnd)
 	e.down = true
 	e.busy = false
 	e.counts.Crashes++
@@ -36,11 +37,24 @@
 	}
 }
 
+// Close ends the engine as a crash does, for good. Tests under testing/synctest
+// need it, since the engine's goroutine must not outlive them.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	e.crash()
+}
+
 // restart brings a crashed engine back as it was when new.
 func (e *Engine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
 	e.down = false
+	e.lifeEnd = make(chan struct{})
 	e.memory = e.emptyMemory()
 	e.events.restart(e.life)
 	e.models = newModels(e.options.Models)
@@ -60,3 +74,18 @@
 		e.options.OnUp(up)
 	}
 }
+
+// sleep returns false if the life ended first.
+func sleep(d time.Duration, end <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-end:
+		return false
+	}
+}
--- a/standin/engine/loop.go
+++ b/standin/engine/loop.go
@@ -29,22 +29,22 @@
 		return
 	}
 	e.busy = true
-	go e.loop(e.life, time.Now())
+	go e.loop(e.life, time.Now(), e.lifeEnd)
 }
 
 // loop computes step after step. Each is due a step's time after the one before
 // was, so that late wake-ups don't add up.
-func (e *Engine) loop(life uint64, due time.Time) {
+func (e *Engine) loop(life uint64, due time.Time, end <-chan struct{}) {
 	for {
 		s, ok := e.begin(life)
 		if !ok {
 			return
 		}
 		due = due.Add(s.takes)
-		if wait := time.Until(due); wait > 0 {
-			time.Sleep(wait)
+		if !sleep(time.Until(due), end) {
+			return
 		}
-		due = e.await(due)
+		due = e.await(due, end)
 		if !e.complete(life, s) {
 			return
 		}
@@ -53,12 +53,15 @@
 
 // await waits until the engine is not paused. What was due meanwhile is not made
 // up for.
-func (e *Engine) await(due time.Time) time.Time {
+func (e *Engine) await(due time.Time, end <-chan struct{}) time.Time {
 	e.mu.Lock()
 	unpaused := e.unpaused
 	e.mu.Unlock()
 	if unpaused != nil {
-		<-unpaused
+		select {
+		case <-unpaused:
+		case <-end:
+		}
 	}
 	if now := time.Now(); now.Sub(due) > maxBehind {
 		return now
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -113,7 +113,7 @@
 	}
 	loading := e.models.add(name, version)
 	weights := Weights{Model: name, Version: version}
-	go e.load(e.life, e.options.Speed.Load, weights, func(loaded bool) {
+	go e.load(e.lifeEnd, e.options.Speed.Load, weights, func(loaded bool) {
 		if e.models.byName[name] != loading {
 			return
 		}
@@ -135,7 +135,7 @@
 	loading := &adapter{}
 	m.adapters[adapterName] = loading
 	weights := Weights{Model: name, Version: m.version, Adapter: adapterName}
-	go e.load(e.life, e.options.Speed.Adapter, weights, func(loaded bool) {
+	go e.load(e.lifeEnd, e.options.Speed.Adapter, weights, func(loaded bool) {
 		if m.adapters[adapterName] != loading {
 			return
 		}
@@ -147,14 +147,18 @@
 	return nil
 }
 
-// load fetches weights and then takes the time to load them. If the engine has
-// crashed meanwhile, done is not called.
-func (e *Engine) load(life uint64, takes time.Duration, weights Weights, done func(loaded bool)) {
+// load fetches weights and then takes the time to load them. If the engine's
+// life ends meanwhile, done is not called.
+func (e *Engine) load(end <-chan struct{}, takes time.Duration, weights Weights, done func(loaded bool)) {
 	loaded := e.options.FetchWeights == nil || e.options.FetchWeights(weights) == nil
-	time.Sleep(takes)
+	if !sleep(takes, end) {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.life == life {
+	select {
+	case <-end:
+	default:
 		done(loaded)
 	}
 }
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -63,7 +63,9 @@
 	if err := json.Unmarshal(body, &r); err != nil {
 		return request{}, fmt.Errorf("%w: %w", ErrBadRequest, err)
 	}
-	r.MaxTokens = max(r.MaxTokens, r.MaxCompletionTokens)
+	if r.MaxCompletionTokens != 0 {
+		r.MaxTokens = r.MaxCompletionTokens
+	}
 	switch {
 	case r.Model == "":
 		return request{}, fmt.Errorf("%w: model is missing", ErrBadRequest)
