--- a/ledger/doubt.go
+++ b/ledger/doubt.go
@@ -41,6 +41,31 @@
 	}
 }
 
+// settleLater asks the holder without letting the newcomer wait: it claims again
+// when it can't read the answer. Each key is asked about once at a time.
+func (r *Replica) settleLater(q doubt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.asking[q.key]; ok || r.stopped {
+		return
+	}
+	r.asking[q.key] = struct{}{}
+	r.work.Go(func() {
+		r.settleDoubt(context.Background(), q)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.asking, q.key)
+	})
+}
+
+// stop waits for what was left to be done later.
+func (r *Replica) stop() {
+	r.mu.Lock()
+	r.stopped = true
+	r.mu.Unlock()
+	r.work.Wait()
+}
+
 // settleDoubt asks the holder and brings the record up to its word. It reports
 // whether the record has changed.
 func (r *Replica) settleDoubt(ctx context.Context, q doubt) bool {
@@ -63,7 +88,7 @@
 	if q.holder.SameLife(r.self) {
 		return r.serveHolds(ctx, r.self, request).State, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.options.secondTimeout())
 	defer cancel()
 	reply, err := peer.Call[holdsRequest, holdsReply](ctx, r.transport, q.holder, methodHolds, request)
 	return reply.State, err == nil
--- a/ledger/fence.go
+++ b/ledger/fence.go
@@ -35,6 +35,11 @@
 			delete(r.heard, member)
 		}
 	}
+	for member := range r.silent {
+		if !h.table.Contains(member) {
+			delete(r.silent, member)
+		}
+	}
 }
 
 // fenced reports whether too few members have been heard. The lock is held.
@@ -76,11 +81,12 @@
 // confirm asks one member whether it has the epoch, and catches up if it has a
 // later one. It reports whether the epoch is the member's.
 func (r *Replica) confirm(ctx context.Context, member domain.Member, epoch uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.options.secondTimeout())
 	defer cancel()
 	called := time.Now()
 	reply, err := peer.Call[confirmRequest, statusReply](ctx, r.transport, member, methodConfirm, confirmRequest{epoch})
 	if err != nil {
+		r.noteSilent(member)
 		return false
 	}
 	r.hear(member, reply.Epoch, called)
@@ -91,7 +97,7 @@
 // confirmOne asks the key's next members in turn until one has the epoch. Alone
 // in the table, a member has nobody to ask.
 func (r *Replica) confirmOne(ctx context.Context, h *history, key KeyHash) bool {
-	others := r.others(h, key)
+	others := r.witnesses(h, key)
 	for _, member := range others {
 		if r.confirm(ctx, member, h.table.Epoch) {
 			return true
@@ -100,21 +106,6 @@
 	return len(others) == 0
 }
 
-// maxWitnesses is how many members are tried as a second process.
-const maxWitnesses = 3
-
-// others returns the members to try as the key's second process, the first in
-// rendezvous order first.
-func (r *Replica) others(h *history, key KeyHash) []domain.Member {
-	var members []domain.Member
-	for _, m := range order(h.current(), key) {
-		if !m.SameLife(r.self) && len(members) < maxWitnesses {
-			members = append(members, m)
-		}
-	}
-	return members
-}
-
 // serveConfirm tells whether this member has the epoch.
 func (r *Replica) serveConfirm(ctx context.Context, from domain.Member, request confirmRequest) statusReply {
 	r.catchUp(ctx, from, request.Epoch)
--- a/ledger/home_claim.go
+++ b/ledger/home_claim.go
@@ -9,7 +9,11 @@
 // serveClaim decides about a claim as the key's home.
 func (r *Replica) serveClaim(ctx context.Context, from domain.Member, request claimRequest) claimReply {
 	reply, doubt := r.decideClaim(ctx, from, request)
-	if doubt != nil && r.settleDoubt(ctx, *doubt) {
+	switch {
+	case doubt == nil:
+	case !doubt.holder.SameLife(from):
+		r.settleLater(*doubt)
+	case r.settleDoubt(ctx, *doubt):
 		reply, _ = r.decideClaim(ctx, from, request)
 	}
 	if reply.Status == statusFull && !r.confirmEpoch(ctx, request.Key, reply.Epoch) {
--- a/ledger/home_commit.go
+++ b/ledger/home_commit.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
-	"hawthornrill.example/hawthornrill/peer"
 )
 
 // serveCommit decides about a commit as the key's home. It answers statusOK only
@@ -67,33 +65,6 @@
 	return len(d.history.current()) == 1
 }
 
-// findWitness gives the commit to the first member that takes it.
-func (r *Replica) findWitness(ctx context.Context, h *history, e entry) (domain.Member, status) {
-	for _, member := range r.others(h, e.Key) {
-		switch st := r.mirror(ctx, member, h.table.Epoch, []entry{e}); st {
-		case statusOK:
-			return member, statusOK
-		case statusStale:
-			return domain.Member{}, statusStale
-		}
-	}
-	return domain.Member{}, statusUnheld
-}
-
-// mirror has a member hold entries. It returns statusUnheld if it may not.
-func (r *Replica) mirror(ctx context.Context, to domain.Member, epoch uint64, entries []entry) status {
-	tryCtx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
-	defer cancel()
-	called := time.Now()
-	reply, err := peer.Call[mirrorRequest, statusReply](tryCtx, r.transport, to, methodMirror, mirrorRequest{epoch, entries})
-	if err != nil {
-		return statusUnheld
-	}
-	r.hear(to, reply.Epoch, called)
-	r.catchUp(ctx, to, reply.Epoch)
-	return reply.Status
-}
-
 // endCommit completes a commit that another member now holds too, unless the
 // table or the claim changed meanwhile.
 func (r *Replica) endCommit(d desk, request commitRequest, witness domain.Member) status {
@@ -111,23 +82,3 @@
 	r.book.put(request.Key, rec)
 	return statusOK
 }
-
-// serveMirror holds copies for a home of this epoch.
-func (r *Replica) serveMirror(ctx context.Context, from domain.Member, request mirrorRequest) statusReply {
-	r.catchUp(ctx, from, request.Epoch)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	r.book.expire(now)
-	h := r.history.Load()
-	if h == nil || h.table.Epoch != request.Epoch || !h.table.Eligible(r.self) {
-		return statusReply{statusStale, r.epoch()}
-	}
-	if len(r.book.records)+len(request.Entries) > 2*r.options.MaxRecords {
-		return statusReply{statusFull, r.epoch()}
-	}
-	for _, e := range request.Entries {
-		r.book.merge(e, now)
-	}
-	return statusReply{statusOK, r.epoch()}
-}
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// secondTimeout bounds a message that a home sends while another node waits for its
+// answer: several fit into that node's TryTimeout.
+func (o Options) secondTimeout() time.Duration { return o.TryTimeout / maxWitnesses }
+
 // LossWindow is how long a loss makes records uncertain: as long as a lost record
 // would have been kept, and as a member that was taken out by mistake could go on
 // without noticing.
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -20,6 +20,22 @@
 	// protected and reported tell that the later steps are done.
 	protected bool
 	reported  bool
+	// superseded is closed when a later epoch begins.
+	superseded chan struct{}
+}
+
+// within returns a context that also ends when the recovery is superseded: what
+// waits for a member that does not answer must not hold up the next epoch.
+func (x *recovery) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-x.superseded:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // maxParallelCalls bounds the members that are asked at once.
@@ -27,12 +43,20 @@
 
 // startRecovery plans what the epoch asks of this member. The lock is held.
 func (r *Replica) startRecovery(h *history) {
+	if r.recovery != nil {
+		close(r.recovery.superseded)
+	}
 	r.recovery = nil
 	if !h.table.Eligible(r.self) {
 		r.ready = 0
 		return
 	}
-	r.recovery = &recovery{epoch: h.table.Epoch, history: h, pending: make(map[domain.Member]struct{})}
+	r.recovery = &recovery{
+		epoch:      h.table.Epoch,
+		history:    h,
+		pending:    make(map[domain.Member]struct{}),
+		superseded: make(chan struct{}),
+	}
 	if r.ready != 0 && h.onlyJoinsSince(r.ready) {
 		r.ready = h.table.Epoch
 		return
@@ -56,34 +80,36 @@
 // recover does what it can of the current recovery, and reports whether something
 // is left to be done.
 func (r *Replica) recover(ctx context.Context) (again bool) {
-	epoch, pending := r.pendingMembers()
-	if epoch == 0 {
+	x, pending := r.pendingMembers()
+	if x == nil {
 		return false
 	}
-	r.collectAll(ctx, epoch, pending)
+	ctx, cancel := x.within(ctx)
+	defer cancel()
+	r.collectAll(ctx, x.epoch, pending)
 	r.confirmAll(ctx)
-	if !r.collected(epoch) {
+	if !r.collected(x.epoch) {
 		return true
 	}
-	if !r.protectAll(ctx, epoch) {
+	if !r.protectAll(ctx, x.epoch) {
 		return true
 	}
-	return !r.reportSettled(ctx, epoch)
+	return !r.reportSettled(ctx, x.epoch)
 }
 
-// pendingMembers returns the epoch to recover and who is to be asked, or zero if
+// pendingMembers returns the current recovery and who is to be asked, or nil if
 // all is done.
-func (r *Replica) pendingMembers() (uint64, []domain.Member) {
+func (r *Replica) pendingMembers() (*recovery, []domain.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.recovery == nil || r.recovery.reported {
-		return 0, nil
+		return nil, nil
 	}
 	var members []domain.Member
 	for m := range r.recovery.pending {
 		members = append(members, m)
 	}
-	return r.recovery.epoch, members
+	return r.recovery, members
 }
 
 // collected reports whether all members have been asked in the epoch.
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -39,6 +39,12 @@
 	recovery *recovery
 	// exports are the collections that other members have begun.
 	exports map[domain.NodeID]*export
+	// asking are the keys whose holders are being asked. No more are once stopped.
+	asking  map[KeyHash]struct{}
+	stopped bool
+	work    sync.WaitGroup
+	// silent tells when a member last did not answer as a second process.
+	silent map[domain.Member]time.Time
 	// heard tells when a member was last known to have no later epoch.
 	heard map[domain.Member]time.Time
 	// settledBy are the members that have settled the epoch, if this one keeps count.
@@ -70,6 +76,8 @@
 		open:      make(map[openAttempt]struct{}),
 		lost:      make(map[domain.Member]time.Time),
 		exports:   make(map[domain.NodeID]*export),
+		asking:    make(map[KeyHash]struct{}),
+		silent:    make(map[domain.Member]time.Time),
 		heard:     make(map[domain.Member]time.Time),
 		settledBy: make(map[domain.Member]uint64),
 		foreign:   make(map[domain.DataCentre]*history),
--- a/ledger/run.go
+++ b/ledger/run.go
@@ -20,6 +20,7 @@
 // context ends. It returns the context's error.
 func (r *Replica) Run(ctx context.Context) error {
 	cancel := r.options.Tables.Subscribe(r.tableChanged)
+	defer r.stop()
 	defer cancel()
 	r.tableChanged(r.self.DataCentre)
 	var group errgroup.Group
--- a/ledger/table_change.go
+++ b/ledger/table_change.go
@@ -65,10 +65,10 @@
 }
 
 // Settle records that in this epoch every record is held twice. It changes
-// nothing if the epoch has passed.
+// nothing if the epoch has passed or has no eligible member.
 func Settle(epoch uint64) TableChange {
 	return func(t *Table) (*Table, error) {
-		if t.Epoch != epoch || t.Settled() >= epoch {
+		if t.Epoch != epoch || t.Settled() >= epoch || len(t.EligibleMembers()) == 0 {
 			return t, nil
 		}
 		next := t.clone()
