--- a/ledger/home_commit.go
+++ b/ledger/home_commit.go
@@ -17,7 +17,7 @@
 	if st != statusOK {
 		return statusReply{st, d.epoch()}
 	}
-	return statusReply{r.endCommit(d, request, witness), d.epoch()}
+	return statusReply{r.endCommit(request, witness), d.epoch()}
 }
 
 // beginCommit records the commit here. It returns an entry if another member has
@@ -65,14 +65,12 @@
 	return len(d.history.current()) == 1
 }
 
-// endCommit completes a commit that another member now holds too, unless the
-// table or the claim changed meanwhile.
-func (r *Replica) endCommit(d desk, request commitRequest, witness domain.Member) status {
+// endCommit completes a commit that another member now holds too, unless this one
+// has lost or given away the claim meanwhile. The table may have changed: whoever
+// collected from this member has been told of the commit.
+func (r *Replica) endCommit(request commitRequest, witness domain.Member) status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.epoch() != d.epoch() {
-		return statusStale
-	}
 	rec, ok := r.book.get(request.Key)
 	if !ok || rec.claim != request.Claim || rec.state != StateCommitted {
 		return statusRevoked
