--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -24,7 +24,9 @@
 	Status Status `json:"status"`
 }
 
-// Snapshot is an immutable view. Peers are sorted by node and include the node itself.
+// Snapshot is an immutable view. Peers are sorted by node and include the node
+// itself; of each node there is the latest life that is known. A host that is
+// listed and has never answered has incarnation zero.
 type Snapshot struct {
 	Self  domain.Member `json:"self"`
 	Peers []Peer        `json:"peers"`
