--- a/dispatch/enginecopy.go
+++ b/dispatch/enginecopy.go
@@ -106,14 +106,14 @@
 func (c *engineCopy) attempt(ctx context.Context, open func(context.Context) (endpoint.Stream, error)) error {
 	streamCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(c.options.Stall, func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	watch := newWatchdog(c.options.Stall, func() { cancel(errStalled) })
+	defer watch.stop()
 	stream, err := open(streamCtx)
 	if err != nil {
 		return brokenBy(ctx, streamCtx, err)
 	}
 	defer stream.Close()
-	err = c.copy(ctx, streamCtx, stream, watchdog)
+	err = c.copy(ctx, streamCtx, stream, watch)
 	if errors.Is(err, errStalled) {
 		// The engine had answered before it fell silent: it may be slow, not gone.
 		c.brokenSince = time.Time{}
@@ -123,7 +123,7 @@
 
 // copy appends events. The watchdog runs only while the engine is waited for,
 // not while a slow reader is.
-func (c *engineCopy) copy(ctx, streamCtx context.Context, stream endpoint.Stream, watchdog *time.Timer) error {
+func (c *engineCopy) copy(ctx, streamCtx context.Context, stream endpoint.Stream, watch *watchdog) error {
 	for {
 		event, err := stream.Next(streamCtx)
 		if err == io.EOF {
@@ -132,12 +132,12 @@
 		if err != nil {
 			return brokenBy(ctx, streamCtx, err)
 		}
-		watchdog.Stop()
+		watch.stop()
 		done, err := c.accept(ctx, event)
 		if done || err != nil {
 			return err
 		}
-		watchdog.Reset(c.options.Stall)
+		watch.start()
 	}
 }
 
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -14,6 +14,8 @@
 	NotFoundWindow time.Duration
 	// Stall is how long a stream may be silent before it is taken as broken.
 	Stall time.Duration
+	// ServiceStall is how long a plain call may neither send nor answer anything.
+	ServiceStall time.Duration
 	// CancelTimeout bounds the order to cancel a stream.
 	CancelTimeout time.Duration
 	// ProgressEvery is the number of answer tokens between two progress reports.
@@ -28,6 +30,7 @@
 		ResumeMax:      2 * time.Second,
 		NotFoundWindow: 2 * time.Second,
 		Stall:          60 * time.Second,
+		ServiceStall:   2 * time.Minute,
 		CancelTimeout:  5 * time.Second,
 		ProgressEvery:  32,
 	}
@@ -40,6 +43,7 @@
 	o.ResumeMax = positive(o.ResumeMax, d.ResumeMax)
 	o.NotFoundWindow = positive(o.NotFoundWindow, d.NotFoundWindow)
 	o.Stall = positive(o.Stall, d.Stall)
+	o.ServiceStall = positive(o.ServiceStall, d.ServiceStall)
 	o.CancelTimeout = positive(o.CancelTimeout, d.CancelTimeout)
 	o.ProgressEvery = positive(o.ProgressEvery, d.ProgressEvery)
 	return o
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -38,14 +38,21 @@
 		return notSent(ErrSpent, false)
 	}
 	run.Request.Key = permit.key.String()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(d.options.ServiceStall, func() { cancel(errStalled) })
+	defer watch.stop()
+	if run.Request.Length != 0 && run.Request.Body != nil {
+		run.Request.Body = watchedReader{reader: run.Request.Body, watch: watch}
+	}
 	started := time.Now()
-	response, err := service.Call(ctx, run.Request)
+	response, err := service.Call(callCtx, run.Request)
 	if errors.Is(err, endpoint.ErrNotDispatched) {
 		return notSent(err, cancelled(ctx) == nil)
 	}
 	use := capacity.Result{Dispatched: true, FirstToken: time.Since(started)}
 	if err == nil {
-		err = copyResponse(ctx, response, run.Buffer)
+		err = copyResponse(ctx, response, run.Buffer, watch)
 	}
 	use.Total = time.Since(started)
 	return serviceResult(ctx, use, err)
@@ -64,12 +71,14 @@
 	return Result{End: end, Use: use}
 }
 
-func copyResponse(ctx context.Context, response endpoint.ServiceResponse, buffer *answer.Buffer) error {
+func copyResponse(ctx context.Context, response endpoint.ServiceResponse, buffer *answer.Buffer, watch *watchdog) error {
 	defer response.Body.Close()
 	buffer.SetHead(answer.Head{Status: response.Status, Header: response.Header})
 	for {
 		data := make([]byte, bodyChunk)
+		watch.start()
 		n, err := response.Body.Read(data)
+		watch.stop()
 		if n > 0 {
 			if err := buffer.Append(ctx, buffer.Next(), trimmed(data, n)); err != nil {
 				return err
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -57,11 +57,11 @@
 }
 
 // requestKey builds the key of a request from its client part.
-func (c caller) requestKey(client string) (domain.RequestKey, error) {
+func (s *Server) requestKey(c caller, client string) (domain.RequestKey, error) {
 	if p := checkKey(client); p != nil {
 		return domain.RequestKey{}, p
 	}
-	scope, ok := scopeOf(c.snapshot, c.organisation, c.session.Home, client)
+	scope, ok := s.scopeOf(c, client)
 	if !ok {
 		return domain.RequestKey{}, newProblem(http.StatusServiceUnavailable, "no_data_centre", domain.OutcomeUnknown, "no data centre is configured")
 	}
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -195,7 +195,7 @@
 	large := strings.Repeat("large body ", 200_000)
 	tests := map[string]struct {
 		body    string
-		respond func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error)
+		respond func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error)
 		status  int
 		want    string
 		calls   int
@@ -204,7 +204,8 @@
 		"large":   {body: large, respond: echoCall, status: 201, want: large, calls: 1},
 		"refused": {respond: failCall(endpoint.ErrNotDispatched), status: 503, want: `"outcome":"not_run"`, calls: 3},
 		"lost":    {respond: failCall(endpoint.ErrBroken), status: 502, want: `"outcome":"ran"`, calls: 1},
-		"no status": {respond: func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+		"hangs":   {respond: hangingCall, status: 502, want: `"outcome":"ran"`, calls: 1},
+		"no status": {respond: func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 			return schedulertest.Reply(0, http.NoBody), nil
 		}, status: 502, want: `"outcome":"ran"`, calls: 1},
 	}
@@ -225,7 +226,7 @@
 }
 
 // echoCall answers with the body, and checks what a service gets to see.
-func echoCall(r endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+func echoCall(_ context.Context, r endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 	for _, hidden := range []string{"Authorization", "X-Hop", "Connection", "Idempotency-Key"} {
 		if r.Header.Get(hidden) != "" {
 			return endpoint.ServiceResponse{}, errors.New("header passed on: " + hidden)
@@ -237,8 +238,13 @@
 	return schedulertest.Reply(http.StatusCreated, r.Body), nil
 }
 
-func failCall(err error) func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
-	return func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+func hangingCall(ctx context.Context, _ endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+	<-ctx.Done()
+	return endpoint.ServiceResponse{}, ctx.Err()
+}
+
+func failCall(err error) func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+	return func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 		return endpoint.ServiceResponse{}, err
 	}
 }
@@ -249,7 +255,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, schedulertest.Script{}, scheduler.Options{}, entry.Options{})
 		defer d.close()
-		d.service.Respond = func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+		d.service.Respond = func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 			return schedulertest.Reply(http.StatusOK, strings.NewReader("clue 7")), nil
 		}
 		for _, node := range []string{"a", "b", "a"} {
@@ -263,7 +269,7 @@
 		assert.Equal(t, string(state.Response.Body), "clue 7")
 		assert.Equal(t, len(d.service.Calls()), 1)
 
-		d.service.Respond = func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+		d.service.Respond = func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 			return schedulertest.Reply(http.StatusOK, io.MultiReader(strings.NewReader("half"), brokenReader{})), nil
 		}
 		defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -31,7 +31,7 @@
 	if minted {
 		client = mint(s.parts.Self)
 	}
-	key, err := who.requestKey(client)
+	key, err := s.requestKey(who, client)
 	if err != nil {
 		return identity{}, err
 	}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return identity{}, err
 	}
-	key, err := who.requestKey(pathParam(c, "key"))
+	key, err := s.requestKey(who, pathParam(c, "key"))
 	return identity{key: key}, err
 }
 
--- a/entry/scope.go
+++ b/entry/scope.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,28 +14,46 @@
 // scopeOf returns where a caller's own key is decided: in the session's data
 // centre, else the organisation's, else one that all nodes compute alike. A
 // minted key names its scope itself.
-func scopeOf(snapshot *config.Snapshot, organisation *config.Organisation, home domain.DataCentre, key string) (domain.Scope, bool) {
+func (s *Server) scopeOf(who caller, key string) (domain.Scope, bool) {
 	if scope, ok := mintedScope(key); ok {
 		return scope, true
 	}
+	home := cmp.Or(who.session.Home, who.organisation.HomeDataCentre)
 	if home == "" {
-		home = organisation.HomeDataCentre
-	}
-	if home == "" {
-		home = rendezvous(snapshot, organisation.ID, key)
+		home = rendezvous(s.dataCentres(who.snapshot), who.organisation.ID, key)
 	}
 	return domain.Scope{Kind: domain.ScopeDataCentre, DataCentre: home}, home != ""
 }
 
 // rendezvous returns the data centre with the highest hash of the key.
-func rendezvous(snapshot *config.Snapshot, organisation domain.OrganisationID, key string) domain.DataCentre {
+func rendezvous(places []domain.DataCentre, organisation domain.OrganisationID, key string) domain.DataCentre {
 	var best domain.DataCentre
 	var top uint64
-	for _, row := range snapshot.Endpoints {
-		weight := xxhash.Sum64String(string(row.DataCentre) + "\x00" + string(organisation) + "\x00" + key)
-		if best == "" || cmp.Or(cmp.Compare(weight, top), cmp.Compare(row.DataCentre, best)) > 0 {
-			best, top = row.DataCentre, weight
+	for _, place := range places {
+		weight := xxhash.Sum64String(string(place) + "\x00" + string(organisation) + "\x00" + key)
+		if best == "" || weight > top {
+			best, top = place, weight
 		}
 	}
 	return best
 }
+
+// places is the sorted list of a snapshot's data centres, worked out once.
+type places struct {
+	snapshot *config.Snapshot
+	list     []domain.DataCentre
+}
+
+// dataCentres returns the data centres that have endpoints, sorted.
+func (s *Server) dataCentres(snapshot *config.Snapshot) []domain.DataCentre {
+	if known := s.places.Load(); known != nil && known.snapshot == snapshot {
+		return known.list
+	}
+	set := make(map[domain.DataCentre]bool)
+	for _, row := range snapshot.Endpoints {
+		set[row.DataCentre] = true
+	}
+	list := slices.Sorted(maps.Keys(set))
+	s.places.Store(&places{snapshot: snapshot, list: list})
+	return list
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"sync/atomic"
+
 	"github.com/labstack/echo/v4"
 
 	"hawthornrill.example/hawthornrill/config"
@@ -23,6 +25,7 @@
 	parts   Parts
 	options Options
 	bodies  budget
+	places  atomic.Pointer[places]
 }
 
 // New returns a server; zero options mean defaults.
--- a/scheduler/schedulertest/service.go
+++ b/scheduler/schedulertest/service.go
@@ -13,18 +13,18 @@
 // Service is a plain service that keeps a log.
 type Service struct {
 	// Respond makes the response.
-	Respond func(endpoint.ServiceRequest) (endpoint.ServiceResponse, error)
+	Respond func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error)
 
 	mu    sync.Mutex
 	calls []string
 }
 
 // Call logs the key and responds.
-func (s *Service) Call(_ context.Context, request endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+func (s *Service) Call(ctx context.Context, request endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, request.Key)
 	s.mu.Unlock()
-	return s.Respond(request)
+	return s.Respond(ctx, request)
 }
 
 // Calls returns the keys it was sent, in order.
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -34,7 +34,7 @@
 
 // acquire waits for a place until the request's deadline.
 func (t *task) acquire() (capacity.Grant, error) {
-	deadline := positive(t.request.Deadline, t.scheduler.options.Deadline)
+	deadline := t.deadline()
 	ctx, cancel := context.WithTimeoutCause(t.ctx, deadline, errDeadline)
 	defer cancel()
 	grant, err := t.scheduler.parts.Capacity.Acquire(ctx, t.ask(deadline))
@@ -44,6 +44,10 @@
 	return grant, err
 }
 
+func (t *task) deadline() time.Duration {
+	return positive(t.request.Deadline, t.scheduler.options.Deadline)
+}
+
 func (t *task) ask(deadline time.Duration) capacity.Ask {
 	request := &t.request
 	return capacity.Ask{
@@ -64,6 +68,7 @@
 // serveWithGrant commits, dispatches and settles. The place is given back before
 // the key's home is told, which may take its time.
 func (t *task) serveWithGrant(claim ledger.Claim, permit LimitPermit, grant capacity.Grant) step {
+	waited := time.Since(t.started)
 	result := t.commitAndRun(claim, grant)
 	grant.Release(result.Use)
 	if result.NotSent != nil {
@@ -71,6 +76,7 @@
 		return t.notSent(claim, result)
 	}
 	permit.Release(t.tokensUsed(result.Use))
+	t.scheduler.metrics.dispatched(&t.request, waited+result.Use.FirstToken, t.deadline(), result.Use)
 	return t.finish(claim, result.End)
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -173,7 +173,7 @@
 	}
 	t.setPhase(PhaseEnded)
 	t.buffer.End(end)
-	t.scheduler.metrics.ended(end)
+	t.scheduler.metrics.ended(t.tier(), end)
 	return stepDone
 }
 
