document: a revisioned value from the platform's store to every node

One head key a document, changed by compare-and-swap, with the parts of its value stored before it by content hash. Two watchers a data centre, an announcement tree, fetches of the parts that differ, and anti-entropy for what was lost. A version that can't be applied leaves the last good one in force; a store restored from an old copy is written back after a while.

--- /dev/null
+++ b/document/service_test.go
@@ -0,0 +1,285 @@
+package document
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/peer"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+	"hawthornrill.example/hawthornrill/store/memstore"
+)
+
+func TestEditReachesEveryNode(t *testing.T) {
+	inBubble(t, 3, 5, func(t *testing.T, f *fleet) {
+		f.start()
+		time.Sleep(10 * time.Second)
+		assert.ErrorIs(t, f.nodes[0].service.Ready(), ErrNotReady)
+		f.nodes[3].mustUpdate(set("one"))
+		time.Sleep(time.Second)
+		f.expectAll("one")
+		before := f.store.Counts()
+		version := f.nodes[7].mustUpdate(set("two"))
+		assert.Equal(t, version.Generation, uint64(2))
+		time.Sleep(100 * time.Millisecond)
+		f.expectAll("two")
+		assert.NilError(t, f.nodes[14].service.Ready())
+		watching, _ := f.splitHeads(f.nodes)
+		assert.Equal(t, len(watching), 6)
+		// 1 part, 1 manifest, 1 head; nobody but the editor and the watchers reads.
+		assert.Equal(t, f.store.Counts().Writes-before.Writes, uint64(3))
+		again := f.nodes[1].mustUpdate(set("two"))
+		assert.Equal(t, again.Generation, uint64(2))
+	})
+}
+
+func TestLostAnnouncementsAreHealed(t *testing.T) {
+	inBubble(t, 2, 12, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		f.expectAll("one")
+		f.network.Intercept(func(_, _ domain.NodeID, method peer.Method, _ bool) peertest.Action {
+			return peertest.Action{Drop: method == methodAnnounce}
+		})
+		f.nodes[0].mustUpdate(set("two"))
+		time.Sleep(20 * time.Second)
+		f.expectAll("two")
+	})
+}
+
+func TestDataCentreWithoutStoreIsToldByPeers(t *testing.T) {
+	inBubble(t, 2, 8, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		for _, n := range f.centre("dc1") {
+			n.client.SetDown(true)
+		}
+		// The editor's own announcements are lost, too.
+		f.network.Intercept(func(from, _ domain.NodeID, method peer.Method, _ bool) peertest.Action {
+			return peertest.Action{Drop: method == methodAnnounce && from == f.nodes[0].member.Node}
+		})
+		f.nodes[0].mustUpdate(set("two"))
+		time.Sleep(20 * time.Second)
+		f.expectAll("two")
+		watching, _ := f.splitHeads(f.centre("dc1"))
+		assert.Assert(t, watching[0].condition().StoreError != "")
+	})
+}
+
+func TestPartitionHealed(t *testing.T) {
+	inBubble(t, 2, 6, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		f.network.Partition(names(f.centre("dc0")), names(f.centre("dc1")))
+		for _, n := range f.centre("dc1") {
+			n.client.SetDown(true)
+		}
+		f.nodes[0].mustUpdate(set("two"))
+		time.Sleep(10 * time.Minute)
+		f.expectAll("two", f.centre("dc0")...)
+		f.expectAll("one", f.centre("dc1")...)
+		f.network.HealAll()
+		time.Sleep(20 * time.Second)
+		f.expectAll("two")
+	})
+}
+
+func TestOldValueReadChangesNothing(t *testing.T) {
+	inBubble(t, 1, 5, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		f.nodes[0].mustUpdate(set("two"))
+		time.Sleep(5 * time.Second)
+		f.store.SetOldBy(6 * time.Second)
+		time.AfterFunc(5*time.Second, func() { f.store.SetOldBy(0) })
+		version := f.nodes[2].mustUpdate(add("+"))
+		assert.Equal(t, version.Generation, uint64(3))
+		f.store.SetOldBy(15 * time.Second)
+		time.Sleep(40 * time.Second)
+		f.expectAll("two+")
+		f.store.SetOldBy(0)
+		time.Sleep(time.Minute)
+		f.expectAll("two+")
+		assert.Equal(t, f.nodes[0].condition().Held.Generation, uint64(3))
+	})
+}
+
+func TestStoreRestoredFromAnOldCopy(t *testing.T) {
+	for name, copyOf := range map[string]func(f *fleet) memstore.Copy{
+		"old copy": func(f *fleet) memstore.Copy { return f.store.Save() },
+		"emptied":  func(*fleet) memstore.Copy { return memstore.New(memstore.Options{}).Save() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 2, 4, func(t *testing.T, f *fleet) {
+				f.start()
+				f.nodes[0].mustUpdate(set("one"))
+				old := copyOf(f)
+				f.nodes[0].mustUpdate(set("two"))
+				f.nodes[0].mustUpdate(set("three"))
+				time.Sleep(time.Minute)
+				f.store.Restore(old)
+				// An edit goes on from what was accepted, not from the copy.
+				version := f.nodes[5].mustUpdate(add("+"))
+				assert.Equal(t, version.Generation, uint64(4))
+				time.Sleep(time.Minute)
+				f.expectAll("three+")
+
+				f.store.Restore(old)
+				var reported bool
+				for range 60 {
+					time.Sleep(time.Second)
+					watching, _ := f.splitHeads(f.nodes)
+					reported = reported || watching[0].condition().StoreBehind
+				}
+				assert.Assert(t, reported)
+				_, value, err := f.nodes[0].service.Load(t.Context(), docName, 4)
+				assert.NilError(t, err)
+				assert.Equal(t, string(value.Bytes()), "three+")
+				history, err := f.nodes[0].service.History(t.Context(), docName)
+				assert.NilError(t, err)
+				assert.Equal(t, history[0].Generation, uint64(4))
+				// A node that knows nothing but the store has the same.
+				for _, n := range f.nodes {
+					n.halt()
+				}
+				f.start()
+				time.Sleep(20 * time.Second)
+				f.expectAll("three+")
+			})
+		})
+	}
+}
+
+func TestRestartDuringAnOutage(t *testing.T) {
+	inBubble(t, 2, 5, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		f.store.SetDown(true)
+		for _, n := range f.nodes {
+			n.halt()
+			f.start(n)
+			time.Sleep(5 * time.Second)
+			assert.NilError(t, n.service.Ready())
+			assert.Equal(t, n.value(), "one")
+		}
+		for _, n := range f.nodes {
+			n.halt()
+		}
+		f.start()
+		time.Sleep(10 * time.Minute)
+		for _, n := range f.nodes {
+			assert.ErrorIs(t, n.service.Ready(), ErrNotReady)
+		}
+		f.store.SetDown(false)
+		time.Sleep(20 * time.Second)
+		f.expectAll("one")
+	})
+}
+
+func TestStartTakesTheHighestOfItsPeers(t *testing.T) {
+	inBubble(t, 1, 6, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		f.store.SetDown(true)
+		// Only one node knows the latest version.
+		last := f.nodes[4]
+		f.network.Intercept(func(from, to domain.NodeID, method peer.Method, _ bool) peertest.Action {
+			touches := from == last.member.Node || to == last.member.Node
+			return peertest.Action{Drop: touches && to != f.nodes[5].member.Node && from != f.nodes[5].member.Node}
+		})
+		f.store.SetDown(false)
+		f.nodes[5].halt()
+		last.mustUpdate(set("two"))
+		f.store.SetDown(true)
+		f.start(f.nodes[5])
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.nodes[5].value(), "two")
+	})
+}
+
+func TestVersionThatCannotBeApplied(t *testing.T) {
+	inBubble(t, 1, 6, func(t *testing.T, f *fleet) {
+		f.bad = "bad"
+		f.start()
+		f.nodes[0].mustUpdate(set("good"))
+		time.Sleep(time.Minute)
+		f.nodes[0].mustUpdate(set("bad"))
+		time.Sleep(time.Second)
+		f.expectAll("good")
+		for _, n := range f.nodes {
+			c := n.condition()
+			assert.Equal(t, c.Error, errBad.Error())
+			assert.Equal(t, c.Held.Generation, uint64(2))
+			assert.Equal(t, c.InForce.Generation, uint64(1))
+		}
+		// Nodes restarted meanwhile take the last good one of their peers.
+		for _, n := range f.nodes {
+			n.halt()
+			f.start(n)
+			time.Sleep(10 * time.Second)
+			assert.NilError(t, n.service.Ready())
+		}
+		f.expectAll("good")
+		// All at once: the store's history has it.
+		for _, n := range f.nodes {
+			n.halt()
+		}
+		f.start()
+		time.Sleep(20 * time.Second)
+		f.expectAll("good")
+		f.nodes[0].mustUpdate(set("better"))
+		time.Sleep(time.Second)
+		f.expectAll("better")
+		assert.Equal(t, f.nodes[1].condition().Error, "")
+	})
+}
+
+func TestStatusNamesUnreachableNodes(t *testing.T) {
+	inBubble(t, 1, 4, func(t *testing.T, f *fleet) {
+		f.start()
+		f.nodes[0].mustUpdate(set("one"))
+		time.Sleep(time.Minute)
+		f.nodes[3].halt()
+		status := f.nodes[0].service.Status(t.Context())
+		assert.Equal(t, len(status), 4)
+		assert.Assert(t, status[3].Error != "")
+		for _, node := range status[:3] {
+			assert.Equal(t, node.Conditions[0].InForce.Generation, uint64(1))
+			assert.Assert(t, node.Conditions[0].Since > 59*time.Second)
+		}
+	})
+}
+
+func TestLargeValueIsSentAsADifference(t *testing.T) {
+	inBubble(t, 1, 10, func(t *testing.T, f *fleet) {
+		parts := make([][]byte, 300)
+		for i := range parts {
+			parts[i] = []byte(strings.Repeat(string(rune('a'+i%26)), 4000) + string(rune(0x100+i)))
+		}
+		value := Value{Parts: parts}
+		f.start()
+		f.nodes[0].mustUpdate(func(Version, []byte) (Value, error) { return value, nil })
+		time.Sleep(10 * time.Second)
+		f.expectAll(string(value.Bytes()))
+		full := f.network.Total(methodPull).Bytes + f.network.Total(methodParts).Bytes
+		parts[7] = []byte("changed")
+		f.nodes[0].mustUpdate(func(Version, []byte) (Value, error) { return value, nil })
+		time.Sleep(time.Second)
+		f.expectAll(string(value.Bytes()))
+		after := f.network.Total(methodPull).Bytes + f.network.Total(methodParts).Bytes
+		assert.Assert(t, after-full < full/100, "%d then %d bytes", full, after-full)
+		// A node that starts needs many pages, from the store in one listing.
+		f.nodes[9].halt()
+		f.start(f.nodes[9])
+		time.Sleep(5 * time.Second)
+		f.expectAll(string(value.Bytes()))
+	})
+}
