--- /dev/null
+++ b/store/budget/options.go
@@ -0,0 +1,44 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Options bound a node's calls. Zero values mean the defaults.
+type Options struct {
+	// BackgroundPerSecond and BackgroundBurst bound the calls that nobody waits
+	// for (20, 40).
+	BackgroundPerSecond float64
+	BackgroundBurst     int
+	// UrgentPerSecond and UrgentBurst bound edits and leases (100, 100).
+	UrgentPerSecond float64
+	UrgentBurst     int
+	// BackoffMin and BackoffMax bound the time between attempts in an outage
+	// (250 ms, 10 s). The time is random between zero and a bound that doubles.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// Metrics gets the package's metrics; nil for none.
+	Metrics *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.BackgroundPerSecond, 20)
+	setDefault(&o.BackgroundBurst, 40)
+	setDefault(&o.UrgentPerSecond, 100)
+	setDefault(&o.UrgentBurst, 100)
+	setDefault(&o.BackoffMin, 250*time.Millisecond)
+	setDefault(&o.BackoffMax, 10*time.Second)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
