--- a/membership/detector.go
+++ b/membership/detector.go
@@ -16,9 +16,6 @@
 	checkLimit = 4
 	// doubtLimit bounds the doubtful peers that are remembered.
 	doubtLimit = 256
-	// backstopFactor times the suspicion timeout is how long a node believes in
-	// another's suspicion before it draws the conclusion itself.
-	backstopFactor = 4
 	// deafFactor times the suspicion timeout is what a node waits that gets no
 	// answers at all: it is probably cut off itself.
 	deafFactor = 3
--- a/membership/table.go
+++ b/membership/table.go
@@ -161,16 +161,3 @@
 	}
 	return records
 }
-
-// overdueSuspects returns nodes of the own data centre that have been suspects
-// since before the given time.
-func (t *table) overdueSuspects(before time.Time) []domain.NodeID {
-	var nodes []domain.NodeID
-	for _, node := range t.order {
-		e := t.entries[node]
-		if e.DataCentre == t.home && e.Health == healthSuspect && e.since.Before(before) {
-			nodes = append(nodes, node)
-		}
-	}
-	return nodes
-}
--- a/membership/verdict.go
+++ b/membership/verdict.go
@@ -55,13 +55,10 @@
 	s.publish()
 }
 
-// expire draws conclusions from old suspicions and forgets old lives.
+// expire forgets lives that have been gone for long.
 func (s *Service) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, node := range s.table.overdueSuspects(now.Add(-backstopFactor * s.options.SuspicionTimeout)) {
-		s.accuse(s.table.entries[node].record, healthUnreachable)
-	}
 	if s.table.forgetGone(now.Add(-s.options.GoneRetention)) {
 		s.publish()
 	}
