config: rows, differences, merge by row, CSV, encoding in parts; config/agreed: the accepted table

Edits are row changes against the generation the operator saw; a row that somebody else changed is a conflict that names its cells.

--- /dev/null
+++ b/config/agreed/service.go
@@ -0,0 +1,148 @@
+// Package agreed keeps the operators' table as a document: edits are accepted in
+// the platform's store and come into force on every node. The guarantees are
+// those of package document; in addition every accepted table is valid, and
+// edits that race are merged row by row.
+package agreed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/document"
+)
+
+const (
+	// DocumentName names the document.
+	DocumentName = "config"
+	// DefaultKeepHistory is how many earlier tables can be rolled back to.
+	DefaultKeepHistory = 32
+)
+
+// ErrChangedMeanwhile means that the table is no longer the one that the
+// operator looked at. It comes wrapped in document.ErrNotAccepted.
+var ErrChangedMeanwhile = errors.New("agreed: the table has been changed meanwhile")
+
+// Options configure a Service.
+type Options struct {
+	// KeepHistory is how many earlier tables the store keeps (32).
+	KeepHistory int
+	// InForce is called with each snapshot that comes into force; it may be nil.
+	InForce func(s *config.Snapshot)
+}
+
+// Service is the table on one node. It is a config.View.
+type Service struct {
+	documents *document.Service
+	options   Options
+	view      config.StaticView
+}
+
+var _ config.View = (*Service)(nil)
+
+// New registers the table with the node's documents.
+func New(documents *document.Service, options Options) (*Service, error) {
+	if options.KeepHistory == 0 {
+		options.KeepHistory = DefaultKeepHistory
+	}
+	s := &Service{documents: documents, options: options}
+	err := documents.Register(document.Spec{
+		Name:        DocumentName,
+		Apply:       s.apply,
+		KeepHistory: options.KeepHistory,
+	})
+	return s, err
+}
+
+// Current returns the snapshot in force, or nil.
+func (s *Service) Current() *config.Snapshot { return s.view.Current() }
+
+// apply puts a version in force.
+func (s *Service) apply(version document.Version, value []byte) error {
+	table, err := config.Decode(value)
+	if err != nil {
+		return err
+	}
+	snapshot, err := config.Compile(table, config.Revision(version.Generation))
+	if err != nil {
+		return err
+	}
+	s.view.Set(snapshot)
+	if s.options.InForce != nil {
+		s.options.InForce(snapshot)
+	}
+	return nil
+}
+
+// Edit makes the changes to the table. The error is document.ErrNotAccepted,
+// which wraps config.Conflicts or config.Problems where those are the reason, or
+// document.ErrUnknownOutcome, which Settle resolves.
+func (s *Service) Edit(ctx context.Context, edit document.Edit, changes []config.Change) (document.Version, error) {
+	return s.documents.Update(ctx, DocumentName, edit, func(_ document.Version, value []byte) (document.Value, error) {
+		current, err := config.Decode(value)
+		if err != nil {
+			return document.Value{}, err
+		}
+		next, err := config.Merge(current, changes)
+		if err != nil {
+			return document.Value{}, err
+		}
+		return encode(next)
+	})
+}
+
+// Rollback makes the table of an earlier generation the newest one, under a new
+// generation. It is refused with ErrChangedMeanwhile if the current generation
+// is not the expected one; zero expects any.
+func (s *Service) Rollback(ctx context.Context, edit document.Edit, generation, expected uint64) (document.Version, error) {
+	old, _, err := s.Table(ctx, generation)
+	if err != nil {
+		return document.Version{}, fmt.Errorf("%w: %w", document.ErrNotAccepted, err)
+	}
+	return s.documents.Update(ctx, DocumentName, edit, func(current document.Version, _ []byte) (document.Value, error) {
+		if expected != 0 && current.Generation != expected {
+			return document.Value{}, fmt.Errorf("%w: it has generation %d", ErrChangedMeanwhile, current.Generation)
+		}
+		return encode(old)
+	})
+}
+
+// encode returns the document's value of a table, or its problems.
+func encode(table config.Table) (document.Value, error) {
+	if err := config.Validate(&table).Err(); err != nil {
+		return document.Value{}, err
+	}
+	parts, err := config.Encode(table)
+	return document.Value{Parts: parts}, err
+}
+
+// Settle tells what became of an edit whose outcome was unknown; see
+// document.Service.Settle.
+func (s *Service) Settle(ctx context.Context, id document.EditID, base uint64) (document.Version, error) {
+	return s.documents.Settle(ctx, DocumentName, id, base)
+}
+
+// History returns the versions that can still be read, the current one first.
+func (s *Service) History(ctx context.Context) ([]document.Version, error) {
+	return s.documents.History(ctx, DocumentName)
+}
+
+// Table returns the table of a generation; zero stands for the one in force on
+// this node, which is empty before the first edit.
+func (s *Service) Table(ctx context.Context, generation uint64) (config.Table, document.Version, error) {
+	if generation == 0 {
+		version, value, _ := s.documents.Current(DocumentName)
+		table, err := config.Decode(value.Bytes())
+		return table, version, err
+	}
+	version, value, err := s.documents.Load(ctx, DocumentName, generation)
+	if err != nil {
+		return config.Table{}, document.Version{}, err
+	}
+	table, err := config.Decode(value.Bytes())
+	return table, version, err
+}
+
+// Status asks all nodes how their documents stand.
+func (s *Service) Status(ctx context.Context) []document.NodeStatus { return s.documents.Status(ctx) }
--- /dev/null
+++ b/config/column.go
@@ -0,0 +1,41 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// column is a column of a kind of row.
+type column struct {
+	name  string
+	index int
+	kind  reflect.Kind
+}
+
+// columnsOf returns the columns of a row type, in order, from its csv tags.
+func columnsOf[T any]() []column {
+	t := reflect.TypeFor[T]()
+	columns := make([]column, 0, t.NumField())
+	for i := range t.NumField() {
+		field := t.Field(i)
+		columns = append(columns, column{name: field.Tag.Get("csv"), index: i, kind: field.Type.Kind()})
+	}
+	return columns
+}
+
+// Cell is one cell of a row.
+type Cell struct {
+	Column string `json:"column"`
+	Value  string `json:"value"`
+}
+
+// cellsOf returns the cells of a row, in the order of its columns.
+func cellsOf[T any](row T) []Cell {
+	value := reflect.ValueOf(row)
+	columns := columnsOf[T]()
+	cells := make([]Cell, len(columns))
+	for i, c := range columns {
+		cells[i] = Cell{Column: c.name, Value: fmt.Sprint(value.Field(c.index).Interface())}
+	}
+	return cells
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -16,50 +16,50 @@
 // TierRow describes a tier of service.
 type TierRow struct {
 	// Name is what organisations refer to.
-	Name string `toml:"name" csv:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" csv:"name" json:"name"`
 	// Rank 0 is the highest.
-	Rank domain.Tier `toml:"rank" csv:"rank" json:"rank"`
+	Rank domain.Tier `cbor:"2,keyasint,omitempty" toml:"rank" csv:"rank" json:"rank"`
 	// FirstTokenMillis is the aim for the first token, milliseconds; 0 for none.
-	FirstTokenMillis int `toml:"first_token_ms" csv:"first_token_ms" json:"first_token_ms"`
+	FirstTokenMillis int `cbor:"3,keyasint,omitempty" toml:"first_token_ms" csv:"first_token_ms" json:"first_token_ms"`
 	// DeadlineMillis is the deadline of a request whose caller gives none.
-	DeadlineMillis int `toml:"deadline_ms" csv:"deadline_ms" json:"deadline_ms"`
+	DeadlineMillis int `cbor:"4,keyasint,omitempty" toml:"deadline_ms" csv:"deadline_ms" json:"deadline_ms"`
 }
 
 // OrganisationRow describes a customer.
 type OrganisationRow struct {
-	ID domain.OrganisationID `toml:"id" csv:"id" json:"id"`
+	ID domain.OrganisationID `cbor:"1,keyasint,omitempty" toml:"id" csv:"id" json:"id"`
 	// Tier is the name of a tier row.
-	Tier string `toml:"tier" csv:"tier" json:"tier"`
+	Tier string `cbor:"2,keyasint,omitempty" toml:"tier" csv:"tier" json:"tier"`
 	// Weight is the share within the tier, relative to the others'.
-	Weight int `toml:"weight" csv:"weight" json:"weight"`
+	Weight int `cbor:"3,keyasint,omitempty" toml:"weight" csv:"weight" json:"weight"`
 	// InFlight bounds requests admitted and not finished; 0 for no bound.
-	InFlight int `toml:"in_flight" csv:"in_flight" json:"in_flight"`
+	InFlight int `cbor:"4,keyasint,omitempty" toml:"in_flight" csv:"in_flight" json:"in_flight"`
 	// TokensPerMinute bounds prompt and answer tokens; 0 for no bound.
-	TokensPerMinute int `toml:"tokens_per_minute" csv:"tokens_per_minute" json:"tokens_per_minute"`
+	TokensPerMinute int `cbor:"5,keyasint,omitempty" toml:"tokens_per_minute" csv:"tokens_per_minute" json:"tokens_per_minute"`
 	// KeyHashes are the SHA-256 of the organisation's API keys in hexadecimal,
 	// separated by spaces. The keys themselves are kept nowhere.
-	KeyHashes string `toml:"key_hashes" csv:"key_hashes" json:"key_hashes"`
+	KeyHashes string `cbor:"6,keyasint,omitempty" toml:"key_hashes" csv:"key_hashes" json:"key_hashes"`
 	// HomeDataCentre decides request keys sent outside a session; empty spreads
 	// them over all data centres.
-	HomeDataCentre domain.DataCentre `toml:"home_data_centre" csv:"home_data_centre" json:"home_data_centre"`
+	HomeDataCentre domain.DataCentre `cbor:"7,keyasint,omitempty" toml:"home_data_centre" csv:"home_data_centre" json:"home_data_centre"`
 }
 
 // ModelRow describes a model that the engines serve.
 type ModelRow struct {
-	Name string `toml:"name" csv:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" csv:"name" json:"name"`
 	// MaxPromptTokens and MaxAnswerTokens bound a request.
-	MaxPromptTokens int `toml:"max_prompt_tokens" csv:"max_prompt_tokens" json:"max_prompt_tokens"`
-	MaxAnswerTokens int `toml:"max_answer_tokens" csv:"max_answer_tokens" json:"max_answer_tokens"`
+	MaxPromptTokens int `cbor:"2,keyasint,omitempty" toml:"max_prompt_tokens" csv:"max_prompt_tokens" json:"max_prompt_tokens"`
+	MaxAnswerTokens int `cbor:"3,keyasint,omitempty" toml:"max_answer_tokens" csv:"max_answer_tokens" json:"max_answer_tokens"`
 }
 
 // ServiceRow describes calls of a plain service.
 type ServiceRow struct {
-	Name string `toml:"name" csv:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" csv:"name" json:"name"`
 	// Once lists the methods, or "METHOD /path/prefix" pairs, whose calls may not
 	// be repeated, separated by commas, such as "POST, PUT /saved-jobs".
-	Once string `toml:"once" csv:"once" json:"once"`
+	Once string `cbor:"2,keyasint,omitempty" toml:"once" csv:"once" json:"once"`
 	// DeadlineMillis is the deadline of a call whose caller gives none.
-	DeadlineMillis int `toml:"deadline_ms" csv:"deadline_ms" json:"deadline_ms"`
+	DeadlineMillis int `cbor:"3,keyasint,omitempty" toml:"deadline_ms" csv:"deadline_ms" json:"deadline_ms"`
 }
 
 // EndpointKind tells a model runner from a plain service.
@@ -74,26 +74,26 @@
 
 // EndpointRow describes a back end.
 type EndpointRow struct {
-	ID         domain.EndpointID `toml:"id" csv:"id" json:"id"`
-	Kind       EndpointKind      `toml:"kind" csv:"kind" json:"kind"`
-	DataCentre domain.DataCentre `toml:"data_centre" csv:"data_centre" json:"data_centre"`
+	ID         domain.EndpointID `cbor:"1,keyasint,omitempty" toml:"id" csv:"id" json:"id"`
+	Kind       EndpointKind      `cbor:"2,keyasint,omitempty" toml:"kind" csv:"kind" json:"kind"`
+	DataCentre domain.DataCentre `cbor:"3,keyasint,omitempty" toml:"data_centre" csv:"data_centre" json:"data_centre"`
 	// Address is "http://IP:port".
-	Address string `toml:"address" csv:"address" json:"address"`
+	Address string `cbor:"4,keyasint,omitempty" toml:"address" csv:"address" json:"address"`
 	// Serves lists model or service names separated by spaces.
-	Serves string `toml:"serves" csv:"serves" json:"serves"`
+	Serves string `cbor:"5,keyasint,omitempty" toml:"serves" csv:"serves" json:"serves"`
 	// Generation names the kind of hardware; speeds are learned per generation
 	// until the endpoint's own is known.
-	Generation string `toml:"generation" csv:"generation" json:"generation"`
+	Generation string `cbor:"6,keyasint,omitempty" toml:"generation" csv:"generation" json:"generation"`
 	// Weight scales the work given to it, 100 for full.
-	Weight int `toml:"weight" csv:"weight" json:"weight"`
+	Weight int `cbor:"7,keyasint,omitempty" toml:"weight" csv:"weight" json:"weight"`
 	// Limit bounds requests dispatched and not finished.
-	Limit int `toml:"limit" csv:"limit" json:"limit"`
+	Limit int `cbor:"8,keyasint,omitempty" toml:"limit" csv:"limit" json:"limit"`
 	// TokenLimit bounds prompt and expected answer tokens inside the engine; 0 for none.
-	TokenLimit int `toml:"token_limit" csv:"token_limit" json:"token_limit"`
+	TokenLimit int `cbor:"9,keyasint,omitempty" toml:"token_limit" csv:"token_limit" json:"token_limit"`
 	// Drain is true while the operator takes it out of service.
-	Drain bool `toml:"drain" csv:"drain" json:"drain"`
+	Drain bool `cbor:"10,keyasint,omitempty" toml:"drain" csv:"drain" json:"drain"`
 	// ChecksFencing tells whether it refuses orders with an old fencing number.
-	ChecksFencing bool `toml:"checks_fencing" csv:"checks_fencing" json:"checks_fencing"`
+	ChecksFencing bool `cbor:"11,keyasint,omitempty" toml:"checks_fencing" csv:"checks_fencing" json:"checks_fencing"`
 }
 
 // Table is the operators' whole table as they edit it.
