--- a/sizing/derivation.go
+++ b/sizing/derivation.go
@@ -24,8 +24,12 @@
 		{"node_waiting", "asks", "node_requests * queue_seconds"},
 		{"prompt_blocks", "blocks", "prompt_tokens / block_tokens"},
 		{"progress_changes", "changes a request", "stream_seconds / renew_seconds"},
-		{"message_overhead", "bytes", "link_message_bytes_base + ip_tcp_bytes"},
+		{"message_overhead", "bytes", "link_wire_bytes_base + ip_tcp_bytes"},
 		{"renewal_messages", "messages/s", "2 * min(models, nodes_per_dc) / renew_seconds"},
+		{"organisations_in_use", "organisations", "min(organisations, node_streams)"},
+		{"limits_messages", "messages/s", "organisations_in_use * limits_fleet_messages"},
+		{"limits_partners", "part of the nodes", "min(1, organisations_in_use / nodes)"},
+		{"limits_links", "links", "nodes * limits_partners * (2 - limits_partners)"},
 		{"node_tokens", "tokens/s", "tokens_per_second / nodes"},
 	}
 }
--- a/sizing/roles.go
+++ b/sizing/roles.go
@@ -12,5 +12,6 @@
 		membershipRole(),
 		configurationRole(),
 		coordinatorRole(),
+		linksRole(),
 	}
 }
