--- a/limits/service_test.go
+++ b/limits/service_test.go
@@ -149,6 +149,13 @@
 			assert.ErrorIs(t, err, ErrInFlight)
 			var refusal *Error
 			assert.Assert(t, errors.As(err, &refusal) && refusal.RetryAfter == DefaultRetryAfter)
+			c.network.ResetCounts()
+			for range 50 {
+				time.Sleep(10 * time.Millisecond)
+				_, err := c.admit(node)
+				assert.ErrorIs(t, err, ErrInFlight)
+			}
+			assert.Assert(t, c.network.Total(methodReport).Messages <= 14, "%v for 50 refusals", c.network.Total(methodReport))
 			releaseAll(permits)
 			time.Sleep(3 * time.Second)
 			next := len(c.burst((node+1)%7, 3*limit))
@@ -264,13 +271,24 @@
 	})
 }
 
+func TestUnusedTokensAreGivenBack(t *testing.T) {
+	run(t, 4, config.OrganisationRow{TokensPerMinute: 6000}, func(c *cluster) {
+		p, err := c.services[0].Admit(c.org(), 5000, 0)
+		assert.NilError(t, err)
+		p.Release(0, 0)
+		time.Sleep(DefaultIdleAfter + 2*time.Second)
+		_, err = c.services[1].Admit(c.org(), 5900, 0)
+		assert.NilError(t, err)
+	})
+}
+
 func TestOwnerOutOfReach(t *testing.T) {
 	run(t, 4, config.OrganisationRow{InFlight: 20, TokensPerMinute: 6000}, func(c *cluster) {
 		node, owner := c.other(), c.owner()
 		held := c.burst(node, 14)
 		assert.Equal(t, len(held), 14)
 		c.network.Crash(member(owner).Node)
-		time.Sleep(5 * time.Second)
+		time.Sleep(DefaultQuietEvery + 2*time.Second)
 		held[0].Release(10, 10)
 		_, err := c.admit(node)
 		assert.NilError(t, err, "the last share is kept")
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -104,23 +104,62 @@
 	broken  = capacity.Result{Dispatched: true, Crashed: true}
 )
 
+// load gives each of the endpoints so many requests that wait for their first token.
+func (b *bench) load(requests int, endpoints ...int) {
+	for _, at := range endpoints {
+		for range requests {
+			b.grant(at, b.ask())
+		}
+	}
+}
+
 func TestStragglerIsLeftAloneAndComesBack(t *testing.T) {
 	b := newBench(t, 3, Options{})
 	b.train(20, 1, 1, 1)
 	assert.Assert(t, b.share(0) > 0.2)
 	b.train(3, 6)
 	assert.Equal(t, b.share(0), 0.0)
+	b.load(10, 1, 2)
+	assert.Equal(t, b.share(0), 0.0, "not even when others take twice as long as usual")
 	b.now = b.now.Add(DefaultProbeEvery)
+	assert.Equal(t, b.share(0), 1.0, "tried again")
 	first := b.grant(0, b.ask())
-	assert.Equal(t, b.share(0), 0.0, "one request tries it, not all")
+	assert.Equal(t, b.share(0), 0.0, "by one request, not all")
 	b.end(first, complete(1))
 	for range 2 {
 		b.now = b.now.Add(DefaultProbeEvery)
 		b.end(b.grant(0, b.ask()), complete(1))
 	}
-	b.grant(1, b.ask())
-	b.grant(2, b.ask())
-	assert.Equal(t, b.share(0), 1.0, "%v", b.router.State())
+	speed := b.router.State()[0].Speed
+	assert.Assert(t, speed.First.At(400) < 0.115, "what it was found out by is forgotten: %v", speed)
+	b.load(3, 0)
+	assert.Equal(t, b.share(0), 1.0)
+}
+
+func TestSilenceAndReports(t *testing.T) {
+	b := newBench(t, 2, Options{})
+	b.train(20, 1, 1)
+	b.load(1, 0, 1)
+	assert.Assert(t, b.share(0) > 0.2)
+	b.router.Report(b.now, b.states[0], endpoint.LoadReport{Running: 20, Waiting: 20})
+	assert.Equal(t, b.share(0), 0.0, "it says that it has other work")
+	b.now = b.now.Add(2 * DefaultReportAge)
+	assert.Assert(t, b.share(0) > 0.2, "long ago")
+	b.load(1, 1)
+	assert.Equal(t, b.share(0), 1.0)
+	b.states[1].PrefillTokens = 400
+	b.choose(b.ask(), false)
+	b.now = b.now.Add(DefaultSilence)
+	assert.Equal(t, b.share(0), 0.0, "no first token has come from there")
+}
+
+func TestStragglerDoesNotSpoilItsGeneration(t *testing.T) {
+	b := newBench(t, 3, Options{})
+	b.train(20, 1, 1, 1)
+	b.train(100, 6, 1, 1)
+	state := b.router.State()
+	assert.Assert(t, state[0].Straggler && state[0].Ratio > 5, "%v", state[0])
+	assert.Assert(t, state[1].Ratio > 0.9, "%v", state[1])
 }
 
 func TestAllSlowIsNoStraggler(t *testing.T) {
@@ -136,9 +175,7 @@
 	b := newBench(t, 2, Options{})
 	b.train(40, 1, 1.6)
 	assert.Equal(t, b.share(0), 1.0, "the faster one while both are idle")
-	for range 12 {
-		b.grant(0, b.ask())
-	}
+	b.load(12, 0)
 	assert.Equal(t, b.share(0), 0.0, "the slower one when the faster one is full of prompts")
 }
 
@@ -212,10 +249,11 @@
 		b.grant(first, b.ask())
 		assert.Equal(t, b.choose(ask, false), first, name)
 	}
-	for range 40 {
-		b.grant(first, b.ask())
-	}
+	b.load(40, first)
 	assert.Assert(t, b.choose(other, false) != first, "not at any price")
+	before := b.router.State()[first].CacheTrust
+	b.end(b.grant(first, other), complete(1))
+	assert.Assert(t, b.router.State()[first].CacheTrust < before, "nothing of it was cached")
 	b.router.CacheEvents(b.now, b.states[first], []endpoint.CacheEvent{{Sequence: 9, Block: 5, Stored: true}})
 	e := b.states[first].Learned.(*Endpoint)
 	assert.Equal(t, e.prefixes.Depth(ask.Blocks, 0), 64)
