--- a/scheduler/schedulertest/engine.go
+++ b/scheduler/schedulertest/engine.go
@@ -83,7 +83,7 @@
 	if e.script.Start != nil {
 		return nil, e.script.Start
 	}
-	return &stream{engine: e, key: request.Key, first: true}, nil
+	return &stream{engine: e, script: e.script, key: request.Key, first: true}, nil
 }
 
 // Resume continues a stream that was started.
@@ -97,7 +97,7 @@
 	if _, ok := e.running[key]; !ok {
 		return nil, endpoint.ErrStreamNotFound
 	}
-	return &stream{engine: e, key: key, next: from}, nil
+	return &stream{engine: e, script: e.script, key: key, next: from}, nil
 }
 
 // Cancel logs the key.
@@ -152,6 +152,7 @@
 
 type stream struct {
 	engine *Engine
+	script Script
 	key    string
 	next   uint64
 	first  bool
@@ -164,7 +165,7 @@
 		s.again = s.again[1:]
 		return event, nil
 	}
-	script := s.engine.script
+	script := s.script
 	if s.engine.cut(s.key, s.next) {
 		return endpoint.Event{}, fmt.Errorf("%w: %w", endpoint.ErrBroken, errCut)
 	}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -15,6 +15,10 @@
 // serve runs a request whose claim was granted to this attempt.
 func (t *task) serve(claim ledger.Claim) step {
 	t.claimed.Store(uint64(claim.ID))
+	if t.buffer.Audience.Empty() {
+		// A later attempt may have been told not_run before this claim was granted.
+		return t.refuse(claim, causeEnd(dispatch.ErrCallerGone))
+	}
 	if t.scheduler.draining.Load() {
 		return t.refuse(claim, notRun(answer.CodeDraining, "the node is leaving", retrySoon))
 	}
