ledger: a leaving member that dies takes no records out of the next home's sight

Found by a random schedule: a home that had not seen the epoch in which a member began to leave took its removal for a change in which nobody gained keys, and answered without collecting.

--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -371,3 +371,22 @@
 		assert.Equal(t, c.nodes[nodeName(1)].verdict(t, old), VerdictAttached)
 	})
 }
+
+// A member begins to leave and dies before its records were collected; the one that
+// is now their home did not see the epoch in between.
+func TestLeavingMemberDies(t *testing.T) {
+	inCluster(t, 4, func(t *testing.T, c *cluster) {
+		k := c.keyBetween(nodeName(0), nodeName(1))
+		_, err := c.nodes[nodeName(2)].dispatch(k)
+		assert.NilError(t, err)
+		c.isolate(nodeName(1))
+		c.edit(c.nodes[nodeName(0)], Leave(c.nodes[nodeName(0)].member))
+		time.Sleep(100 * time.Millisecond)
+		c.crash(nodeName(0))
+		c.remove(nodeName(0))
+		c.network.HealAll()
+		c.release(nodeName(1))
+		_, err = c.nodes[nodeName(1)].dispatch(k)
+		assert.NilError(t, err)
+	})
+}
--- a/ledger/history.go
+++ b/ledger/history.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(h.table.Departed, func(d Departure) bool {
-		return d.Removed > epoch && d.TableMember.eligible(d.Removed-1)
+		return d.Removed > epoch && (d.TableMember.Leaving == 0 || d.TableMember.Leaving > epoch)
 	})
 }
 
