--- /dev/null
+++ b/scheduler/return_test.go
@@ -0,0 +1,164 @@
+package scheduler_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/answer"
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/scheduler"
+	"hawthornrill.example/hawthornrill/scheduler/schedulertest"
+)
+
+func TestCallerComesBack(t *testing.T) {
+	tests := map[string]struct {
+		node  domain.NodeID
+		after time.Duration
+		fault func(*bench)
+		from  uint64
+		want  domain.Outcome
+	}{
+		"at the same node":                  {node: "a", from: 4},
+		"at another node":                   {node: "b", from: 4},
+		"at another node, from the start":   {node: "b"},
+		"when the answer is finished":       {node: "b", after: 15 * time.Second},
+		"much later":                        {node: "b", after: 5 * time.Minute},
+		"when the answer is no longer held": {node: "b", after: 11 * time.Minute, want: domain.OutcomeRan},
+		"while the holder is cut off": {node: "b", want: domain.OutcomeUnknown, fault: func(b *bench) {
+			b.network.Cut("a", "b")
+		}},
+		"after the holder died": {node: "b", fault: func(b *bench) {
+			b.network.Crash("a")
+			b.home.Kill(schedulertest.Member("a"))
+		}},
+		"and the holder dies later": {node: "b", fault: func(b *bench) {
+			time.AfterFunc(2*time.Second, func() {
+				b.network.Crash("a")
+				b.home.Kill(schedulertest.Member("a"))
+			})
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(schedulertest.Script{}, scheduler.Options{})
+				defer b.close()
+				key := request("k").Key
+				first := b.nodes["a"].Submit(request("k"))
+				head, _ := readFrom(t, first, answer.Position{}, 4)
+				assert.Equal(t, head, whole(key, 0, 4))
+				first.Close()
+				if test.fault != nil {
+					test.fault(b)
+				}
+				time.Sleep(test.after)
+				second := b.nodes[test.node].Submit(request("k"))
+				defer second.Close()
+				rest, end := readFrom(t, second, answer.Position{From: test.from}, 1<<62)
+				assert.Equal(t, end.Outcome, test.want)
+				if end.Complete() {
+					assert.Equal(t, rest, whole(key, test.from, 10))
+				}
+				assert.DeepEqual(t, b.engine.Started(), []string{key.String()})
+			})
+		})
+	}
+}
+
+// Two attempts at once at two nodes get the same answer, run once; a second body
+// under the key gets neither.
+func TestAttemptsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(schedulertest.Script{}, scheduler.Options{})
+		defer b.close()
+		handles := []*scheduler.Handle{
+			b.nodes["a"].Submit(request("k")), b.nodes["b"].Submit(request("k")),
+			b.nodes["a"].Submit(request("k")), b.nodes["b"].Submit(request("k")),
+		}
+		other := request("k")
+		other.Fingerprint[0] = 1
+		for _, node := range []domain.NodeID{"a", "b"} {
+			_, end := readAll(t, b.nodes[node].Submit(other))
+			assert.Equal(t, end.Code, answer.CodeKeyReused)
+		}
+		for _, handle := range handles {
+			text, end := readAll(t, handle)
+			assert.Assert(t, end.Complete())
+			assert.Equal(t, text, whole(request("k").Key, 0, 10))
+		}
+		assert.Equal(t, len(b.engine.Started()), 1)
+	})
+}
+
+// A node that stops while it follows another's answer knows nothing of the rest.
+func TestFollowerStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(schedulertest.Script{}, scheduler.Options{})
+		defer b.close()
+		first := b.nodes["a"].Submit(request("k"))
+		synctest.Wait()
+		second := b.nodes["b"].Submit(request("k"))
+		defer second.Close()
+		time.Sleep(3500 * time.Millisecond)
+		b.nodes["b"].Close()
+		_, end := readFrom(t, second, answer.Position{}, 1<<62)
+		assert.Equal(t, end.Outcome, domain.OutcomeUnknown)
+		_, end = readAll(t, first)
+		assert.Assert(t, end.Complete())
+	})
+}
+
+// An attempt that follows another takes its turn when that one was not run,
+// unless the caller had cancelled.
+func TestFollowerTakesItsTurn(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(schedulertest.Script{}, scheduler.Options{})
+			defer b.close()
+			b.capacity.Block(true)
+			hurried := request("k")
+			hurried.Deadline = time.Second
+			first := b.nodes["a"].Submit(hurried)
+			synctest.Wait()
+			second := b.nodes["b"].Submit(request("k"))
+			synctest.Wait()
+			b.capacity.Block(false)
+			if cancelled {
+				assert.NilError(t, b.nodes["b"].Cancel(t.Context(), request("k").Key))
+			}
+			_, end := readAll(t, first)
+			assert.Equal(t, end.Outcome, domain.OutcomeNotRun)
+			text, end := readAll(t, second)
+			if cancelled {
+				assert.Equal(t, end.Code, answer.CodeCancelled)
+				assert.Equal(t, len(b.engine.Started()), 0)
+				return
+			}
+			assert.Assert(t, end.Complete(), end)
+			assert.Equal(t, text, whole(request("k").Key, 0, 10))
+			assert.Equal(t, len(b.engine.Started()), 1)
+		})
+	}
+}
+
+// A caller that comes back while its request is being given up gets its turn.
+func TestBackWhileGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(schedulertest.Script{}, scheduler.Options{Grace: time.Second})
+		defer b.close()
+		b.capacity.Block(true)
+		b.home.Break(schedulertest.StepRelease, schedulertest.Fault{Delay: 2 * time.Second})
+		first := b.nodes["a"].Submit(request("k"))
+		synctest.Wait()
+		first.Close()
+		time.Sleep(2 * time.Second)
+		b.capacity.Block(false)
+		text, end := readAll(t, b.nodes["a"].Submit(request("k")))
+		assert.Assert(t, end.Complete(), end)
+		assert.Equal(t, text, whole(request("k").Key, 0, 10))
+	})
+}
