--- a/capacity/accounts.go
+++ b/capacity/accounts.go
@@ -46,7 +46,8 @@
 }
 
 // list takes the names of all that a holder has and returns those that the owner
-// does not know. What the holder does not name is dropped, unless it may have
+// does not know as such: the holder registers them, and learns so of a grant whose
+// notice was lost. What the holder does not name is dropped, unless it may have
 // crossed the list on the way.
 func (o *owner) list(now time.Time, from domain.Member, p *pool, grants, asks []askID) []askID {
 	h := p.holder(from, now)
@@ -60,7 +61,7 @@
 	}
 	for _, id := range asks {
 		held[id] = true
-		if !o.repeatRuling(h, p, id) {
+		if _, ok := h.entries[id]; !ok {
 			unknown = append(unknown, id)
 		}
 	}
@@ -69,17 +70,6 @@
 	return unknown
 }
 
-// repeatRuling sends a holder that waits for an ask its grant again. It reports
-// whether the ask is known.
-func (o *owner) repeatRuling(h *holder, p *pool, id askID) bool {
-	if g, ok := h.grants[id]; ok {
-		o.send(h, p, ruling{ID: id, Verdict: verdictGranted, Endpoint: g.place.state.ID})
-		return true
-	}
-	_, ok := h.entries[id]
-	return ok
-}
-
 func (o *owner) dropUnlisted(now time.Time, h *holder, held map[askID]bool) {
 	for id, g := range h.grants {
 		if !held[id] && now.Sub(g.since) >= o.options.ConfirmAfter {
--- a/capacity/chooser.go
+++ b/capacity/chooser.go
@@ -62,8 +62,8 @@
 // All methods must return quickly, without I/O, and must not keep the slices or
 // pointers that they are given, but for the strings in them.
 type Chooser interface {
-	// Admit refuses an ask that must not be served at all, with ErrQuarantined. It
-	// is called once when the ask arrives.
+	// Admit refuses an ask that must not be served at all, with ErrQuarantined or a
+	// *Refusal of it. It is called when the ask arrives.
 	Admit(now time.Time, ask *Ask) error
 	// Choose returns the index of the candidate to use. All candidates serve the
 	// ask's pool, are not leaving and have room for the ask; there is at least one.
--- a/capacity/collect.go
+++ b/capacity/collect.go
@@ -9,13 +9,14 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer"
 )
 
 const (
 	// collectParallel bounds the nodes asked at once.
 	collectParallel = 16
-	// collectRounds bounds how often a new owner asks, while others say that the
-	// pools belong to another node.
+	// collectRounds bounds how often a new owner asks, while another node takes
+	// itself for the owner.
 	collectRounds = 3
 )
 
@@ -54,7 +55,7 @@
 }
 
 // collectOnce asks every neighbour once. It returns false, at the end of
-// Options.Settle, if one of them deals with another owner.
+// Options.Settle, if one of them takes itself for the owner.
 func (s *Service) collectOnce(ctx context.Context, c *cell, others []domain.Member, pools []domain.PoolName) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Settle)
 	defer cancel()
@@ -78,10 +79,11 @@
 	return !disputed
 }
 
-// collectFrom asks one neighbour. It reports whether that deals with another owner.
+// collectFrom asks one neighbour. It reports whether that takes itself for the
+// owner.
 func (s *Service) collectFrom(ctx context.Context, c *cell, member domain.Member, pools []domain.PoolName) bool {
 	request := collectRequest{DataCentre: s.self.DataCentre, Pools: pools}
-	reply, err := call(ctx, s, member, s.options.Settle, methodCollect, request, s.serveCollect)
+	reply, err := peer.Call[collectRequest, collectReply](ctx, s.transport, member, methodCollect, request)
 	if err != nil {
 		return false
 	}
@@ -134,12 +136,12 @@
 }
 
 // serveCollect tells a new owner what this node holds.
-func (s *Service) serveCollect(from domain.Member, r *collectRequest) collectReply {
+func (s *Service) serveCollect(r *collectRequest) collectReply {
 	var reply collectReply
 	view := s.current()
 	now := time.Now()
 	for _, name := range r.Pools {
-		if owner, ok := view.owner(r.DataCentre, name); ok && owner.Node != from.Node {
+		if s.cell(view, name) != nil {
 			reply.Elsewhere = true
 		}
 		l := s.links.find(linkKey{r.DataCentre, name})
--- a/capacity/handlers.go
+++ b/capacity/handlers.go
@@ -32,8 +32,8 @@
 	peer.Handle(t, methodRegister, func(_ context.Context, from domain.Member, r registerRequest) (registerReply, error) {
 		return s.serveRegister(from, &r), nil
 	})
-	peer.Handle(t, methodCollect, func(_ context.Context, from domain.Member, r collectRequest) (collectReply, error) {
-		return s.serveCollect(from, &r), nil
+	peer.Handle(t, methodCollect, func(_ context.Context, _ domain.Member, r collectRequest) (collectReply, error) {
+		return s.serveCollect(&r), nil
 	})
 	peer.Handle(t, methodQuote, func(_ context.Context, _ domain.Member, r quoteRequest) (quote, error) {
 		return s.serveQuote(&r), nil
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -186,7 +186,7 @@
 
 type collectReply struct {
 	Accounts []registerRequest `cbor:"1,keyasint,omitempty"`
-	// Elsewhere is true if the node takes another one for the owner.
+	// Elsewhere is true if the node takes itself for the owner.
 	Elsewhere bool `cbor:"2,keyasint,omitempty"`
 }
 
--- a/capacity/overflow_test.go
+++ b/capacity/overflow_test.go
@@ -115,6 +115,26 @@
 	return w
 }
 
+// An ask that waits in another data centre and would be late there goes home, where
+// a lower tier has got a place meanwhile.
+func TestVisitorGoesHome(t *testing.T) {
+	rows := []config.EndpointRow{engine("ea", "a", 1, "quote"), engine("eb", "b", 1, "quote")}
+	inCluster(t, rows, Options{}, twoCentres, func(t *testing.T, c *cluster) {
+		c.begin("b1", ask(1)).granted(t, 100*time.Millisecond).Release(used)
+		c.begin("a1", ask(1)).granted(t, 20*time.Second).Release(used)
+		c.begin("b1", ask(1)).granted(t, 5*time.Millisecond)
+		held := c.begin("a1", ask(1)).granted(t, 5*time.Millisecond)
+		a := ask(1)
+		a.FirstToken = 2 * time.Second
+		w := c.begin("a2", a)
+		w.waits(t, time.Second)
+		assert.Equal(t, c.dump(c.ownerOf("b1", "b", quotePool)).Waiting[1], 1)
+		held.Release(used)
+		c.occupy(t, "a1", 2)
+		assert.Equal(t, w.granted(t, time.Second).Endpoint(), domain.EndpointID("ea"))
+	})
+}
+
 // A pool that only another data centre has is served from there, by waiting if
 // need be, and one that nobody has is refused.
 func TestPoolElsewhere(t *testing.T) {
--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -188,6 +188,50 @@
 	assert.Equal(t, o.sent(), "9:granted", "more than the limit fits an empty endpoint")
 }
 
+// An endpoint's weight scales its limit.
+func TestWeight(t *testing.T) {
+	for weight, granted := range map[int]int{0: 0, 1: 1, 50: 2, 100: 4} {
+		row := engine("e1", "a", 4, "quote")
+		row.Weight = weight
+		o := newOwnerTest(Options{}, row)
+		for range 9 {
+			o.put(ask(0))
+		}
+		assert.Equal(t, len(o.holderOf(quotePool).grants), granted, "weight %d", weight)
+	}
+}
+
+// holdback is a Chooser that places an ask only when it presses.
+type holdback struct {
+	LeastOutstanding
+	calls int
+}
+
+func (h *holdback) Choose(_ time.Time, w *Waiting, _ []*EndpointState) (int, bool) {
+	h.calls++
+	return 0, w.Pressing
+}
+
+// A Chooser may hold asks back until they press, and is not asked for all of them
+// each time.
+func TestHeldBack(t *testing.T) {
+	chooser := &holdback{}
+	o := newOwnerTest(Options{NewChooser: func() Chooser { return chooser }}, engine("e1", "a", 1, "quote"))
+	for range 100 {
+		assert.Equal(t, o.put(ask(1)).Verdict, verdictQueued)
+	}
+	chooser.calls = 0
+	o.place(o.now)
+	assert.Equal(t, chooser.calls, o.options.LookAhead)
+	aimed := ask(0)
+	aimed.FirstToken = time.Second
+	assert.Equal(t, o.put(aimed).Verdict, verdictQueued)
+	o.after(800 * time.Millisecond)
+	assert.Equal(t, o.sent(), "")
+	o.after(150 * time.Millisecond)
+	assert.Equal(t, o.sent(), "101:granted")
+}
+
 func TestBoundOfTheQueue(t *testing.T) {
 	o := newOwnerTest(Options{QueueBound: 2}, engine("e1", "a", 1, "quote"))
 	for _, tier := range []domain.Tier{2, 1, 2} {
--- a/capacity/ownerask.go
+++ b/capacity/ownerask.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -27,23 +28,27 @@
 	if e, ok := h.entries[request.ID]; ok {
 		return o.askAgain(now, e, request.Mode)
 	}
-	if reason := o.admit(now, p, &request.Ask); reason != 0 {
+	if reason, retryAfter := o.admit(now, p, &request.Ask); reason != 0 {
 		o.counts.Refused++
-		return ruling{ID: request.ID, Verdict: verdictRefused, Reason: reason, RetryAfter: retryMin}
+		return ruling{ID: request.ID, Verdict: verdictRefused, Reason: reason, RetryAfter: retryAfter}
 	}
 	e := o.newEntry(now, h, p, request)
 	return o.answer(now, e, request.Mode)
 }
 
-// admit returns why the pool does not take the ask, or 0.
-func (o *owner) admit(now time.Time, p *pool, ask *Ask) reason {
-	if o.chooser.Admit(now, ask) != nil {
-		return reasonQuarantined
+// admit returns why the pool does not take the ask, or 0, and when to come back.
+func (o *owner) admit(now time.Time, p *pool, ask *Ask) (reason, time.Duration) {
+	if err := o.chooser.Admit(now, ask); err != nil {
+		var refusal *Refusal
+		if errors.As(err, &refusal) {
+			return reasonQuarantined, refusal.RetryAfter
+		}
+		return reasonQuarantined, retryMin
 	}
 	if p.inService == 0 {
-		return reasonNoEndpoint
+		return reasonNoEndpoint, retryMin
 	}
-	return 0
+	return 0, 0
 }
 
 func (o *owner) newEntry(now time.Time, h *holder, p *pool, request *askRequest) *entry {
--- a/capacity/ownerquote.go
+++ b/capacity/ownerquote.go
@@ -4,7 +4,7 @@
 
 // quote estimates what would become of an ask from another data centre.
 func (o *owner) quote(now time.Time, p *pool, ask *Ask) quote {
-	if why := o.admit(now, p, ask); why != 0 {
+	if why, _ := o.admit(now, p, ask); why != 0 {
 		return quote{Refused: why}
 	}
 	e := &entry{pool: p, ask: *ask}
