hawthornctl and the operators' interface of a node

table export, check, diff, apply, history and rollback in CSV and TOML; status; key new. An export says which generation it was made from; apply sends the differences to that one, so that rows which others have changed since are left alone or named as conflicts. An edit whose answer was lost is settled by its identifier, at any node.

--- /dev/null
+++ b/cmd/hawthornctl/main.go
@@ -0,0 +1,18 @@
+// Command hawthornctl drives hawthornrill from the operators' table.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"hawthornrill.example/hawthornrill/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args[1:], ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/ctl/command.go
@@ -0,0 +1,60 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Streams are where a command reads and writes.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+	// transport replaces the way to the nodes in tests.
+	transport http.RoundTripper
+}
+
+// command is one of hawthornctl's commands.
+type command struct {
+	// name is one or two words, arguments what follows the flags.
+	name, arguments, summary string
+	// define adds the command's flags and returns its body.
+	define func(flags *flag.FlagSet) body
+}
+
+// body checks flags and arguments and does the work. It returns an exit code;
+// with an error that is fieldProblems nothing has been tried.
+type body func(ctx context.Context, s Streams, arguments []string) (int, error)
+
+func commands() []command {
+	return []command{
+		{"table export", "PATH", "write the table into a directory of CSV files, or a .toml file", defineExport},
+		{"table check", "PATH", "check a table file without asking a node", defineCheck},
+		{"table diff", "PATH", "show what applying a table file would change", defineDiff},
+		{"table apply", "PATH", "show what changes, ask, and make the changes", defineApply},
+		{"table history", "", "list the generations that can be rolled back to", defineHistory},
+		{"table rollback", "GENERATION", "make an earlier table the newest one", defineRollback},
+		{"status", "", "tell what is in force on which node", defineStatus},
+		{"key new", "", "make an API key and print it, once, with its SHA-256", defineKey},
+	}
+}
+
+// find returns the command named by the first words, and the other words.
+func find(words []string) (command, []string, bool) {
+	for _, c := range commands() {
+		name := strings.Fields(c.name)
+		if len(words) >= len(name) && strings.Join(words[:len(name)], " ") == c.name {
+			return c, words[len(name):], true
+		}
+	}
+	return command{}, nil, false
+}
+
+func (c command) usage(flags *flag.FlagSet, out io.Writer) {
+	_, _ = fmt.Fprintf(out, "usage: hawthornctl %s [flags] %s\n\n%s\n\n", c.name, c.arguments, c.summary)
+	flags.SetOutput(out)
+	flags.PrintDefaults()
+}
--- /dev/null
+++ b/operatorapi/client.go
@@ -0,0 +1,197 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/document"
+)
+
+var (
+	// ErrNoNode means that no node could be reached; the request was certainly not
+	// carried out.
+	ErrNoNode = errors.New("operatorapi: no node can be reached")
+	// ErrNoAnswer means that a node was asked and did not answer; an edit may or
+	// may not have been accepted.
+	ErrNoAnswer = errors.New("operatorapi: no answer")
+)
+
+const (
+	// dialTimeout bounds the connection to a node before the next one is tried.
+	dialTimeout = 3 * time.Second
+	// requestTimeout bounds a request; a node ends an edit before.
+	requestTimeout = editTime + 10*time.Second
+)
+
+// Client speaks to the first of several nodes that can be reached.
+type Client struct {
+	nodes []string
+	key   string
+	http  *http.Client
+}
+
+// NewClient returns a client of nodes "http://IP:port" with an operator's key.
+func NewClient(nodes []string, key string) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &Client{nodes: nodes, key: key, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+}
+
+// SetTransport replaces the way to the nodes, before the first request.
+func (c *Client) SetTransport(transport http.RoundTripper) { c.http.Transport = transport }
+
+// Table returns the table of a generation, zero for the one in force.
+func (c *Client) Table(ctx context.Context, generation uint64) (TableReply, error) {
+	return call[TableReply](ctx, c, http.MethodGet, "/table?generation="+strconv.FormatUint(generation, 10), nil)
+}
+
+// Check returns the problems of a table.
+func (c *Client) Check(ctx context.Context, table config.Table) (config.Problems, error) {
+	reply, err := call[PreviewReply](ctx, c, http.MethodPost, "/table/check", table)
+	return reply.Problems, err
+}
+
+// Preview tells what changes would do.
+func (c *Client) Preview(ctx context.Context, changes []config.Change) (PreviewReply, error) {
+	return call[PreviewReply](ctx, c, http.MethodPost, "/table/preview", PreviewRequest{Changes: changes})
+}
+
+// Edit asks for changes. The error is a *Failure, ErrNoNode or ErrNoAnswer.
+func (c *Client) Edit(ctx context.Context, request EditRequest) (document.Version, error) {
+	reply, err := call[EditReply](ctx, c, http.MethodPost, "/edits", request)
+	return reply.Version, err
+}
+
+// Rollback asks for an earlier table. The errors are those of Edit.
+func (c *Client) Rollback(ctx context.Context, request RollbackRequest) (document.Version, error) {
+	reply, err := call[EditReply](ctx, c, http.MethodPost, "/rollback", request)
+	return reply.Version, err
+}
+
+// Settle tells what became of an edit: it asks one node after the other until one
+// knows. The error is a *Failure that says the edit was not accepted, or
+// ErrNoAnswer.
+func (c *Client) Settle(ctx context.Context, id document.EditID, base uint64) (version document.Version, err error) {
+	path := fmt.Sprintf("/edits/%s?base=%d", id, base)
+	for _, node := range c.nodes {
+		var reply EditReply
+		err = c.callNode(ctx, node, http.MethodGet, path, nil, &reply)
+		var failure *Failure
+		if err == nil || (errors.As(err, &failure) && failure.Outcome == OutcomeNotAccepted) {
+			return reply.Version, err
+		}
+	}
+	return document.Version{}, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+}
+
+// IsNotAccepted reports whether an error says that an edit certainly had no
+// effect.
+func IsNotAccepted(err error) bool {
+	var failure *Failure
+	switch {
+	case errors.Is(err, ErrNoAnswer):
+		return false
+	case errors.As(err, &failure):
+		return failure.Outcome == OutcomeNotAccepted || failure.Status < http.StatusInternalServerError
+	}
+	return errors.Is(err, ErrNoNode)
+}
+
+// History returns the versions that can still be read, the current one first.
+func (c *Client) History(ctx context.Context) ([]document.Version, error) {
+	reply, err := call[HistoryReply](ctx, c, http.MethodGet, "/history", nil)
+	return reply.Versions, err
+}
+
+// Status returns the state of all nodes.
+func (c *Client) Status(ctx context.Context) (StatusReply, error) {
+	return call[StatusReply](ctx, c, http.MethodGet, "/status", nil)
+}
+
+// call sends a request to one node after the other until one carries it out.
+func call[Reply any](ctx context.Context, c *Client, method, path string, body any) (Reply, error) {
+	var reply Reply
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return reply, fmt.Errorf("operatorapi: encode: %w", err)
+	}
+	var unreached []error
+	for _, node := range c.nodes {
+		err := c.callNode(ctx, node, method, path, encoded, &reply)
+		if !worthAnother(err) {
+			return reply, err
+		}
+		unreached = append(unreached, err)
+	}
+	err = errors.Join(unreached...)
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return reply, failure
+	}
+	return reply, fmt.Errorf("%w: %w", ErrNoNode, err)
+}
+
+// worthAnother reports whether the request certainly had no effect, and another
+// node may do better: this one can't be reached, or can't reach the store.
+func worthAnother(err error) bool {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.Status == http.StatusServiceUnavailable && failure.Outcome != OutcomeUnknown
+	}
+	return errors.Is(err, ErrNoNode)
+}
+
+func (c *Client) callNode(ctx context.Context, node, method, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(node, "/")+Prefix+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("operatorapi: %w", err)
+	}
+	request.Header.Set("Authorization", bearer+c.key)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", reached(err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return readFailure(response, data)
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	return nil
+}
+
+// readFailure returns the problem document, or one that stands for an answer
+// that isn't one.
+func readFailure(response *http.Response, data []byte) error {
+	failure := &Failure{}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), problemType) && json.Unmarshal(data, failure) == nil {
+		return failure
+	}
+	return &Failure{Title: "Unexpected answer", Status: response.StatusCode, Detail: response.Status, Outcome: OutcomeUnknown}
+}
+
+// reached tells by a transport's error whether the node may have got the request.
+func reached(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNoNode
+	}
+	return ErrNoAnswer
+}
