--- a/scheduler/return_test.go
+++ b/scheduler/return_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/answer"
-	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/scheduler"
 	"hawthornrill.example/hawthornrill/scheduler/schedulertest"
