--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -42,7 +42,7 @@
 // straggling makes the endpoint take so many times as long as its generation.
 func straggling(ratio float64) func(c *Candidate) {
 	return func(c *Candidate) {
-		c.Learned.straggler = Straggler{log: math.Log(ratio), samples: stragglerSamples, touchedAt: t0}
+		c.Learned.straggler = Straggler{ratio: ratio, samples: stragglerSamples, touchedAt: t0}
 	}
 }
 
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -19,7 +19,9 @@
 // Straggler follows how many times as long an endpoint takes as its hardware
 // generation: a geometric mean that forgets quickly. The zero value is healthy.
 type Straggler struct {
-	log     float64
+	log float64
+	// ratio is the exponential of log, once there is a sample.
+	ratio   float64
 	samples int
 	// touchedAt is when the last sample came or the last probe was sent.
 	touchedAt time.Time
@@ -33,16 +35,22 @@
 	}
 	bounded := min(max(ratio, 1.0/stragglerBound), stragglerBound)
 	s.log += rate * (math.Log(bounded) - s.log)
+	s.ratio = math.Exp(s.log)
 	s.samples++
 	s.touchedAt = now
 }
 
-// Ratio returns the mean ratio.
-func (s *Straggler) Ratio() float64 { return math.Exp(s.log) }
+// Ratio returns the mean ratio, 1 without samples.
+func (s *Straggler) Ratio() float64 {
+	if s.samples == 0 {
+		return 1
+	}
+	return s.ratio
+}
 
 // Slow reports whether the mean ratio is at least the given one.
 func (s *Straggler) Slow(ratio float64) bool {
-	return s.samples >= stragglerSamples && s.log > 0 && s.Ratio() >= ratio
+	return s.samples >= stragglerSamples && s.ratio >= ratio
 }
 
 // ProbeDue reports whether nothing has been learned for so long.
