Answers: compressors are kept, not pooled

Each garbage collection emptied the pool, and a compressor of over half a megabyte was made anew. At most two answers are compressed at a time; nobody waits for it.

--- a/answer/packed.go
+++ b/answer/packed.go
@@ -22,12 +22,20 @@
 	opened weak.Pointer[Buffer]
 }
 
-// packers are reused, as each takes far more memory than an answer.
-var packers = sync.Pool{New: func() any {
-	// The level is a valid constant.
-	w, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
-	return w
-}}
+// packerCount bounds the answers being compressed at a time. Nobody waits for it.
+const packerCount = 2
+
+// packers are kept, as each takes far more memory than an answer. A pool would
+// give them to the garbage collector and make them again and again.
+var packers = func() chan *flate.Writer {
+	writers := make(chan *flate.Writer, packerCount)
+	for range packerCount {
+		// The level is a valid constant.
+		w, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
+		writers <- w
+	}
+	return writers
+}()
 
 // pack compresses an ended buffer that is whole.
 func pack(b *Buffer) (*packed, error) {
@@ -37,8 +45,8 @@
 		return nil, ErrTruncated
 	}
 	var out bytes.Buffer
-	w := packers.Get().(*flate.Writer)
-	defer packers.Put(w)
+	w := <-packers
+	defer func() { packers <- w }()
 	w.Reset(&out)
 	if err := cbor.NewEncoder(w).Encode(b.chunks); err != nil {
 		return nil, fmt.Errorf("answer: pack: %w", err)
