--- a/limits/book.go
+++ b/limits/book.go
@@ -13,7 +13,7 @@
 // does no I/O. Its sums make an answer's time independent of the number of nodes.
 type book struct {
 	organisation domain.OrganisationID
-	holdings     map[domain.NodeID]holding
+	holdings     map[domain.NodeID]*holding
 	sums         sums
 	bucket       bucket
 	answeredAt   time.Time
@@ -21,7 +21,7 @@
 }
 
 func newBook(organisation domain.OrganisationID) *book {
-	return &book{organisation: organisation, holdings: make(map[domain.NodeID]holding)}
+	return &book{organisation: organisation, holdings: make(map[domain.NodeID]*holding)}
 }
 
 // terms are what an owner goes by when it answers a demand.
@@ -54,7 +54,7 @@
 		b.bucket.fill(now, t.tokensPerMinute)
 		b.bucket.spend(min(d.Recent, t.tokensPerMinute))
 	}
-	h := holding{
+	h := &holding{
 		incarnation: from.Incarnation,
 		sequence:    d.Sequence,
 		committed:   max(d.Share, d.InFlight),
@@ -62,7 +62,9 @@
 		tokens:      max(d.Tokens, 0),
 		at:          now,
 	}
-	b.sums.add(old, -1)
+	if known {
+		b.sums.add(old, -1)
+	}
 	others := b.sums.committed
 	b.sums.add(h, 1)
 	a := allotment{Limit: t.limit, Share: b.share(from.Node, d, h, t, others)}
@@ -75,7 +77,7 @@
 
 // share returns the node's new share. With the most that all others may use it is
 // no more than the pool.
-func (b *book) share(node domain.NodeID, d demand, h holding, t terms, others int) int {
+func (b *book) share(node domain.NodeID, d demand, h *holding, t terms, others int) int {
 	share := target(t.pool, b.sums, h.wanted, turn(b.organisation, node, t.round))
 	if t.settling {
 		share = max(min(share, equalPart(t.pool, t.nodes)), min(d.Share, h.wanted))
--- a/limits/holding.go
+++ b/limits/holding.go
@@ -28,7 +28,7 @@
 }
 
 // add counts a holding in, or out with sign -1.
-func (s *sums) add(h holding, sign int) {
+func (s *sums) add(h *holding, sign int) {
 	if h.wanted > 0 {
 		s.nodes += sign
 	}
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -20,7 +20,7 @@
 	for i := range endpoints {
 		state := &capacity.EndpointState{
 			ID:           domain.EndpointID(fmt.Sprintf("runner-%d", i)),
-			Row:          &config.EndpointRow{Generation: fmt.Sprintf("g%d", i%2)},
+			Row:          &config.EndpointRow{ID: domain.EndpointID(fmt.Sprintf("runner-%d", i)), Generation: fmt.Sprintf("g%d", i%2)},
 			Requests:     8 + i%5,
 			AnswerTokens: 3000,
 		}
@@ -115,7 +115,7 @@
 					rt, _ := fleet(size, 0)
 					now := time.Unix(0, 0)
 					for i := range size {
-						rt.endpoint(now, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprintf("runner-%d", i)), Row: &config.EndpointRow{}})
+						rt.endpoint(now, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprintf("runner-%d", i)), Row: &config.EndpointRow{ID: domain.EndpointID(fmt.Sprintf("runner-%d", i))}})
 					}
 					return rt
 				})
--- a/routing/compare_test.go
+++ b/routing/compare_test.go
@@ -58,7 +58,7 @@
 	m := &model{random: rand.New(rand.NewPCG(seed, 0)), now: t0, router: NewRouter(options)}
 	for i := range 12 {
 		e := &modelEngine{slowness: 1 + 1.5*float64(i%2), cache: NewPrefixTable(2048, t0), prefillAt: t0}
-		e.state = &capacity.EndpointState{ID: domain.EndpointID('a' + rune(i)), Row: &config.EndpointRow{Generation: string('x' + rune(i%2))}}
+		e.state = &capacity.EndpointState{ID: domain.EndpointID('a' + rune(i)), Row: &config.EndpointRow{ID: domain.EndpointID('a' + rune(i)), Generation: string('x' + rune(i%2))}}
 		m.engines, m.states = append(m.engines, e), append(m.states, e.state)
 	}
 	return m
--- a/routing/dump.go
+++ b/routing/dump.go
@@ -38,8 +38,8 @@
 func (rt *Router) dump(e *Endpoint) EndpointDump {
 	return EndpointDump{
 		Endpoint:   e.id,
-		Generation: e.generationName,
-		Speed:      e.Speed(),
+		Generation: e.row.Generation,
+		Speed:      *e.Speed(),
 		Samples:    e.profile.Samples(),
 		Ratio:      e.straggler.Ratio(),
 		Straggler:  e.straggler.Slow(rt.options.StragglerRatio),
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -17,33 +18,33 @@
 // Endpoint is what has been learned of an endpoint. It hangs on the owner's
 // EndpointState.
 type Endpoint struct {
-	id             domain.EndpointID
-	hash           uint64
-	generation     *Generation
-	generationName string
-	profile        Profile
-	straggler      Straggler
-	ejector        Ejector
-	prefixes       *PrefixTable
-	trust          Trust
-	report         loadReport
-	heard          progress
-	crash          crashEvent
-	// eventSequence is that of the last cache event.
-	eventSequence uint64
-
-	flights  []flight
-	suspects int
+	// What each decision reads comes first, close together.
+	row        *config.EndpointRow
+	hash       uint64
+	generation *Generation
+	prefixes   *PrefixTable
+	speed      Speed
+	trust      Trust
+	suspects   int
+	listed     bool // while the Router counts it
 	// promptTokens and uncachedTokens sum the flights.
 	promptTokens   float64
 	uncachedTokens float64
-
-	// pools are those for which it was a candidate, load its state when last seen.
-	pools  []domain.PoolName
+	straggler      Straggler
+	ejector        Ejector
+	heard          progress
+	report         loadReport
+	// load is its state when last seen, pools are those for which it was a candidate.
 	load   seenLoad
 	seenAt time.Time
-	// listed is true while the Router counts it.
-	listed bool
+	pools  []domain.PoolName
+
+	id      domain.EndpointID
+	profile Profile
+	crash   crashEvent
+	// eventSequence is that of the last cache event.
+	eventSequence uint64
+	flights       []flight
 }
 
 // crashEvent is the last crash; results that tell of it come one by one.
@@ -60,25 +61,44 @@
 }
 
 // NewEndpoint returns an endpoint of which nothing is known but its generation.
-func NewEndpoint(now time.Time, id domain.EndpointID, name string, generation *Generation, prefixBlocks int) *Endpoint {
-	return &Endpoint{
-		id:             id,
-		hash:           xxhash.Sum64String(string(id)),
-		generation:     generation,
-		generationName: name,
-		profile:        NewProfile(generation.Speed()),
-		prefixes:       NewPrefixTable(prefixBlocks, now),
-		seenAt:         now,
+func NewEndpoint(now time.Time, row *config.EndpointRow, generation *Generation, prefixBlocks int) *Endpoint {
+	e := &Endpoint{
+		id:       row.ID,
+		row:      row,
+		hash:     xxhash.Sum64String(string(row.ID)),
+		prefixes: NewPrefixTable(prefixBlocks, now),
+		seenAt:   now,
 	}
+	e.join(generation)
+	return e
+}
+
+// join makes the endpoint one of a generation, of which it has its speed.
+func (e *Endpoint) join(generation *Generation) {
+	e.generation = generation
+	e.straggler = Straggler{}
+	e.unlearn()
+}
+
+// unlearn forgets the endpoint's own speed.
+func (e *Endpoint) unlearn() {
+	e.profile = NewProfile(e.generation.Speed())
+	e.speed = Speed{}
+}
+
+// learn takes a sample of the endpoint's own speed.
+func (e *Endpoint) learn(s Sample, rate float64) {
+	e.profile.Learn(s, rate, e.generation.Speed())
+	e.speed = e.profile.Speed()
 }
 
 // Speed returns the endpoint's learned speed, its generation's until it has
 // samples of its own.
-func (e *Endpoint) Speed() Speed {
-	if e.profile.Samples() == 0 {
-		return e.generation.Speed()
+func (e *Endpoint) Speed() *Speed {
+	if e.speed == (Speed{}) {
+		return &e.generation.profile.speed
 	}
-	return e.profile.Speed()
+	return &e.speed
 }
 
 // look takes note of the owner's exact state.
--- a/routing/estimate.go
+++ b/routing/estimate.go
@@ -19,7 +19,7 @@
 }
 
 // predict sets the times that follow from work, batch and a speed.
-func (e *Estimate) predict(speed Speed, answerTokens int, prefillWeight float64) {
+func (e *Estimate) predict(speed *Speed, answerTokens int, prefillWeight float64) {
 	e.FirstToken = speed.First.At(e.Work)
 	e.Total = e.FirstToken + float64(answerTokens)*speed.Interval.At(e.Batch)
 	e.Cost = e.Total + prefillWeight*e.Own*speed.First.Slope
--- a/routing/generation.go
+++ b/routing/generation.go
@@ -18,7 +18,7 @@
 }
 
 // Speed returns the expected speed.
-func (g *Generation) Speed() Speed { return g.profile.Speed() }
+func (g *Generation) Speed() Speed { return g.profile.speed }
 
 // Learn takes a sample of one of its endpoints. Samples of a straggler do not
 // count, unless most of the generation is slow: then that is the usual speed.
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -71,12 +71,12 @@
 	e.straggler.Observe(now, s.ratio(e.generation.Speed()), f.probe)
 	slow := e.straggler.Slow(rt.options.StragglerRatio)
 	if wasSlow && !slow {
-		e.profile = NewProfile(e.generation.Speed())
+		e.unlearn()
 	}
 	if slow {
 		rt.counters.stragglers.Inc()
 	} else {
-		e.profile.Learn(s, rt.options.LearnRate, e.generation.Speed())
+		e.learn(s, rt.options.LearnRate)
 	}
 	e.generation.Learn(s, rt.options.LearnRate/2, slow, rt.mostSlow(e.generation))
 }
--- a/routing/quarantine/quarantine_test.go
+++ b/routing/quarantine/quarantine_test.go
@@ -163,7 +163,7 @@
 func newSite(name string, q routing.Quarantine) *site {
 	s := &site{router: routing.NewRouter(routing.Options{Quarantine: q}), running: make(map[int][]capacity.Ask)}
 	for i := range 4 {
-		s.states = append(s.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(name, i)), Row: &config.EndpointRow{}})
+		s.states = append(s.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(name, i)), Row: &config.EndpointRow{ID: domain.EndpointID(fmt.Sprint(name, i))}})
 	}
 	return s
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -226,14 +227,11 @@
 func (rt *Router) endpoint(now time.Time, state *capacity.EndpointState) *Endpoint {
 	e, ok := state.Learned.(*Endpoint)
 	if !ok {
-		e = NewEndpoint(now, state.ID, state.Row.Generation, rt.generation(state.Row.Generation), rt.options.PrefixBlocks)
+		e = NewEndpoint(now, state.Row, rt.generation(state.Row.Generation), rt.options.PrefixBlocks)
 		state.Learned = e
 	}
-	if e.generationName != state.Row.Generation {
-		e.generationName = state.Row.Generation
-		e.generation = rt.generation(state.Row.Generation)
-		e.profile = NewProfile(e.generation.Speed())
-		e.straggler = Straggler{}
+	if e.row != state.Row {
+		rt.configure(e, state.Row)
 	}
 	if !e.listed {
 		e.listed = true
@@ -242,6 +240,14 @@
 	return e
 }
 
+// configure takes an endpoint's new row.
+func (rt *Router) configure(e *Endpoint, row *config.EndpointRow) {
+	if e.row.Generation != row.Generation {
+		e.join(rt.generation(row.Generation))
+	}
+	e.row = row
+}
+
 func (rt *Router) generation(name string) *Generation {
 	g, ok := rt.generations[name]
 	if !ok {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -26,7 +26,7 @@
 func newBench(t *testing.T, endpoints int, options Options) *bench {
 	b := &bench{t: t, now: t0, router: NewRouter(options)}
 	for i := range endpoints {
-		b.states = append(b.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(i)), Row: &config.EndpointRow{}})
+		b.states = append(b.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(i)), Row: &config.EndpointRow{ID: domain.EndpointID(fmt.Sprint(i))}})
 	}
 	return b
 }
@@ -267,7 +267,7 @@
 func TestHoldBack(t *testing.T) {
 	for ratio, want := range map[float64]int{0: 1, 2: -1, 50: 1} {
 		b := newBench(t, 2, Options{HoldRatio: ratio})
-		b.states[1].Row = &config.EndpointRow{Generation: "old"}
+		b.states[1].Row = &config.EndpointRow{ID: "1", Generation: "old"}
 		b.train(40, 0.2, 4)
 		b.choose(b.ask(), false)
 		b.grant(0, b.ask())
@@ -346,7 +346,7 @@
 
 func TestFactoryForgetsUnusedRouters(t *testing.T) {
 	f := NewFactory(Options{})
-	state := &capacity.EndpointState{ID: "e", Row: &config.EndpointRow{}}
+	state := &capacity.EndpointState{ID: "e", Row: &config.EndpointRow{ID: "e"}}
 	chooser := f.New()
 	chooser.Granted(t0, state, &capacity.Ask{})
 	assert.Equal(t, len(f.State()), 1)
--- a/routing/saturation.go
+++ b/routing/saturation.go
@@ -14,7 +14,7 @@
 }
 
 // Saturated reports whether one request more than these would be too many.
-func (d SaturationDetector) Saturated(requests int, speed Speed) bool {
+func (d SaturationDetector) Saturated(requests int, speed *Speed) bool {
 	if d.TokenInterval < 0 || requests == 0 {
 		return false
 	}
--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -21,8 +21,8 @@
 // candidate returns an idle healthy endpoint.
 func candidate(id domain.EndpointID, change ...func(c *Candidate)) Candidate {
 	c := Candidate{
-		State:   &capacity.EndpointState{ID: id, Row: &config.EndpointRow{}},
-		Learned: NewEndpoint(t0, id, "", NewGeneration(testSpeed), 100),
+		State:   &capacity.EndpointState{ID: id, Row: &config.EndpointRow{ID: id}},
+		Learned: NewEndpoint(t0, &config.EndpointRow{ID: id}, NewGeneration(testSpeed), 100),
 	}
 	c.Learned.heard.At = t0
 	for _, f := range change {
