ledger: the only member of a table asks the store before it goes on

Found by a random schedule: the only member, called gone by mistake and cut off from new tables, went on beyond the loss window.

--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -390,3 +390,20 @@
 		assert.NilError(t, err)
 	})
 }
+
+// The only member was taken out by mistake while nothing told it: it asks the store
+// before it goes on.
+func TestOnlyMemberAsksTheStore(t *testing.T) {
+	inCluster(t, 1, func(t *testing.T, c *cluster) {
+		old, k := c.nodes[nodeName(0)], key(1)
+		c.isolate(nodeName(0))
+		far := c.startOutside("far", "catania")
+		c.edit(far, Remove(old.member))
+		next := c.start(nodeName(1), testDataCentre)
+		time.Sleep(DefaultRetention + 2*DefaultFenceTimeout + 2*time.Second)
+		_, err := next.dispatch(k)
+		assert.NilError(t, err)
+		claim, err := old.Claim(t.Context(), k, Fingerprint{1})
+		assert.Assert(t, err != nil || claim.Verdict == VerdictAttached)
+	})
+}
--- a/ledger/fence.go
+++ b/ledger/fence.go
@@ -42,9 +42,13 @@
 	}
 }
 
-// fenced reports whether too few members have been heard. The lock is held.
+// fenced reports whether too few members have been heard, or the only one has not
+// asked the store. The lock is held.
 func (r *Replica) fenced(h *history, now time.Time) bool {
 	members := h.current()
+	if len(members) == 1 && r.options.Editor != nil {
+		return now.Sub(r.storeAsked) > r.options.FenceTimeout
+	}
 	heard := 0
 	for _, c := range members {
 		if at, ok := r.heard[c.member]; ok && now.Sub(at) <= r.options.FenceTimeout {
@@ -60,9 +64,31 @@
 	if h == nil || !h.table.Contains(r.self) {
 		return
 	}
+	if len(h.current()) == 1 {
+		r.askStore(ctx)
+	}
 	eachOf(r.quiet(h), func(m domain.Member) { r.confirm(ctx, m, h.table.Epoch) })
 }
 
+// askStore looks for a later table in the store, when there is no other member to
+// hear of it from. While the store can't be reached the only member goes on.
+func (r *Replica) askStore(ctx context.Context) {
+	if r.options.Editor == nil {
+		return
+	}
+	asked := time.Now()
+	t, err := r.options.Editor.Edit(ctx, noChange)
+	if err == nil {
+		r.adopt(t)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeAsked = asked
+}
+
+// noChange only reads the table.
+func noChange(t *Table) (*Table, error) { return t, nil }
+
 // quiet returns the members not heard of for half of the fence's time.
 func (r *Replica) quiet(h *history) []domain.Member {
 	r.mu.Lock()
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -45,6 +45,9 @@
 	work    sync.WaitGroup
 	// silent tells when a member last did not answer as a second process.
 	silent map[domain.Member]time.Time
+	// storeAsked is when the store was last asked for a later table, successfully or
+	// not.
+	storeAsked time.Time
 	// heard tells when a member was last known to have no later epoch.
 	heard map[domain.Member]time.Time
 	// settledBy are the members that have settled the epoch, if this one keeps count.
