document: nodes that don't speak for their data centre compare only within it

Comparisons across data centres go to two nodes each of three fixed others, so that their links stay open: with a random node of 950 a link would be opened for nearly each. The head no longer lists an edit twice; a watch is renewed after 45 s instead of 15 s, as an edit in a restored store reaches other data centres by comparison.

--- a/document/digest.go
+++ b/document/digest.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// remoteOneIn is how seldom a node that isn't a head compares with another
-	// data centre.
-	remoteOneIn = 12
 	// soonAgain is the mean time to the next comparison after a difference.
 	soonAgain = 300 * time.Millisecond
 	// bootstrapParallel bounds the peers asked at a time by a node that starts.
@@ -137,24 +134,20 @@
 	return theirs != mine
 }
 
-// choosePeer returns a random peer. A node that speaks for its data centre about
-// some document turns to another data centre every second time.
+// choosePeer returns a random peer of the data centre. A node that speaks for its
+// data centre about some document turns to another data centre every second time.
 func (s *Service) choosePeer() (domain.Member, bool) {
 	s.rounds++
 	p := s.peers()
-	remote := rand.IntN(remoteOneIn) == 0
-	if s.isHeadOfAny(p) {
-		remote = s.rounds%2 == 0
-	}
-	if remote {
-		if to, ok := p.anyRemote(); ok {
+	if s.rounds%2 == 0 && s.isHeadOfAny(p) {
+		if to, ok := p.anyPartner(s.options.Watchers); ok {
 			return to, true
 		}
 	}
 	if to, ok := p.anyLocal(); ok {
 		return to, true
 	}
-	return p.anyRemote()
+	return p.anyPartner(s.options.Watchers)
 }
 
 func (s *Service) isHeadOfAny(p peers) bool {
--- a/document/edit_test.go
+++ b/document/edit_test.go
@@ -28,6 +28,7 @@
 func TestRacingEditsAreAllKept(t *testing.T) {
 	inBubble(t, 2, 4, func(t *testing.T, f *fleet) {
 		f.start()
+		time.Sleep(5 * time.Second)
 		var group errgroup.Group
 		for i, n := range f.nodes {
 			group.Go(func() error {
--- a/document/fixture_test.go
+++ b/document/fixture_test.go
@@ -15,6 +15,7 @@
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer/peertest"
+	"hawthornrill.example/hawthornrill/store/budget"
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
 
@@ -30,6 +31,8 @@
 	spec    Spec
 	options Options
 	nodes   []*testNode
+	// budgeted nodes use the store within a budget, as real ones do.
+	budgeted bool
 	// bad are values that no node can apply.
 	bad string
 	// applied is called when a node puts a value in force.
@@ -133,6 +136,9 @@
 	options.Transport = n.fleet.network.Node(n.member)
 	options.Members = n
 	options.Store = n.client
+	if n.fleet.budgeted {
+		options.Store = budget.New(n.client, budget.Options{})
+	}
 	service, err := New(options)
 	assert.NilError(n.fleet.t, err)
 	spec := n.fleet.spec
--- a/document/follow.go
+++ b/document/follow.go
@@ -69,8 +69,12 @@
 	r.forward(ctx, r.service.options.Transport.Self().Node, r.stamp())
 }
 
-// announceRemote tells the heads of the other data centres.
+// announceRemote tells the heads of the other data centres, unless they watch the
+// store themselves.
 func (r *replica) announceRemote(ctx context.Context) {
+	if len(r.spec.WatchIn) == 0 {
+		return
+	}
 	message := announcement{Name: r.spec.Name, Stamp: r.stamp()}
 	for _, to := range r.service.peers().remoteHeads(r.spec.Name, r.service.options.Watchers) {
 		r.service.send(ctx, to, methodAnnounce, message)
--- a/document/head.go
+++ b/document/head.go
@@ -4,7 +4,7 @@
 
 const (
 	// editRecords is how many accepted edits a head remembers by identifier.
-	editRecords = 64
+	editRecords = 32
 	// refusedRecords is how many edits settled as not accepted it remembers.
 	refusedRecords = 16
 )
@@ -16,28 +16,32 @@
 	Inline [][]byte `cbor:"2,keyasint,omitempty"`
 	// History are the earlier versions that can still be read, newest first.
 	History []Version `cbor:"3,keyasint,omitempty"`
-	// Edits are the last accepted edits, newest first, this version's included.
-	Edits []Stamp `cbor:"4,keyasint,omitempty"`
+	// Older are the accepted edits before those of History, newest first.
+	Older []Stamp `cbor:"4,keyasint,omitempty"`
 	// Refused are edits that were settled as not accepted.
 	Refused []EditID `cbor:"5,keyasint,omitempty"`
 }
 
 // next returns the head of the version that follows.
 func (h head) next(version Version, inline [][]byte, keepHistory int) head {
-	return head{
-		Version: version,
-		Inline:  inline,
-		History: h.pushHistory(keepHistory),
-		Edits:   firstOf(slices.Concat([]Stamp{version.Stamp}, h.Edits), editRecords),
-		Refused: h.Refused,
+	next := head{Version: version, Inline: inline, Refused: h.Refused}
+	if h.Version.Generation == 0 {
+		return next
 	}
+	next.History = firstOf(slices.Concat([]Version{h.Version}, h.History), keepHistory)
+	// The first stamps are this version's and those of the history.
+	older := h.edits()[len(next.History):]
+	next.Older = firstOf(older, max(0, editRecords-1-len(next.History)))
+	return next
 }
 
-func (h head) pushHistory(keep int) []Version {
-	if h.Version.Generation == 0 {
-		return nil
+// edits returns the accepted edits that are remembered, newest first.
+func (h head) edits() []Stamp {
+	edits := []Stamp{h.Version.Stamp}
+	for _, version := range h.History {
+		edits = append(edits, version.Stamp)
 	}
-	return firstOf(slices.Concat([]Version{h.Version}, h.History), keep)
+	return append(edits, h.Older...)
 }
 
 // refuse returns the same head with an edit marked as not accepted.
@@ -53,7 +57,7 @@
 			return version, true
 		}
 	}
-	for _, stamp := range h.Edits {
+	for _, stamp := range h.Older {
 		if stamp.Edit == id {
 			return Version{Stamp: stamp}, true
 		}
@@ -68,7 +72,7 @@
 // that an edit which isn't among them certainly was not accepted since.
 func (h head) covers(generation uint64) bool {
 	next := h.Version.Generation
-	for _, stamp := range h.Edits {
+	for _, stamp := range h.edits() {
 		if next <= generation || stamp.Generation != next {
 			break
 		}
--- a/document/options.go
+++ b/document/options.go
@@ -30,7 +30,7 @@
 	AntiEntropy time.Duration
 	// Supervision is the time between looks at the membership (1 s).
 	Supervision time.Duration
-	// WatchRenewal is how long one watch call waits (15 s).
+	// WatchRenewal is how long one watch call waits (45 s).
 	WatchRenewal time.Duration
 	// StoreTimeout bounds any other call to the store (5 s).
 	StoreTimeout time.Duration
@@ -41,7 +41,7 @@
 	// RepairDelay is for how long the store must be behind before a watcher writes
 	// its own version back (10 s).
 	RepairDelay time.Duration
-	// RetryMax bounds the backoff after an error of the store (5 s).
+	// RetryMax bounds the backoff after an error of the store (2 s).
 	RetryMax time.Duration
 	// CollectInterval is the time between collections of parts that nothing refers
 	// to (30 min); CollectAge is how long they must have been so (1 h).
@@ -56,12 +56,12 @@
 	setDefault(&o.Fanout, 8)
 	setDefault(&o.AntiEntropy, 5*time.Second)
 	setDefault(&o.Supervision, time.Second)
-	setDefault(&o.WatchRenewal, 15*time.Second)
+	setDefault(&o.WatchRenewal, 45*time.Second)
 	setDefault(&o.StoreTimeout, 5*time.Second)
 	setDefault(&o.CallTimeout, 2*time.Second)
 	setDefault(&o.EditTimeout, 15*time.Second)
 	setDefault(&o.RepairDelay, 10*time.Second)
-	setDefault(&o.RetryMax, 5*time.Second)
+	setDefault(&o.RetryMax, 2*time.Second)
 	setDefault(&o.CollectInterval, 30*time.Minute)
 	setDefault(&o.CollectAge, time.Hour)
 	setDefault(&o.PageBytes, 128<<10)
--- a/document/peers.go
+++ b/document/peers.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -66,26 +68,25 @@
 // anyLocal returns a random other member of the data centre.
 func (p peers) anyLocal() (domain.Member, bool) { return anyOf(p.others()) }
 
-// anyRemote returns a random member of a random other data centre.
-func (p peers) anyRemote() (domain.Member, bool) {
-	var all []domain.Member
-	for _, members := range p.remote {
-		all = append(all, members...)
-	}
-	slices.SortFunc(all, func(a, b domain.Member) int { return compareNodes(a, b) })
-	return anyOf(all)
-}
+// partnerCentres is with how many other data centres one compares. They stay the
+// same, so that links to them stay open; over few steps they reach all.
+const partnerCentres = 3
 
-func compareNodes(a, b domain.Member) int {
-	switch {
-	case a.Node < b.Node:
-		return -1
-	case a.Node > b.Node:
-		return 1
+// anyPartner returns a random node of those that the data centre compares with.
+func (p peers) anyPartner(watchers int) (domain.Member, bool) {
+	centres := slices.Collect(maps.Keys(p.remote))
+	rank := func(centre domain.DataCentre) uint64 { return score(string(p.self.DataCentre), domain.NodeID(centre)) }
+	slices.SortFunc(centres, func(a, b domain.DataCentre) int { return cmp.Compare(rank(a), rank(b)) })
+	var partners []domain.Member
+	for _, centre := range firstOf(centres, partnerCentres) {
+		partners = append(partners, heads(partnerKey, p.remote[centre], watchers)...)
 	}
-	return 0
+	return anyOf(partners)
 }
 
+// partnerKey chooses the nodes that other data centres compare with.
+const partnerKey = "partners"
+
 func anyOf(members []domain.Member) (domain.Member, bool) {
 	if len(members) == 0 {
 		return domain.Member{}, false
