--- a/routing/dump.go
+++ b/routing/dump.go
@@ -38,7 +38,7 @@
 func (rt *Router) dump(e *Endpoint) EndpointDump {
 	return EndpointDump{
 		Endpoint:   e.id,
-		Generation: e.row.Generation,
+		Generation: e.generationName,
 		Speed:      *e.Speed(),
 		Samples:    e.profile.Samples(),
 		Ratio:      e.straggler.Ratio(),
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -19,14 +19,14 @@
 // EndpointState.
 type Endpoint struct {
 	// What each decision reads comes first, close together.
-	row        *config.EndpointRow
-	hash       uint64
-	generation *Generation
-	prefixes   *PrefixTable
-	speed      Speed
-	trust      Trust
-	suspects   int
-	listed     bool // while the Router counts it
+	generationName string
+	hash           uint64
+	generation     *Generation
+	prefixes       *PrefixTable
+	speed          Speed
+	trust          Trust
+	suspects       int
+	listed         bool // while the Router counts it
 	// promptTokens and uncachedTokens sum the flights.
 	promptTokens   float64
 	uncachedTokens float64
@@ -64,18 +64,17 @@
 func NewEndpoint(now time.Time, row *config.EndpointRow, generation *Generation, prefixBlocks int) *Endpoint {
 	e := &Endpoint{
 		id:       row.ID,
-		row:      row,
 		hash:     xxhash.Sum64String(string(row.ID)),
 		prefixes: NewPrefixTable(prefixBlocks, now),
 		seenAt:   now,
 	}
-	e.join(generation)
+	e.join(row.Generation, generation)
 	return e
 }
 
 // join makes the endpoint one of a generation, of which it has its speed.
-func (e *Endpoint) join(generation *Generation) {
-	e.generation = generation
+func (e *Endpoint) join(name string, generation *Generation) {
+	e.generationName, e.generation = name, generation
 	e.straggler = Straggler{}
 	e.unlearn()
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/domain"
 )
@@ -32,16 +30,3 @@
 	// At is when it was placed.
 	At time.Time
 }
-
-// affinityOf returns the hash by which ties are broken: that of the session, the
-// first prompt block, or the ask itself.
-func affinityOf(ask *capacity.Ask) uint64 {
-	switch {
-	case ask.Session != "":
-		return xxhash.Sum64String(ask.Session)
-	case len(ask.Blocks) > 0:
-		return ask.Blocks[0]
-	default:
-		return xxhash.Sum64String(ask.Name)
-	}
-}
--- a/routing/router.go
+++ b/routing/router.go
@@ -9,7 +9,6 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"hawthornrill.example/hawthornrill/capacity"
-	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -26,6 +25,8 @@
 	sessions    *simplelru.LRU[uint64, SessionPlace]
 	forgotAt    time.Time
 
+	// turn spreads asks that have no affinity.
+	turn uint64
 	// current, scratch and fullScratch are used again by each decision.
 	current     Request
 	scratch     []Candidate
@@ -201,7 +202,7 @@
 		Ask:      ask,
 		Due:      waiting.Due,
 		Suspect:  rt.options.Quarantine.Suspect(ask.Fingerprint),
-		Affinity: affinityOf(ask),
+		Affinity: rt.affinity(ask),
 	}
 	if ask.Session != "" {
 		rt.current.Session, _ = rt.sessions.Peek(xxhash.Sum64String(ask.Session))
@@ -209,6 +210,20 @@
 	return &rt.current
 }
 
+// affinity returns the hash by which ties are broken: that of the session, or of the
+// first prompt block; asks that have neither take turns.
+func (rt *Router) affinity(ask *capacity.Ask) uint64 {
+	switch {
+	case ask.Session != "":
+		return xxhash.Sum64String(ask.Session)
+	case len(ask.Blocks) > 0:
+		return ask.Blocks[0]
+	default:
+		rt.turn++
+		return mix(rt.turn)
+	}
+}
+
 // candidates fills the scratch list.
 func (rt *Router) candidates(now time.Time, states []*capacity.EndpointState, pool domain.PoolName) []Candidate {
 	rt.scratch = slices.Grow(rt.scratch[:0], len(states))[:len(states)]
@@ -230,8 +245,8 @@
 		e = NewEndpoint(now, state.Row, rt.generation(state.Row.Generation), rt.options.PrefixBlocks)
 		state.Learned = e
 	}
-	if e.row != state.Row {
-		rt.configure(e, state.Row)
+	if name := state.Row.Generation; e.generationName != name {
+		e.join(name, rt.generation(name))
 	}
 	if !e.listed {
 		e.listed = true
@@ -240,14 +255,6 @@
 	return e
 }
 
-// configure takes an endpoint's new row.
-func (rt *Router) configure(e *Endpoint, row *config.EndpointRow) {
-	if e.row.Generation != row.Generation {
-		e.join(rt.generation(row.Generation))
-	}
-	e.row = row
-}
-
 func (rt *Router) generation(name string) *Generation {
 	g, ok := rt.generations[name]
 	if !ok {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -39,7 +39,7 @@
 
 func (b *bench) ask() capacity.Ask {
 	b.asks++
-	return capacity.Ask{Name: fmt.Sprint(b.asks), Pool: "model/m", PromptTokens: 400, AnswerTokens: 100, Fingerprint: b.asks}
+	return capacity.Ask{Pool: "model/m", PromptTokens: 400, AnswerTokens: 100, Fingerprint: b.asks}
 }
 
 // choose returns the endpoint's place, -1 if the ask is to wait.
@@ -264,6 +264,26 @@
 	assert.Equal(t, e.prefixes.Depth(ask.Blocks, 0), 0, "the endpoint crashed")
 }
 
+func TestPlainCallsSpread(t *testing.T) {
+	b := newBench(t, 4, Options{})
+	served := make(map[int]int)
+	for range 400 {
+		ask := capacity.Ask{Pool: "service/catalogue"}
+		at := b.choose(ask, false)
+		served[at]++
+		h := b.grant(at, ask)
+		b.now = b.now.Add(time.Millisecond)
+		b.end(h, capacity.Result{Dispatched: true, Complete: true, FirstToken: 5 * time.Millisecond, Total: 6 * time.Millisecond})
+	}
+	for at := range 4 {
+		assert.Assert(t, served[at] > 40, "%v", served)
+	}
+	b.load(3, 1)
+	for range 20 {
+		assert.Assert(t, b.choose(capacity.Ask{Pool: "service/catalogue"}, false) != 1)
+	}
+}
+
 func TestHoldBack(t *testing.T) {
 	for ratio, want := range map[float64]int{0: 1, 2: -1, 50: 1} {
 		b := newBench(t, 2, Options{HoldRatio: ratio})
