--- a/limits/service_test.go
+++ b/limits/service_test.go
@@ -193,6 +193,8 @@
 		start := time.Now()
 		wg.Wait()
 		used := float64(total.Load()) * 0.1 / (5 * time.Since(start).Seconds())
+		sent := c.network.Total(methodReport)
+		t.Logf("%.2f of the limit used, %.1f messages and %.0f B a second", used, float64(sent.Messages)/time.Since(start).Seconds(), float64(sent.Bytes)/time.Since(start).Seconds())
 		assert.Assert(t, used > 0.7, "%.2f of the limit used", used)
 		for i := range admitted {
 			assert.Assert(t, admitted[i].Load() > total.Load()/30, "node %d had %d of %d", i, admitted[i].Load(), total.Load())
@@ -248,6 +250,7 @@
 		wg.Wait()
 		minutes := time.Since(start).Minutes()
 		part := float64(spent.Load()) / (limit * (minutes + 1))
+		t.Logf("%.3f of the limit and a minute's burst used in %.1f minutes", part, minutes)
 		assert.Assert(t, part > 0.85 && part <= 1.02, "%.3f of the limit in %.1f minutes", part, minutes)
 	})
 }
