--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/buildinfo"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint/onesend"
+	"hawthornrill.example/hawthornrill/entry"
+	"hawthornrill.example/hawthornrill/node"
+	"hawthornrill.example/hawthornrill/operatorapi"
+	"hawthornrill.example/hawthornrill/peer/pki"
+	"hawthornrill.example/hawthornrill/peer/wslink"
+	"hawthornrill.example/hawthornrill/scheduler"
+	"hawthornrill.example/hawthornrill/settings"
+)
+
+// Daemon is a node with its listeners.
+type Daemon struct {
+	options   Options
+	listeners *listeners
+	transport *wslink.Transport
+	node      *node.Node
+}
+
+// Run runs a node with the checked settings until the context ends, and then
+// drains it.
+func Run(ctx context.Context, s settings.Settings, log zerolog.Logger) error {
+	d, err := New(Options{Settings: s, Log: log})
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// New opens the listeners and puts the node together. Run must be called.
+func New(options Options) (*Daemon, error) {
+	s := options.Settings
+	options.Log = options.Log.With().Str("node", string(s.Node)).Logger()
+	listeners, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{options: options, listeners: listeners}
+	if err := d.build(); err != nil {
+		listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	s := d.options.Settings
+	set := metrics.NewSet()
+	var err error
+	if d.transport, err = d.newTransport(set); err != nil {
+		return err
+	}
+	secrets, err := sessionSecrets(s.Sessions.SecretFiles, d.options.Log)
+	if err != nil {
+		return err
+	}
+	d.node, err = node.New(node.Options{
+		Transport:      d.transport,
+		Store:          d.newStore(set),
+		Members:        d.newMembers(d.transport, set),
+		Adapters:       httpAdapters{onesend.New(onesend.Options{})},
+		Log:            d.options.Log,
+		Metrics:        set,
+		SessionSecrets: secrets,
+		SessionTTL:     s.Sessions.TTL.Duration,
+		Retention:      s.Retention.Window.Duration,
+		MaxKeys:        s.Retention.MaxKeys,
+		AnswerBytes:    s.Retention.AnswerBytes,
+		NoticePeriod:   s.Shutdown.NoticePeriod.Duration,
+		Entry:          entry.Options{MaxBodyBytes: int64(s.Callers.MaxBodyBytes)},
+		Scheduler:      scheduler.Options{Grace: s.Callers.DisconnectGrace.Duration},
+	})
+	return err
+}
+
+// newTransport makes the peer links of a new life of the node. The wall clock
+// only numbers lives; peers settle a clash by a later number.
+func (d *Daemon) newTransport(set *metrics.Set) (*wslink.Transport, error) {
+	s := d.options.Settings
+	options := wslink.Options{
+		Self: domain.Member{
+			Node:        s.Node,
+			Incarnation: domain.Incarnation(time.Now().UnixNano()),
+			DataCentre:  s.DataCentre,
+			Address:     d.listeners.peers.Addr().String(),
+		},
+		MaxFrameBytes: s.Peers.MaxFrameBytes,
+		Logger:        d.options.Log,
+		Metrics:       set,
+	}
+	if !s.Peers.Plain {
+		files, err := pki.LoadFiles(pki.Paths{
+			Authorities: s.Peers.TLS.CA,
+			Certificate: s.Peers.TLS.Certificate,
+			Key:         s.Peers.TLS.Key,
+		}, d.reloaded)
+		if err != nil {
+			return nil, fmt.Errorf("daemon: peers.tls: %w", err)
+		}
+		options.Credentials = files
+	}
+	return wslink.New(options)
+}
+
+func (d *Daemon) reloaded(err error) {
+	if err != nil {
+		d.options.Log.Error().Err(err).Msg("peer certificates not reloaded, the earlier ones stay in use")
+		return
+	}
+	d.options.Log.Info().Msg("peer certificates reloaded")
+}
+
+// Node returns the node, for embedding.
+func (d *Daemon) Node() *node.Node { return d.node }
+
+// Addresses returns what the process listens on.
+func (d *Daemon) Addresses() settings.Listen {
+	return settings.Listen{
+		Callers:   d.listeners.callers.Addr().String(),
+		Peers:     d.listeners.peers.Addr().String(),
+		Operators: d.listeners.operators.Addr().String(),
+	}
+}
+
+// Run serves until the context ends, then drains: nothing in progress is cut,
+// unless the settings limit the wait.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group run.Group
+	d.addDrain(ctx, &group)
+	d.addNode(&group)
+	d.addServer(&group, newServer(d.listeners.operators, d.options.Log, d.operatorRoutes), settings.TLS{})
+	d.addServer(&group, newServer(d.listeners.callers, d.options.Log, d.callerRoutes), d.options.Settings.Callers.TLS)
+	d.addPeers(&group)
+	listen := d.Addresses()
+	d.options.Log.Info().Str("version", buildinfo.Version).Str("callers", listen.Callers).
+		Str("peers", listen.Peers).Str("operators", listen.Operators).Msg("node started")
+	err := group.Run()
+	d.options.Log.Info().AnErr("reason", err).Msg("node stopped")
+	if errors.Is(err, errDrained) {
+		return nil
+	}
+	return err
+}
+
+// errDrained ends the group after a drain.
+var errDrained = errors.New("daemon: drained")
+
+// addDrain waits for the context's end and drains the node.
+func (d *Daemon) addDrain(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-ctx.Done()
+		d.drain()
+		return errDrained
+	}, func(error) { cancel() })
+}
+
+func (d *Daemon) drain() {
+	ctx := context.Background()
+	if limit := d.options.Settings.Shutdown.Limit.Duration; limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	d.options.Log.Info().Msg("draining")
+	if err := d.node.Drain(ctx); err != nil {
+		d.options.Log.Error().Err(err).Msg("drain not complete")
+	}
+}
+
+func (d *Daemon) addNode(group *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return d.node.Run(ctx) }, func(error) { cancel() })
+}
+
+func (d *Daemon) addServer(group *run.Group, s *server, certificate settings.TLS) {
+	group.Add(func() error {
+		if certificate != (settings.TLS{}) {
+			return s.serveTLS(certificate.Certificate, certificate.Key)
+		}
+		return s.serve()
+	}, func(error) { s.close() })
+}
+
+func (d *Daemon) addPeers(group *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return d.transport.Serve(ctx, d.listeners.peers) }, func(error) {
+		closing, stop := context.WithTimeout(context.Background(), closeTimeout)
+		defer stop()
+		_ = d.transport.Close(closing)
+		cancel()
+	})
+}
+
+func (d *Daemon) callerRoutes(e *echo.Echo) {
+	d.node.Callers(e)
+	d.node.Health(e)
+}
+
+func (d *Daemon) operatorRoutes(e *echo.Echo) {
+	d.node.Health(e)
+	d.node.Observe(e)
+	operatorapi.New(d.node.Table(), operatorKeys(d.options.Settings.Operators)).Mount(e)
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon runs a node as a process: its listeners, the adapters to the
+// outside, and a graceful end.
+package daemon
--- /dev/null
+++ b/daemon/listeners.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net"
+
+	"hawthornrill.example/hawthornrill/settings"
+)
+
+// listeners are the sockets of a process.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// listen opens all sockets, or none.
+func listen(s settings.Listen) (*listeners, error) {
+	var l listeners
+	var errs []error
+	open := func(field, address string) net.Listener {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("daemon: listen.%s = %q: %w", field, address, err))
+		}
+		return listener
+	}
+	l.callers = open("callers", s.Callers)
+	l.peers = open("peers", s.Peers)
+	l.operators = open("operators", s.Operators)
+	if len(errs) > 0 {
+		l.close()
+		return nil, errors.Join(errs...)
+	}
+	return &l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/hostlist/httphostlist"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer"
+	"hawthornrill.example/hawthornrill/store"
+	"hawthornrill.example/hawthornrill/store/budget"
+	"hawthornrill.example/hawthornrill/store/httpstore"
+)
+
+// newStore returns the platform's store within this node's budget of calls.
+func (d *Daemon) newStore(set *metrics.Set) store.Store {
+	s := d.options.Settings.Platform
+	return budget.New(httpstore.New(httpstore.Options{BaseURL: s.Store}), budget.Options{
+		BackgroundPerSecond: s.CallsPerSecond,
+		Metrics:             set,
+	})
+}
+
+// newMembers returns the membership by the platform's host list, the seeds and
+// the peers' own word.
+func (d *Daemon) newMembers(transport peer.Transport, set *metrics.Set) *membership.Service {
+	s := d.options.Settings
+	return membership.New(membership.Options{
+		Transport: transport,
+		List:      httphostlist.New(httphostlist.Options{BaseURL: s.Platform.HostList}),
+		Seeds:     d.seeds(),
+		Logger:    d.options.Log,
+		Metrics:   set,
+	})
+}
+
+func (d *Daemon) seeds() []hostlist.Host {
+	var hosts []hostlist.Host
+	for _, seed := range d.options.Settings.Peers.Seeds {
+		hosts = append(hosts, hostlist.Host{
+			Node:       seed.Node,
+			Address:    seed.Address,
+			DataCentre: seed.DataCentre,
+			State:      hostlist.StateLive,
+		})
+	}
+	return hosts
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,245 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/daemon"
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/document"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/settings"
+	"hawthornrill.example/hawthornrill/standin/engine"
+	"hawthornrill.example/hawthornrill/standin/storeserver"
+	"hawthornrill.example/hawthornrill/store/memstore"
+)
+
+const (
+	// OperatorName and OperatorKey are the demonstration operator's. They are no
+	// secret.
+	OperatorName = "demo"
+	OperatorKey  = "demo-operator-key"
+)
+
+// readyPoll is the interval at which Start looks whether the nodes are ready.
+const readyPoll = 20 * time.Millisecond
+
+// Demo is a running deployment.
+type Demo struct {
+	options Options
+	table   config.Table
+	store   string
+	hosts   string
+	sites   []*site
+	engines map[domain.EndpointID]*engine.Engine
+	daemons []*daemon.Daemon
+
+	// nodes and endpoints are the goroutines that run them; stop ends the nodes.
+	nodes     errgroup.Group
+	endpoints errgroup.Group
+	stop      context.CancelFunc
+}
+
+// Start runs the deployment and returns when all nodes are ready, or fails.
+// Stop must be called.
+func Start(ctx context.Context, options Options) (*Demo, error) {
+	d := &Demo{
+		options: options,
+		table:   withoutServices(options.Deployment.Table),
+		engines: make(map[domain.EndpointID]*engine.Engine),
+	}
+	running, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	if err := d.start(ctx, running); err != nil {
+		_ = d.Stop()
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	return d, nil
+}
+
+func (d *Demo) start(ctx, running context.Context) error {
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	if err := d.startEndpoints(); err != nil {
+		return err
+	}
+	if err := d.startNodes(running); err != nil {
+		return err
+	}
+	if err := d.accept(ctx); err != nil {
+		return err
+	}
+	return d.awaitReady(ctx)
+}
+
+// startPlatform runs the stand-ins of the store and of the host list. The list is
+// empty: the nodes go by their seeds and each other's word.
+func (d *Demo) startPlatform() error {
+	store, err := d.serve(storeserver.NewHandler(memstore.New(memstore.Options{}), storeserver.Options{}))
+	if err != nil {
+		return err
+	}
+	hosts, err := d.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "[]") }))
+	if err != nil {
+		return err
+	}
+	d.store, d.hosts = store.url(), hosts.url()
+	return nil
+}
+
+// serve runs a stand-in until Stop.
+func (d *Demo) serve(handler http.Handler) (*site, error) {
+	s, err := newSite(handler)
+	if err != nil {
+		return nil, err
+	}
+	d.sites = append(d.sites, s)
+	d.endpoints.Go(s.serve)
+	return s, nil
+}
+
+// startEndpoints runs a stand-in for each endpoint row and fills in its address.
+func (d *Demo) startEndpoints() error {
+	for i := range d.table.Endpoints {
+		row := &d.table.Endpoints[i]
+		if row.Kind != config.KindEngine {
+			continue
+		}
+		e := engine.New(engine.Options{
+			Speed:         speed(row.Generation),
+			IgnoreFencing: !row.ChecksFencing,
+			Seed:          uint64(i),
+		})
+		s, err := d.serve(engine.NewHandler(e))
+		if err != nil {
+			return err
+		}
+		row.Address = s.url()
+		d.engines[row.ID] = e
+	}
+	return nil
+}
+
+func speed(generation string) engine.Speed {
+	if generation == deployment.GenerationB {
+		return engine.GenerationB()
+	}
+	return engine.GenerationA()
+}
+
+// startNodes runs a daemon for each host.
+func (d *Demo) startNodes(running context.Context) error {
+	seeds, err := d.seeds()
+	if err != nil {
+		return err
+	}
+	for i, host := range d.options.Deployment.Hosts {
+		s := settings.Default()
+		s.Node = host.Node
+		s.DataCentre = host.DataCentre
+		s.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: seeds[i].Address}
+		s.Platform.Store, s.Platform.HostList = d.store, d.hosts
+		s.Operators.Keys = []settings.OperatorKey{{Name: OperatorName, SHA256: deployment.KeyHash(OperatorKey)}}
+		s.Peers.Plain = true
+		s.Peers.Seeds = seeds
+		s.Shutdown.NoticePeriod.Duration = 0
+		node, err := daemon.New(daemon.Options{Settings: s, Log: d.options.Log})
+		if err != nil {
+			return err
+		}
+		d.daemons = append(d.daemons, node)
+		d.nodes.Go(func() error { return node.Run(running) })
+	}
+	return nil
+}
+
+func (d *Demo) seeds() ([]settings.Seed, error) {
+	var seeds []settings.Seed
+	for _, host := range d.options.Deployment.Hosts {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		seeds = append(seeds, settings.Seed{Node: host.Node, DataCentre: host.DataCentre, Address: address})
+	}
+	return seeds, nil
+}
+
+// accept has the first node accept the deployment's table.
+func (d *Demo) accept(ctx context.Context) error {
+	changes := config.Diff(config.Table{}, d.table)
+	for {
+		edit := document.Edit{ID: document.NewEditID(), Author: OperatorName, Note: "the demo's table"}
+		_, err := d.daemons[0].Node().Table().Edit(ctx, edit, changes)
+		if err == nil || ctx.Err() != nil || invalid(err) {
+			return err
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+// invalid reports whether the table can't be accepted, ever.
+func invalid(err error) bool {
+	var problems config.Problems
+	return errors.As(err, &problems)
+}
+
+func (d *Demo) awaitReady(ctx context.Context) error {
+	for _, node := range d.daemons {
+		for node.Node().Ready() != nil {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s is not ready: %w", node.Addresses().Callers, node.Node().Ready())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Callers returns the base URLs of the nodes.
+func (d *Demo) Callers() []string {
+	var urls []string
+	for _, node := range d.daemons {
+		urls = append(urls, "http://"+node.Addresses().Callers)
+	}
+	return urls
+}
+
+// Runs counts how often each request was run by the engines, the demo's witness.
+func (d *Demo) Runs() map[string]int {
+	counts := make(map[string]int)
+	for _, e := range d.engines {
+		for _, r := range e.Runs() {
+			counts[r.Key]++
+		}
+	}
+	return counts
+}
+
+// Stop drains all nodes, then ends the stand-ins.
+func (d *Demo) Stop() error {
+	d.stop()
+	nodes := d.nodes.Wait()
+	for _, s := range d.sites {
+		s.close()
+	}
+	return errors.Join(nodes, d.endpoints.Wait())
+}
+
+// withoutServices leaves out the plain services.
+func withoutServices(table config.Table) config.Table {
+	table = table.Clone()
+	table.Services = nil
+	table.Endpoints = slices.DeleteFunc(table.Endpoints, func(row config.EndpointRow) bool { return row.Kind != config.KindEngine })
+	return table
+}
--- /dev/null
+++ b/demo/guide.go
@@ -0,0 +1,28 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+)
+
+// Guide writes addresses, keys and ready-made commands.
+func (d *Demo) Guide(w io.Writer) error {
+	deployment := d.options.Deployment
+	fmt.Fprintf(w, "%s is up: %d nodes before %d engines.\n\nNodes (callers, operators):\n", deployment.Name, len(d.daemons), len(d.engines))
+	for i, host := range deployment.Hosts {
+		listen := d.daemons[i].Addresses()
+		fmt.Fprintf(w, "  %-12s http://%s  http://%s\n", host.Node, listen.Callers, listen.Operators)
+	}
+	fmt.Fprintf(w, "\nOrganisations (tier, key):\n")
+	for _, row := range d.table.Organisations {
+		fmt.Fprintf(w, "  %-14s %-9s %s\n", row.ID, row.Tier, deployment.Keys[row.ID])
+	}
+	listen := d.daemons[0].Addresses()
+	org := d.table.Organisations[0].ID
+	fmt.Fprintf(w, "\nTry:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", listen.Callers, deployment.Keys[org])
+	fmt.Fprintf(w, "    -H 'Content-Type: application/json' -H 'Idempotency-Key: first' \\\n")
+	fmt.Fprintf(w, "    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":30,\"messages\":[{\"role\":\"user\",\"content\":\"Good morning\"}]}'\n", deployment.Model)
+	fmt.Fprintf(w, "  hawthornctl -node http://%s -key %s status\n", listen.Operators, OperatorKey)
+	_, err := fmt.Fprintf(w, "  curl http://%s/debug/state\n  curl http://%s/metrics\n\nCtrl-C drains and ends.\n", listen.Operators, listen.Operators)
+	return err
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -79,6 +79,11 @@
 	return nil
 }
 
+func (v *viewOf) Farewell(context.Context) error {
+	v.c.setStatus(v.self, membership.StatusGone)
+	return nil
+}
+
 // engineAdapters gives the in-process engines as endpoints.
 type engineAdapters struct {
 	c    *cluster
@@ -153,13 +158,9 @@
 
 // accept writes a configuration.
 func (c *cluster) accept(table config.Table) {
-	var text strings.Builder
-	assert.NilError(c.t, config.WriteTOML(&text, table))
 	first := c.nodes[c.members[0].Node]
-	_, err := first.documents.Update(context.Background(), configDocument, document.Edit{ID: document.NewEditID()},
-		func(document.Version, []byte) (document.Value, error) {
-			return document.Single([]byte(text.String())), nil
-		})
+	edit := document.Edit{ID: document.NewEditID(), Author: "test"}
+	_, err := first.Table().Edit(context.Background(), edit, config.Diff(config.Table{}, table))
 	assert.NilError(c.t, err)
 }
 
--- a/node/enrolment.go
+++ b/node/enrolment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,6 +19,9 @@
 	enrolEvery = 2 * time.Second
 	// enrolRetry is the pause after an edit of the table that failed.
 	enrolRetry = time.Second
+	// departTimeout bounds the handing over of the records. The others can't take
+	// them over while the store is down.
+	departTimeout = 30 * time.Second
 	// departPoll is the interval at which a leaving node looks whether its records
 	// have been collected.
 	departPoll = 50 * time.Millisecond
@@ -112,11 +116,13 @@
 // others hold every record, and is then removed. The error says why the records
 // were not handed over; the others then count this life's memory as lost.
 func (e *enrolment) depart(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
 	left, err := e.tables.Edit(ctx, ledger.Leave(e.self))
 	if err != nil {
 		return err
 	}
-	if len(left.Members) > 1 {
+	if staying(left) {
 		if err := e.awaitSettled(ctx, left.Epoch); err != nil {
 			return err
 		}
@@ -125,6 +131,12 @@
 	return err
 }
 
+// staying reports whether the table has a member that is not leaving, which takes
+// the records over.
+func staying(table *ledger.Table) bool {
+	return slices.ContainsFunc(table.Members, func(m ledger.TableMember) bool { return m.Leaving == 0 })
+}
+
 // awaitSettled waits until the table records that every record is held twice
 // without this node.
 func (e *enrolment) awaitSettled(ctx context.Context, epoch uint64) error {
@@ -132,7 +144,7 @@
 	defer ticker.Stop()
 	for {
 		table := e.tables.Table(e.self.DataCentre)
-		if table != nil && table.Settled() >= epoch {
+		if table != nil && (table.Settled() >= epoch || !staying(table)) {
 			return nil
 		}
 		select {
--- a/node/errors.go
+++ b/node/errors.go
@@ -2,5 +2,9 @@
 
 import "errors"
 
-// ErrDraining means that the node takes nothing new because it is leaving.
-var ErrDraining = errors.New("node: draining")
+var (
+	// ErrDraining means that the node takes nothing new because it is leaving.
+	ErrDraining = errors.New("node: draining")
+	// ErrJoining means that the node has no place in the ledger table yet.
+	ErrJoining = errors.New("node: joining")
+)
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,8 @@
 
 	"hawthornrill.example/hawthornrill/answer"
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/config/agreed"
 	"hawthornrill.example/hawthornrill/dispatch"
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/domain"
@@ -25,12 +27,12 @@
 )
 
 const (
+	// joinPatience is how long a new node waits for its place in the ledger table.
+	joinPatience = 15 * time.Second
+	// followEvery is the interval at which new data centres are looked for.
+	followEvery = time.Second
 	// expireEvery is the interval at which finished answers that are too old go.
 	expireEvery = 10 * time.Second
-	// configDocument is the name of the configuration's document.
-	configDocument = "config"
-	// configHistory is how many earlier configurations the store keeps.
-	configHistory = 50
 )
 
 // Node is one node of the system. Its parts are made by New, and work while Run
@@ -39,7 +41,7 @@
 	options    Options
 	self       domain.Member
 	documents  *document.Service
-	config     *configuration
+	config     *agreed.Service
 	tables     *tables
 	ledger     *ledger.Replica
 	limits     *limits.Service
@@ -54,20 +56,23 @@
 	enrolment  *enrolment
 	started    time.Time
 	draining   atomic.Bool
-	// enrol ends the enrolment, so that a node that departs does not join again.
-	enrol    context.CancelFunc
-	enrolled chan struct{}
+	// enrolling ends before the node departs, so that it does not join again; then
+	// enrolled is closed.
+	enrolling context.Context
+	stopEnrol context.CancelFunc
+	enrolled  chan struct{}
 }
 
 // New puts a node together and registers its handlers with the transport.
 func New(options Options) (*Node, error) {
 	n := &Node{
-		options:  options,
-		self:     options.Transport.Self(),
-		config:   newConfiguration(options.Log),
+		options: options,
+		self:    options.Transport.Self(),
+
 		started:  time.Now(),
 		enrolled: make(chan struct{}),
 	}
+	n.enrolling, n.stopEnrol = context.WithCancel(context.Background())
 	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildLimits, n.buildCapacity, n.buildScheduler, n.buildEntry} {
 		if err := build(); err != nil {
 			return nil, fmt.Errorf("node: %w", err)
@@ -88,11 +93,13 @@
 		return err
 	}
 	n.documents = documents
-	return documents.Register(document.Spec{
-		Name:        configDocument,
-		Apply:       n.config.apply,
-		KeepHistory: configHistory,
-	})
+	n.config, err = agreed.New(documents, agreed.Options{InForce: n.inForce})
+	return err
+}
+
+// inForce notes that a configuration came into force.
+func (n *Node) inForce(s *config.Snapshot) {
+	n.options.Log.Info().Uint64("revision", uint64(s.Revision)).Msg("configuration in force")
 }
 
 func (n *Node) buildLedger() error {
@@ -184,9 +191,6 @@
 // Run works until the context ends. A graceful end calls Drain first.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	enrolCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	n.enrol = stop
 	group.Go(func() error { return n.options.Members.Run(ctx) })
 	group.Go(func() error { return n.documents.Run(ctx) })
 	group.Go(func() error { return n.ledger.Run(ctx) })
@@ -194,10 +198,11 @@
 	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.capacity.Run(ctx) })
 	group.Go(func() error { return n.reports.run(ctx) })
-	group.Go(func() error { return n.expire(ctx) })
+	group.Go(func() error { return n.housekeep(ctx) })
+	context.AfterFunc(ctx, n.stopEnrol)
 	group.Go(func() error {
 		defer close(n.enrolled)
-		_ = n.enrolment.run(enrolCtx)
+		_ = n.enrolment.run(n.enrolling)
 		return nil
 	})
 	err := group.Wait()
@@ -209,16 +214,19 @@
 	return err
 }
 
-// expire drops old answers and follows the tables of data centres that appear.
-func (n *Node) expire(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
+// housekeep drops old answers and follows the tables of data centres that appear.
+func (n *Node) housekeep(ctx context.Context) error {
+	follow := time.NewTicker(followEvery)
+	defer follow.Stop()
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
 	for {
-		n.followTables()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-follow.C:
+			n.followTables()
+		case <-expire.C:
 			n.answers.Expire()
 		}
 	}
@@ -249,11 +257,19 @@
 	if err := n.scheduler.Drain(ctx); err != nil {
 		return fmt.Errorf("node: requests still in progress: %w", err)
 	}
-	n.enrol()
-	<-n.enrolled
-	return n.enrolment.depart(ctx)
+	n.stopEnrol()
+	select {
+	case <-n.enrolled:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	err := n.enrolment.depart(ctx)
+	return errors.Join(err, n.options.Members.Farewell(ctx))
 }
 
+// Table returns the operators' table on this node.
+func (n *Node) Table() *agreed.Service { return n.config }
+
 // sleep waits for d, or returns the context's error.
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
@@ -267,10 +283,29 @@
 // Callers registers the routes towards callers.
 func (n *Node) Callers(e *echo.Echo) { n.entry.Register(e) }
 
-// Ready returns nil if the node can take requests, else the reason why not.
+// Ready returns nil if the node can take requests, else the reason why not. A node
+// that starts while the store is down can't join the ledger table; after some
+// time it is ready all the same, for what it can do without.
 func (n *Node) Ready() error {
 	if n.draining.Load() {
 		return ErrDraining
 	}
-	return n.documents.Ready()
+	if err := n.documents.Ready(); err != nil {
+		return err
+	}
+	if time.Since(n.started) < joinPatience && !n.joined() {
+		return ErrJoining
+	}
+	return nil
+}
+
+// joined reports whether the node can decide about keys and find those who decide
+// about the others.
+func (n *Node) joined() bool {
+	for _, p := range n.options.Members.Current().Peers {
+		if n.tables.Table(p.DataCentre) == nil {
+			return false
+		}
+	}
+	return n.ledger.Ready()
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -33,8 +33,10 @@
 	c.tls("callers.tls", s.Callers.TLS, false)
 	c.positive("callers.max_body_bytes", s.Callers.MaxBodyBytes)
 	c.duration("callers.disconnect_grace", s.Callers.DisconnectGrace)
-	for i, hash := range s.Operators.KeyHashes {
-		c.sha256(fmt.Sprintf("operators.key_hashes[%d]", i), hash)
+	for i, key := range s.Operators.Keys {
+		field := fmt.Sprintf("operators.keys[%d]", i)
+		c.name(field+".name", key.Name)
+		c.sha256(field+".sha256", key.SHA256)
 	}
 	c.duration("sessions.ttl", s.Sessions.TTL)
 	c.duration("retention.window", s.Retention.Window)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,9 +76,16 @@
 	DisconnectGrace Duration `toml:"disconnect_grace"`
 }
 
-// Operators holds the SHA-256 of the operators' keys, hexadecimal.
+// Operators holds the operators' keys.
 type Operators struct {
-	KeyHashes []string `toml:"key_hashes"`
+	Keys []OperatorKey `toml:"keys"`
+}
+
+// OperatorKey is an operator's key, known by its SHA-256 in hexadecimal.
+type OperatorKey struct {
+	// Name is the operator's; edits are accepted under it.
+	Name   string `toml:"name"`
+	SHA256 string `toml:"sha256"`
 }
 
 // Sessions holds the files with the secrets that sign session tokens; the first
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -35,7 +35,7 @@
 		{"bad name", minimal + "[[peers.seeds]]\nnode = \"Ü\"\ndata_centre = \"palermo\"\naddress = \"localhost:1\"\n",
 			[]string{"peers.seeds[0].node", "peers.seeds[0].address"}},
 		{"plain beyond loopback", minimal + "listen.peers = \"192.0.2.1:7000\"\n", []string{"peers.plain"}},
-		{"key hash", minimal + "operators.key_hashes = [\"secret\"]\n", []string{"operators.key_hashes[0]"}},
+		{"key hash", minimal + "[[operators.keys]]\nname = \"ada\"\nsha256 = \"secret\"\n", []string{"operators.keys[0].sha256"}},
 		{"numbers", minimal + "callers.max_body_bytes = 0\nplatform.calls_per_second = -1.0\n",
 			[]string{"platform.calls_per_second", "callers.max_body_bytes"}},
 		{"log", minimal + "log.level = \"loud\"\n", []string{"log.level"}},
@@ -55,7 +55,7 @@
 }
 
 func TestSecretsAreNotRepeated(t *testing.T) {
-	_, err := Parse(minimal + "operators.key_hashes = [\"my-plain-key\"]\n")
+	_, err := Parse(minimal + "[[operators.keys]]\nname = \"ada\"\nsha256 = \"my-plain-key\"\n")
 	assert.Assert(t, !strings.Contains(err.Error(), "my-plain-key"))
 }
 
