Node: ledger tables of other data centres are fetched when the members there change

Cause: a node learned another data centre's table by anti-entropy only, and answered keys decided there unknown until then.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -125,10 +125,26 @@
 		c.start(m)
 	}
 	c.accept(d.Table)
-	time.Sleep(10 * time.Second)
+	c.awaitJoined()
 	return c
 }
 
+// joinLimit bounds the time that all nodes may take to be able to serve any key.
+const joinLimit = time.Minute
+
+// awaitJoined waits until every node can decide its keys and find the homes of all
+// others.
+func (c *cluster) awaitJoined() {
+	start := time.Now()
+	for _, n := range c.nodes {
+		for !n.joined() || n.Ready() != nil {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(c.t, time.Since(start) < joinLimit, "%s has not joined: %v", n.self, n.Ready())
+		}
+	}
+	c.t.Logf("all nodes joined after %v", time.Since(start))
+}
+
 // start runs a life of a node.
 func (c *cluster) start(m domain.Member) *runningNode {
 	g := newGate()
--- a/node/node.go
+++ b/node/node.go
@@ -29,8 +29,6 @@
 const (
 	// joinPatience is how long a new node waits for its place in the ledger table.
 	joinPatience = 15 * time.Second
-	// followEvery is the interval at which new data centres are looked for.
-	followEvery = time.Second
 	// expireEvery is the interval at which finished answers that are too old go.
 	expireEvery = 10 * time.Second
 )
@@ -194,6 +192,9 @@
 	group.Go(func() error { return n.options.Members.Run(ctx) })
 	group.Go(func() error { return n.documents.Run(ctx) })
 	group.Go(func() error { return n.ledger.Run(ctx) })
+	group.Go(func() error {
+		return newForeignTables(n.documents, n.tables, n.options.Members, n.options.Log).run(ctx)
+	})
 	group.Go(func() error { return n.limits.Run(ctx) })
 	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.capacity.Run(ctx) })
@@ -214,33 +215,20 @@
 	return err
 }
 
-// housekeep drops old answers and follows the tables of data centres that appear.
+// housekeep drops old answers.
 func (n *Node) housekeep(ctx context.Context) error {
-	follow := time.NewTicker(followEvery)
-	defer follow.Stop()
 	expire := time.NewTicker(expireEvery)
 	defer expire.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-follow.C:
-			n.followTables()
 		case <-expire.C:
 			n.answers.Expire()
 		}
 	}
 }
 
-// followTables keeps the ledger tables of all known data centres up to date.
-func (n *Node) followTables() {
-	for _, p := range n.options.Members.Current().Peers {
-		if err := n.tables.follow(p.DataCentre); err != nil {
-			n.options.Log.Error().Err(err).Msg("ledger table not followed")
-		}
-	}
-}
-
 // Drain ends the node gracefully: it says that it is not ready, its peers are
 // told, new requests are served for the notice period and then refused, requests
 // in progress finish and are delivered, and its records are handed over. It
