--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,27 @@
+package demo
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/deployment"
+)
+
+// TestSample runs the demo's sample over real sockets; how long it takes does not
+// matter.
+func TestSample(t *testing.T) {
+	for _, name := range deployment.Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d, err := deployment.ByName(name)
+			assert.NilError(t, err)
+			running, err := Start(context.Background(), Options{Deployment: d, Log: zerolog.Nop()})
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, running.Stop()) }()
+			assert.NilError(t, running.Sample(context.Background(), t.Output()))
+		})
+	}
+}
