--- a/node/node.go
+++ b/node/node.go
@@ -168,6 +168,7 @@
 		Answers:    n.answers,
 		Relay:      answer.NewRelay(n.options.Transport, n.answers),
 		Transport:  n.options.Transport,
+		Lengths:    routing.NewLengthPredictor(),
 	}, n.options.Scheduler)
 	return nil
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -22,6 +22,8 @@
 	Answers    *answer.Registry
 	Relay      *answer.Relay
 	Transport  peer.Transport
+	// Lengths predicts answers' lengths; nil stands for LongestAnswers.
+	Lengths Lengths
 }
 
 // Scheduler runs requests. It is safe for concurrent use.
@@ -48,6 +50,9 @@
 // with the transport.
 func New(parts Parts, options Options) *Scheduler {
 	ctx, stop := context.WithCancelCause(context.Background())
+	if parts.Lengths == nil {
+		parts.Lengths = LongestAnswers{}
+	}
 	s := &Scheduler{
 		parts:   parts,
 		options: options.withDefaults(),
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -24,7 +24,7 @@
 	}
 	t.scheduler.parts.Answers.Open(t.request.Key, t.buffer)
 	request := &t.request
-	permit, err := t.scheduler.parts.Limits.Admit(request.Organisation, request.PromptTokens, request.AnswerTokens)
+	permit, err := t.scheduler.parts.Limits.Admit(request.Organisation, request.PromptTokens, t.expectedTokens())
 	if err != nil {
 		return t.refuse(claim, limitEnd(err))
 	}
@@ -60,7 +60,7 @@
 		Organisation: request.Organisation.ID,
 		Tier:         request.Organisation.Rank,
 		PromptTokens: request.PromptTokens,
-		AnswerTokens: request.AnswerTokens,
+		AnswerTokens: t.expectedTokens(),
 		Blocks:       request.Blocks,
 		Session:      request.Key.Session,
 		FirstToken:   request.Organisation.FirstToken,
@@ -69,6 +69,24 @@
 	}
 }
 
+// expectedTokens is the length to expect of the answer, at most what the caller
+// allows; zero for a plain call.
+func (t *task) expectedTokens() int {
+	request := &t.request
+	if request.Call != nil {
+		return 0
+	}
+	return t.scheduler.parts.Lengths.Predict(request.Organisation.ID, request.Pool, request.PromptTokens, request.AnswerTokens)
+}
+
+// observeLength learns from a complete answer of a model.
+func (t *task) observeLength(use capacity.Result) {
+	request := &t.request
+	if request.Call == nil && use.Complete {
+		t.scheduler.parts.Lengths.Observe(request.Organisation.ID, request.Pool, request.PromptTokens, use.AnswerTokens)
+	}
+}
+
 // serveWithGrant commits, dispatches and settles. The place is given back before
 // the key's home is told, which may take its time.
 func (t *task) serveWithGrant(claim ledger.Claim, permit LimitPermit, grant capacity.Grant) step {
@@ -80,6 +98,7 @@
 		return t.notSent(claim, result)
 	}
 	permit.Release(t.tokensUsed(result.Use))
+	t.observeLength(result.Use)
 	t.scheduler.metrics.dispatched(&t.request, waited+result.Use.FirstToken, t.deadline(), result.Use)
 	return t.finish(claim, result.End)
 }
