--- a/demo/demo.go
+++ b/demo/demo.go
@@ -38,6 +38,7 @@
 	table   config.Table
 	store   string
 	hosts   string
+	secret  secretFile
 	sites   []*site
 	engines map[domain.EndpointID]*engine.Engine
 	daemons []*daemon.Daemon
@@ -142,6 +143,9 @@
 	if err != nil {
 		return err
 	}
+	if d.secret, err = newSecretFile(); err != nil {
+		return err
+	}
 	for i, host := range d.options.Deployment.Hosts {
 		s := settings.Default()
 		s.Node = host.Node
@@ -149,6 +153,7 @@
 		s.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: seeds[i].Address}
 		s.Platform.Store, s.Platform.HostList = d.store, d.hosts
 		s.Operators.Keys = []settings.OperatorKey{{Name: OperatorName, SHA256: deployment.KeyHash(OperatorKey)}}
+		s.Sessions.SecretFiles = []string{d.secret.path}
 		s.Peers.Plain = true
 		s.Peers.Seeds = seeds
 		s.Shutdown.NoticePeriod.Duration = 0
@@ -230,6 +235,7 @@
 func (d *Demo) Stop() error {
 	d.stop()
 	nodes := d.nodes.Wait()
+	d.secret.remove()
 	for _, s := range d.sites {
 		s.close()
 	}
