Capacity: a node that wrongly takes itself for the owner grants nothing while the owner says otherwise

Cause: a new owner asked only the nodes that it thought alive; the present owner, wrongly thought out of reach, was not among them. Those are now asked too, and waited for 50 ms longer than the others.

--- a/capacity/collect.go
+++ b/capacity/collect.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,9 @@
 	// collectRounds bounds how often a new owner asks, while another node takes
 	// itself for the owner.
 	collectRounds = 3
+	// suspectPatience is how long the answers of nodes thought out of reach are
+	// waited for when all others are there.
+	suspectPatience = 50 * time.Millisecond
 )
 
 // collect asks the nodes of the data centre what they hold of a new owner's
@@ -27,14 +31,15 @@
 	if !begun {
 		return
 	}
-	others := s.neighbours()
-	if len(others) == 0 {
+	others := s.neighbours(membership.StatusAlive, membership.StatusLeaving)
+	suspects := s.neighbours(membership.StatusUnreachable)
+	if len(others)+len(suspects) == 0 {
 		s.settle(c)
 		return
 	}
 	s.background(func(ctx context.Context) {
 		for range collectRounds {
-			if s.collectOnce(ctx, c, others, pools) {
+			if s.collectOnce(ctx, c, others, suspects, pools) {
 				break
 			}
 		}
@@ -54,29 +59,45 @@
 	return c.owner.poolNames(), true
 }
 
-// collectOnce asks every neighbour once. It returns false, at the end of
-// Options.Settle, if one of them takes itself for the owner.
-func (s *Service) collectOnce(ctx context.Context, c *cell, others []domain.Member, pools []domain.PoolName) bool {
+// collectOnce asks every neighbour once. Those thought out of reach are not waited
+// for as long. It returns false, at the end of Options.Settle, if one of them takes
+// itself for the owner.
+func (s *Service) collectOnce(ctx context.Context, c *cell, others, suspects []domain.Member, pools []domain.PoolName) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Settle)
 	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(collectParallel)
-	var mu sync.Mutex
-	disputed := false
-	for _, member := range others {
-		group.Go(func() error {
-			elsewhere := s.collectFrom(ctx, c, member, pools)
-			mu.Lock()
-			defer mu.Unlock()
-			disputed = disputed || elsewhere
-			return nil
-		})
+	var disputed atomic.Bool
+	asked := s.collectFromAll(ctx, c, others, pools, &disputed)
+	suspected := s.collectFromAll(ctx, c, suspects, pools, &disputed)
+	<-asked
+	select {
+	case <-suspected:
+	case <-time.After(suspectPatience):
 	}
-	_ = group.Wait()
-	if disputed {
+	if disputed.Load() {
 		<-ctx.Done()
 	}
-	return !disputed
+	return !disputed.Load()
+}
+
+// collectFromAll asks the members at once. The channel is closed when all have
+// answered or their time is up.
+func (s *Service) collectFromAll(ctx context.Context, c *cell, members []domain.Member, pools []domain.PoolName, disputed *atomic.Bool) <-chan struct{} {
+	done := make(chan struct{})
+	s.tasks.Go(func() {
+		defer close(done)
+		var group errgroup.Group
+		group.SetLimit(collectParallel)
+		for _, member := range members {
+			group.Go(func() error {
+				if s.collectFrom(ctx, c, member, pools) {
+					disputed.Store(true)
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+	})
+	return done
 }
 
 // collectFrom asks one neighbour. It reports whether that takes itself for the
@@ -121,14 +142,14 @@
 	return c.owner.takeOut()
 }
 
-// neighbours returns the other nodes of the data centre that answer.
-func (s *Service) neighbours() []domain.Member {
+// neighbours returns the other nodes of the data centre that have one of the
+// statuses.
+func (s *Service) neighbours(statuses ...membership.Status) []domain.Member {
 	var others []domain.Member
 	members := s.options.Membership.Current()
 	for i := range members.Peers {
 		p := &members.Peers[i]
-		answers := p.Status == membership.StatusAlive || p.Status == membership.StatusLeaving
-		if answers && p.DataCentre == s.self.DataCentre && p.Node != s.self.Node {
+		if slices.Contains(statuses, p.Status) && p.DataCentre == s.self.DataCentre && p.Node != s.self.Node {
 			others = append(others, p.Member)
 		}
 	}
--- a/capacity/failures_test.go
+++ b/capacity/failures_test.go
@@ -52,9 +52,10 @@
 			c.publish()
 		}, 100 * time.Millisecond},
 		{"is unreachable", func(c *cluster, owner domain.NodeID) {
-			c.network.Partition([]domain.NodeID{owner}, without(threeNodes, owner))
+			rest := append(without(threeNodes, owner), "a9")
+			c.network.Partition([]domain.NodeID{owner}, rest)
 			c.status[owner] = membership.StatusUnreachable
-			c.publish(append(without(threeNodes, owner), "a9")...)
+			c.publish(rest...)
 		}, 100 * time.Millisecond},
 	}
 	for _, test := range tests {
@@ -345,6 +346,24 @@
 	}
 }
 
+// A node whose view wrongly makes it the owner grants nothing while the owner says
+// that it is.
+func TestDisputedOwner(t *testing.T) {
+	rows := []config.EndpointRow{engine("e1", "a", 1, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		next := rendezvous(quotePool, []domain.Member{c.nodes[others[0]].member, c.nodes[others[1]].member}).Node
+		c.status[owner] = membership.StatusUnreachable
+		c.publish(next)
+		w := c.begin(next, ask(1))
+		w.waits(t, 2*time.Second)
+		c.status[owner] = membership.StatusAlive
+		c.publish(next)
+		w.granted(t, 100*time.Millisecond)
+		assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 1)
+	})
+}
+
 // An endpoint that is leaving gets no new grant, whoever says so, and keeps what
 // it has.
 func TestLeavingEndpoint(t *testing.T) {
--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -114,25 +114,31 @@
 		{"none of its own tier", []held{{1, 1, 0, 0}, {1, 1, 0, 0}}, 1, ""},
 		{"none of a higher tier", []held{{0, 1, 0, 0}, {0, 1, 0, 0}}, 2, ""},
 	}
+	shapes := [][]config.EndpointRow{
+		{engine("e1", "a", 2, "quote")},
+		{engine("e1", "a", 1, "quote"), engine("e2", "a", 1, "quote")},
+	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			o := newOwnerTest(Options{}, engine("e1", "a", 2, "quote"))
-			end := o.now
-			for i, h := range test.held {
-				o.now = end.Add(-h.age)
-				assert.Equal(t, o.put(sized(h.tier, h.tokens)).Verdict, verdictGranted)
-				g := o.holderOf(quotePool).grants[askID(i+1)]
-				g.place.progress(g, h.progress)
-			}
-			o.now = end
-			assert.Equal(t, o.put(urgent(test.tier)).Verdict, verdictQueued)
-			assert.Equal(t, o.sent(), test.revoked)
-			if test.revoked == "" {
-				return
-			}
-			o.done(2)
-			assert.Equal(t, o.sent(), "3:granted")
-		})
+		for _, rows := range shapes {
+			t.Run(fmt.Sprint(test.name, len(rows)), func(t *testing.T) {
+				o := newOwnerTest(Options{}, rows...)
+				end := o.now
+				for i, h := range test.held {
+					o.now = end.Add(-h.age)
+					assert.Equal(t, o.put(sized(h.tier, h.tokens)).Verdict, verdictGranted)
+					g := o.holderOf(quotePool).grants[askID(i+1)]
+					g.place.progress(g, h.progress)
+				}
+				o.now = end
+				assert.Equal(t, o.put(urgent(test.tier)).Verdict, verdictQueued)
+				assert.Equal(t, o.sent(), test.revoked)
+				if test.revoked == "" {
+					return
+				}
+				o.done(2)
+				assert.Equal(t, o.sent(), "3:granted")
+			})
+		}
 	}
 }
 
--- a/capacity/service.go
+++ b/capacity/service.go
@@ -35,6 +35,8 @@
 	base    context.Context
 	stop    context.CancelFunc
 	tasks   sync.WaitGroup
+	// tasksMu keeps tasks from beginning after the end.
+	tasksMu sync.Mutex
 }
 
 var _ Client = (*Service)(nil)
@@ -72,7 +74,7 @@
 // has begun.
 func (s *Service) Run(ctx context.Context) error {
 	defer s.tasks.Wait()
-	defer s.stop()
+	defer s.end()
 	tick := time.NewTicker(s.options.Tick)
 	defer tick.Stop()
 	renew := time.NewTicker(s.options.RenewEvery)
@@ -293,8 +295,17 @@
 	}
 }
 
+// end lets no more background work begin, and stops what there is.
+func (s *Service) end() {
+	s.tasksMu.Lock()
+	defer s.tasksMu.Unlock()
+	s.stop()
+}
+
 // background runs f until the service ends.
 func (s *Service) background(f func(ctx context.Context)) {
+	s.tasksMu.Lock()
+	defer s.tasksMu.Unlock()
 	if s.base.Err() != nil {
 		return
 	}
