--- /dev/null
+++ b/config/agreed/bench_test.go
@@ -0,0 +1,161 @@
+package agreed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/document"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+	"hawthornrill.example/hawthornrill/store/memstore"
+)
+
+// designTable has the given organisations and, in the proportion of the design
+// size, endpoints.
+func designTable(organisations int) config.Table {
+	t := config.Table{Tiers: []config.TierRow{{Name: "gold", DeadlineMillis: 60_000}, {Name: "silver", Rank: 1, DeadlineMillis: 60_000}, {Name: "batch", Rank: 2, DeadlineMillis: 60_000}}}
+	for i := range 33 {
+		t.Models = append(t.Models, config.ModelRow{Name: fmt.Sprintf("model-%02d", i), MaxPromptTokens: 32_768, MaxAnswerTokens: 8192})
+	}
+	for i := range organisations {
+		t.Organisations = append(t.Organisations, config.OrganisationRow{
+			ID: domain.OrganisationID(fmt.Sprintf("organisation-%05d", i)), Tier: t.Tiers[i%3].Name, Weight: 1 + i%9,
+			InFlight: 100, TokensPerMinute: 1_000_000, KeyHashes: config.FormatKeyHash(config.HashKey(fmt.Sprint(i))),
+		})
+	}
+	for i := range organisations * 2700 / 2900 {
+		t.Endpoints = append(t.Endpoints, config.EndpointRow{
+			ID: domain.EndpointID(fmt.Sprintf("runner-%05d", i)), Kind: config.KindEngine, DataCentre: domain.DataCentre(fmt.Sprintf("dc-%02d", i%21)),
+			Address: fmt.Sprintf("http://10.%d.%d.%d:8000", i/65536, i/256%256, i%256), Serves: t.Models[i%33].Name,
+			Generation: "h1", Weight: 100, Limit: 64, TokenLimit: 500_000, ChecksFencing: i%2 == 0,
+		})
+	}
+	return t
+}
+
+// benchFleet is one data centre of nodes in real time, with links without delay.
+type benchFleet struct {
+	network *peertest.Network
+	store   *memstore.Store
+	nodes   []*Service
+	inForce chan config.Revision
+	stop    func()
+}
+
+func newBenchFleet(b *testing.B, count int, each func(*document.Options)) *benchFleet {
+	f := &benchFleet{network: peertest.NewNetwork(), store: memstore.New(memstore.Options{}), inForce: make(chan config.Revision, count)}
+	view := &members{}
+	for i := range count {
+		m := domain.Member{Node: domain.NodeID(fmt.Sprintf("node-%03d", i)), Incarnation: 1, DataCentre: "taf"}
+		view.Peers = append(view.Peers, membership.Peer{Member: m})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for _, p := range view.Peers {
+		options := document.Options{Transport: f.network.Node(p.Member), Members: view, Store: f.store.NewClient(), Supervision: 10 * time.Millisecond}
+		each(&options)
+		documents, err := document.New(options)
+		assert.NilError(b, err)
+		node, err := New(documents, Options{InForce: func(s *config.Snapshot) { f.inForce <- s.Revision }})
+		assert.NilError(b, err)
+		group.Go(func() error { return documents.Run(ctx) })
+		f.nodes = append(f.nodes, node)
+	}
+	f.stop = func() {
+		cancel()
+		_ = group.Wait()
+		f.network.Close()
+	}
+	return f
+}
+
+// edit makes a change and waits until it is in force everywhere.
+func (f *benchFleet) edit(b *testing.B, before, after config.Table) {
+	version, err := f.nodes[0].Edit(context.Background(), edit(), config.Diff(before, after))
+	assert.NilError(b, err)
+	for left := len(f.nodes); left > 0; {
+		if <-f.inForce == config.Revision(version.Generation) {
+			left--
+		}
+	}
+}
+
+// measureChange reports what one change of one cell costs: payload sent between
+// peers a node, messages a node, and what one of the two watchers reads from the
+// store. A first edit brings the whole table to every node, which is what each
+// change would cost without parts.
+func measureChange(b *testing.B, nodes, organisations int) {
+	f := newBenchFleet(b, nodes, func(o *document.Options) { o.AntiEntropy = time.Hour })
+	defer f.stop()
+	table := designTable(organisations)
+	time.Sleep(2 * time.Second) // The watchers have begun.
+	f.edit(b, config.Table{}, table)
+	time.Sleep(time.Second)
+	whole := f.network.Total("")
+	f.network.ResetCounts()
+	read, changes := f.store.Counts(), 0
+	for b.Loop() {
+		next := table.Clone()
+		next.Organisations[changes*7%len(next.Organisations)].Weight = 1000 + changes
+		f.edit(b, table, next)
+		time.Sleep(20 * time.Millisecond) // The watchers have seen it.
+		table = next
+		changes++
+	}
+	sent, after := f.network.Total(""), f.store.Counts()
+	per := float64(nodes * changes)
+	b.ReportMetric(float64(whole.Bytes)/float64(nodes), "whole-table-B")
+	b.ReportMetric(float64(sent.Bytes)/per, "B/change")
+	b.ReportMetric(float64(sent.Messages)/per, "messages/change")
+	b.ReportMetric(float64(after.BytesRead-read.BytesRead)/float64(changes)/2, "watcher-B/change")
+	b.ReportMetric(float64(after.Reads+after.Watches-read.Reads-read.Watches)/float64(changes), "store-reads/change")
+	b.ReportMetric(float64(after.Writes-read.Writes)/float64(changes), "store-writes/change")
+	b.ReportMetric(float64(after.BytesWritten-read.BytesWritten)/float64(changes), "store-B-written/change")
+}
+
+// BenchmarkSlopeChangeByTable has the 48 nodes of a data centre of the design size.
+func BenchmarkSlopeChangeByTable(b *testing.B) {
+	for _, organisations := range []int{290, 1450, 2900} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) { measureChange(b, 48, organisations) })
+	}
+}
+
+// BenchmarkSlopeChangeByNodes has the table of the design size.
+func BenchmarkSlopeChangeByNodes(b *testing.B) {
+	for _, nodes := range []int{7, 48, 200} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) { measureChange(b, nodes, 2900) })
+	}
+}
+
+// restCompress is how many times faster than usual BenchmarkSlopeRest compares.
+const restCompress = 10
+
+// BenchmarkSlopeRest is what the comparisons of one node cost while nothing
+// changes, both as asker and as asked, in payload and messages a second.
+func BenchmarkSlopeRest(b *testing.B) {
+	for _, nodes := range []int{7, 48, 200} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			f := newBenchFleet(b, nodes, func(o *document.Options) { o.AntiEntropy = 5 * time.Second / restCompress })
+			defer f.stop()
+			time.Sleep(100 * time.Millisecond)
+			f.edit(b, config.Table{}, designTable(29))
+			time.Sleep(time.Second)
+			for b.Loop() {
+				f.network.ResetCounts()
+				start := time.Now()
+				time.Sleep(5 * time.Second)
+				seconds := time.Since(start).Seconds() * restCompress * float64(nodes)
+				sent := f.network.Total("")
+				b.ReportMetric(float64(sent.Bytes)/seconds, "B/s")
+				b.ReportMetric(float64(sent.Messages)/seconds, "messages/s")
+			}
+		})
+	}
+}
--- a/document/edit.go
+++ b/document/edit.go
@@ -131,11 +131,9 @@
 		return attempt{}, err
 	}
 	version := u.version(c, max(stored.Version.Generation, r.stamp().Generation)+1)
-	return attempt{
-		expected: revision,
-		head:     stored.next(version, inline, r.spec.KeepHistory),
-		held:     &held{version: version, content: c},
-	}, nil
+	next := stored.next(version, inline, r.spec.KeepHistory)
+	next.Delta = deltaOf(current, c)
+	return attempt{expected: revision, head: next, held: &held{version: version, content: c}}, nil
 }
 
 // current returns the later of what the store and this node have. A store that
@@ -148,7 +146,7 @@
 	if stored.Version.Generation == 0 {
 		return &held{content: newContent(Value{})}, nil
 	}
-	c, err := u.replica.storage.load(ctx, stored.Version, stored.Inline, mine, u.replica.inForce.Load())
+	c, err := u.replica.storage.loadHead(ctx, stored, mine, u.replica.inForce.Load())
 	if err != nil {
 		return nil, err
 	}
--- a/document/head.go
+++ b/document/head.go
@@ -18,6 +18,9 @@
 	History []Version `cbor:"3,keyasint,omitempty"`
 	// Older are the accepted edits before those of History, newest first.
 	Older []Stamp `cbor:"4,keyasint,omitempty"`
+	// Delta tells the manifest as a difference to an earlier version's, if that is
+	// small: a watcher that has the earlier one need not read the manifest.
+	Delta *delta `cbor:"6,keyasint,omitempty"`
 	// Refused are edits that were settled as not accepted.
 	Refused []EditID `cbor:"5,keyasint,omitempty"`
 }
@@ -44,6 +47,49 @@
 	return append(edits, h.Older...)
 }
 
+// delta is a manifest as a difference to that of the content named by Base.
+type delta struct {
+	Base Hash  `cbor:"1,keyasint"`
+	Runs []run `cbor:"2,keyasint"`
+}
+
+// maxDeltaRuns and maxDeltaHashes bound a delta.
+const (
+	maxDeltaRuns   = 32
+	maxDeltaHashes = 32
+)
+
+// manifest returns the version's manifest, if the head's delta and the known
+// versions tell it.
+func (h head) manifest(known ...*held) ([]Hash, bool) {
+	for _, k := range known {
+		if h.Delta == nil || k == nil || k.content.root != h.Delta.Base {
+			continue
+		}
+		hashes, err := applyRuns(k.content.hashes, h.Delta.Runs)
+		if err == nil && hashOf(encodeManifest(hashes)) == h.Version.Root {
+			return hashes, true
+		}
+	}
+	return nil, false
+}
+
+// deltaOf returns the difference between two contents; nil if it isn't small.
+func deltaOf(base *held, next *content) *delta {
+	if base == nil || base.content == nil {
+		return nil
+	}
+	runs := diffManifests(base.content.hashes, next.hashes)
+	fresh := 0
+	for _, r := range runs {
+		fresh += len(r.New)
+	}
+	if len(runs) > maxDeltaRuns || fresh > maxDeltaHashes {
+		return nil
+	}
+	return &delta{Base: base.content.root, Runs: runs}
+}
+
 // refuse returns the same head with an edit marked as not accepted.
 func (h head) refuse(id EditID) head {
 	h.Refused = firstOf(slices.Concat([]EditID{id}, h.Refused), refusedRecords)
--- a/document/history.go
+++ b/document/history.go
@@ -44,11 +44,12 @@
 	if !ok {
 		return Version{}, Value{}, fmt.Errorf("%w: generation %d", ErrNoVersion, generation)
 	}
-	var inline [][]byte
+	var c *content
 	if version.Stamp == stored.Version.Stamp {
-		inline = stored.Inline
+		c, err = r.storage.loadHead(ctx, stored, r.latest.Load())
+	} else {
+		c, err = r.storage.load(ctx, version, r.latest.Load())
 	}
-	c, err := r.storage.load(ctx, version, inline, r.latest.Load())
 	if err != nil {
 		return Version{}, Value{}, fmt.Errorf("document: load %s: %w", name, err)
 	}
--- a/document/storage.go
+++ b/document/storage.go
@@ -76,16 +76,28 @@
 	return err
 }
 
+// loadHead reads the content of a head's version.
+func (s storage) loadHead(ctx context.Context, h head, known ...*held) (*content, error) {
+	if len(h.Inline) > 0 || h.Version.Size == 0 {
+		return checkRoot(newContent(Value{Parts: h.Inline}), h.Version)
+	}
+	if hashes, ok := h.manifest(known...); ok {
+		return s.loadContent(ctx, hashes, known...)
+	}
+	return s.load(ctx, h.Version, known...)
+}
+
 // load reads the content of a version. Parts that the known versions have are
 // not read again.
-func (s storage) load(ctx context.Context, version Version, inline [][]byte, known ...*held) (*content, error) {
-	if len(inline) > 0 || version.Size == 0 {
-		return checkRoot(newContent(Value{Parts: inline}), version)
-	}
+func (s storage) load(ctx context.Context, version Version, known ...*held) (*content, error) {
 	hashes, err := s.loadManifest(ctx, version, known...)
 	if err != nil {
 		return nil, err
 	}
+	return s.loadContent(ctx, hashes, known...)
+}
+
+func (s storage) loadContent(ctx context.Context, hashes []Hash, known ...*held) (*content, error) {
 	parts, missing := collectParts(hashes, known...)
 	if err := s.loadParts(ctx, hashes, parts, missing); err != nil {
 		return nil, err
--- a/document/watch.go
+++ b/document/watch.go
@@ -123,7 +123,7 @@
 // take loads a version and tells the data centre.
 func (w *watcher) take(ctx context.Context, h head) error {
 	r := w.replica
-	c, err := r.storage.load(ctx, h.Version, h.Inline, r.latest.Load(), r.inForce.Load())
+	c, err := r.storage.loadHead(ctx, h, r.latest.Load(), r.inForce.Load())
 	if err != nil {
 		return fmt.Errorf("load generation %d: %w", h.Version.Generation, err)
 	}
@@ -141,7 +141,7 @@
 		if r.latest.Load() == nil || r.inForce.Load() != nil {
 			return nil
 		}
-		c, err := r.storage.load(ctx, version, nil, r.latest.Load())
+		c, err := r.storage.load(ctx, version, r.latest.Load())
 		if err != nil {
 			return fmt.Errorf("load generation %d: %w", version.Generation, err)
 		}
