--- a/demo/demo.go
+++ b/demo/demo.go
@@ -38,7 +38,7 @@
 	table   config.Table
 	store   string
 	hosts   string
-	secret  secretFile
+	files   *files
 	sites   []*site
 	engines map[domain.EndpointID]*engine.Engine
 	daemons []*daemon.Daemon
@@ -143,20 +143,14 @@
 	if err != nil {
 		return err
 	}
-	if d.secret, err = newSecretFile(); err != nil {
+	if d.files, err = newFiles(); err != nil {
 		return err
 	}
-	for i, host := range d.options.Deployment.Hosts {
-		s := settings.Default()
-		s.Node = host.Node
-		s.DataCentre = host.DataCentre
-		s.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: seeds[i].Address}
-		s.Platform.Store, s.Platform.HostList = d.store, d.hosts
-		s.Operators.Keys = []settings.OperatorKey{{Name: OperatorName, SHA256: deployment.KeyHash(OperatorKey)}}
-		s.Sessions.SecretFiles = []string{d.secret.path}
-		s.Peers.Plain = true
-		s.Peers.Seeds = seeds
-		s.Shutdown.NoticePeriod.Duration = 0
+	for i := range d.options.Deployment.Hosts {
+		s, err := d.settings(i, seeds)
+		if err != nil {
+			return err
+		}
 		node, err := daemon.New(daemon.Options{Settings: s, Log: d.options.Log})
 		if err != nil {
 			return err
@@ -167,6 +161,27 @@
 	return nil
 }
 
+// settings returns what the node's TOML file would say.
+func (d *Demo) settings(i int, seeds []settings.Seed) (settings.Settings, error) {
+	s := settings.Default()
+	s.Node, s.DataCentre = seeds[i].Node, seeds[i].DataCentre
+	s.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: seeds[i].Address}
+	s.Platform.Store, s.Platform.HostList = d.store, d.hosts
+	s.Operators.Keys = []settings.OperatorKey{{Name: OperatorName, SHA256: deployment.KeyHash(OperatorKey)}}
+	s.Sessions.SecretFiles = []string{d.files.sessionSecret()}
+	s.Peers.Seeds = seeds
+	s.Shutdown.NoticePeriod.Duration = 0
+	certificate, err := d.files.issue(s.Node)
+	if err != nil {
+		return s, err
+	}
+	s.Peers.TLS = certificate
+	if problems := s.Check(); len(problems) > 0 {
+		return s, problems
+	}
+	return s, nil
+}
+
 func (d *Demo) seeds() ([]settings.Seed, error) {
 	var seeds []settings.Seed
 	for _, host := range d.options.Deployment.Hosts {
@@ -235,7 +250,7 @@
 func (d *Demo) Stop() error {
 	d.stop()
 	nodes := d.nodes.Wait()
-	d.secret.remove()
+	d.files.remove()
 	for _, s := range d.sites {
 		s.close()
 	}
