--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -1,16 +1,13 @@
 package engine
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
-)
 
-// maxControlBytes bounds the body of a control call.
-const maxControlBytes = 64 << 10
+	"hawthornrill.example/hawthornrill/standin/api"
+)
 
 // FaultOrder is the body of POST /standin/faults: the faults to change, and what
 // happens once.
@@ -26,7 +23,7 @@
 // NewControlHandler returns the tests' side of the engine's HTTP interface
 // alone, for a listener that stays up while the engine itself is down.
 func NewControlHandler(e *Engine) http.Handler {
-	router := newRouter()
+	router := api.NewRouter(statusOf)
 	addControl(router, e)
 	return router
 }
@@ -62,10 +59,8 @@
 // setFaults changes the faults named in the body and leaves the others.
 func (c *control) setFaults(ctx echo.Context) error {
 	order := FaultOrder{Faults: c.engine.Faults()}
-	decoder := json.NewDecoder(http.MaxBytesReader(ctx.Response(), ctx.Request().Body, maxControlBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&order); err != nil {
-		return fmt.Errorf("%w: %w", ErrBadRequest, err)
+	if err := api.DecodeStrict(ctx, &order); err != nil {
+		return err
 	}
 	c.engine.SetFaults(order.Faults)
 	if order.ForMillis > 0 {
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 
 	"github.com/labstack/echo/v4"
 
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/standin/api"
 )
 
 // headerRequestKey names the stream of a request.
@@ -25,7 +24,7 @@
 // NewHandler returns the engine's HTTP interface; see docs/operators/stand-ins.md.
 func NewHandler(e *Engine) http.Handler {
 	h := &handler{engine: e}
-	router := newRouter()
+	router := api.NewRouter(statusOf)
 	router.POST("/v1/chat/completions", h.complete)
 	router.GET("/v1/streams/:key", h.resume)
 	router.DELETE("/v1/streams/:key", h.cancel)
@@ -39,12 +38,6 @@
 	return router
 }
 
-func newRouter() *echo.Echo {
-	router := echo.New()
-	router.HTTPErrorHandler = writeError
-	return router
-}
-
 func (h *handler) complete(c echo.Context) error {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
 	if err != nil {
@@ -52,7 +45,7 @@
 	}
 	key := c.Request().Header.Get(headerRequestKey)
 	if key == "" {
-		return echo.NewHTTPError(http.StatusBadRequest, headerRequestKey+" is missing")
+		return fmt.Errorf("%w: %s is missing", ErrBadRequest, headerRequestKey)
 	}
 	r, stream, err := h.engine.start(c.Request().Context(), endpoint.EngineRequest{Key: key, Body: body})
 	if err != nil {
@@ -66,11 +59,11 @@
 }
 
 func (h *handler) resume(c echo.Context) error {
-	from, err := queryNumber(c, "from")
+	from, err := api.QueryNumber(c, "from")
 	if err != nil {
 		return err
 	}
-	stream, err := h.engine.resume(c.Request().Context(), streamKey(c), from)
+	stream, err := h.engine.resume(c.Request().Context(), api.PathValue(c, "key"), from)
 	if err != nil {
 		return err
 	}
@@ -79,7 +72,7 @@
 }
 
 func (h *handler) cancel(c echo.Context) error {
-	if err := h.engine.Cancel(c.Request().Context(), streamKey(c)); err != nil {
+	if err := h.engine.Cancel(c.Request().Context(), api.PathValue(c, "key")); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
@@ -94,7 +87,7 @@
 }
 
 func (h *handler) cacheEvents(c echo.Context) error {
-	after, err := queryNumber(c, "after")
+	after, err := api.QueryNumber(c, "after")
 	if err != nil {
 		return err
 	}
@@ -158,29 +151,3 @@
 	}
 	return nil
 }
-
-// streamKey returns the key in the path. The router leaves it escaped if the
-// path as a whole can't be told from its unescaped form.
-func streamKey(c echo.Context) string {
-	key := c.Param("key")
-	if c.Request().URL.RawPath == "" {
-		return key
-	}
-	unescaped, err := url.PathUnescape(key)
-	if err != nil {
-		return key
-	}
-	return unescaped
-}
-
-func queryNumber(c echo.Context, name string) (uint64, error) {
-	text := c.QueryParam(name)
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return 0, echo.NewHTTPError(http.StatusBadRequest, name+" must be a whole number")
-	}
-	return n, nil
-}
--- /dev/null
+++ b/standin/storeserver/handler.go
@@ -0,0 +1,175 @@
+// Package storeserver serves the platform's key-value service over HTTP for
+// tests, from a memstore.Store with its faults.
+package storeserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"hawthornrill.example/hawthornrill/standin/api"
+	"hawthornrill.example/hawthornrill/store"
+	"hawthornrill.example/hawthornrill/store/httpstore"
+	"hawthornrill.example/hawthornrill/store/memstore"
+)
+
+// DefaultHold is how long a watch waits before it is answered that nothing has
+// happened.
+const DefaultHold = 30 * time.Second
+
+// Options are a handler's settings.
+type Options struct {
+	// Hold is how long a watch waits; 0 for DefaultHold.
+	Hold time.Duration
+}
+
+type handler struct {
+	memory *memstore.Store
+	client *memstore.Client
+	hold   time.Duration
+}
+
+// NewHandler returns the service's HTTP interface; see package httpstore.
+func NewHandler(memory *memstore.Store, options Options) http.Handler {
+	h := &handler{memory: memory, client: memory.NewClient(), hold: options.Hold}
+	if h.hold == 0 {
+		h.hold = DefaultHold
+	}
+	router := api.NewRouter(statusOf)
+	router.GET(httpstore.PathKey, h.get)
+	router.PUT(httpstore.PathKey, h.put)
+	router.DELETE(httpstore.PathKey, h.delete)
+	router.GET(httpstore.PathKeys, h.list)
+	router.GET(httpstore.PathWatch, h.watch)
+	router.POST(httpstore.PathLeases, h.grant)
+	router.POST(httpstore.PathLeases+"/:lease", h.keepAlive)
+	router.DELETE(httpstore.PathLeases+"/:lease", h.revoke)
+	addControl(router, memory)
+	return router
+}
+
+func statusOf(err error) (int, bool) {
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return http.StatusNotFound, true
+	case errors.Is(err, store.ErrConflict):
+		return http.StatusConflict, true
+	case errors.Is(err, store.ErrLeaseNotFound):
+		return http.StatusGone, true
+	case errors.Is(err, store.ErrUnavailable):
+		return http.StatusServiceUnavailable, true
+	case errors.Is(err, store.ErrUnknownOutcome):
+		return api.Abort, true
+	}
+	return 0, false
+}
+
+func (h *handler) get(c echo.Context) error {
+	entry, err := h.client.Get(c.Request().Context(), c.QueryParam(httpstore.ParameterKey))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, entry)
+}
+
+func (h *handler) list(c echo.Context) error {
+	entries, err := h.client.List(c.Request().Context(), c.QueryParam(httpstore.ParameterPrefix))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, entries)
+}
+
+func (h *handler) put(c echo.Context) error {
+	expected, err := api.QueryNumber(c, httpstore.ParameterExpected)
+	if err != nil {
+		return err
+	}
+	lease, err := api.QueryNumber(c, httpstore.ParameterLease)
+	if err != nil {
+		return err
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, store.MaxValueBytes))
+	if err != nil {
+		return err
+	}
+	key := c.QueryParam(httpstore.ParameterKey)
+	revision, err := h.client.CompareAndSwap(writeContext(c), key, store.Revision(expected), value, store.LeaseID(lease))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, httpstore.Written{Revision: revision})
+}
+
+func (h *handler) delete(c echo.Context) error {
+	expected, err := api.QueryNumber(c, httpstore.ParameterExpected)
+	if err != nil {
+		return err
+	}
+	err = h.client.Delete(writeContext(c), c.QueryParam(httpstore.ParameterKey), store.Revision(expected))
+	if err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (h *handler) watch(c echo.Context) error {
+	after, err := api.QueryNumber(c, httpstore.ParameterAfter)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), h.hold)
+	defer cancel()
+	entry, err := h.client.Watch(ctx, c.QueryParam(httpstore.ParameterKey), store.Revision(after))
+	if errors.Is(err, context.DeadlineExceeded) {
+		return c.NoContent(http.StatusNoContent)
+	}
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, entry)
+}
+
+func (h *handler) grant(c echo.Context) error {
+	var request httpstore.LeaseRequest
+	if err := api.DecodeStrict(c, &request); err != nil {
+		return err
+	}
+	ttl := time.Duration(request.TTLMillis) * time.Millisecond
+	lease, err := h.client.GrantLease(writeContext(c), ttl)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, httpstore.LeaseGranted{Lease: lease})
+}
+
+func (h *handler) keepAlive(c echo.Context) error {
+	if err := h.client.KeepAlive(writeContext(c), leaseOf(c)); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (h *handler) revoke(c echo.Context) error {
+	if err := h.client.RevokeLease(writeContext(c), leaseOf(c)); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// leaseOf returns 0, which is no lease, for what is not a number.
+func leaseOf(c echo.Context) store.LeaseID {
+	n, _ := strconv.ParseUint(c.Param("lease"), 10, 64)
+	return store.LeaseID(n)
+}
+
+// writeContext does not end when the caller hangs up: a write that has been
+// received takes effect.
+func writeContext(c echo.Context) context.Context {
+	return context.WithoutCancel(c.Request().Context())
+}
