Configuration: an organisation's home data centre is assigned once and stays

Cause: keys sent outside a session were decided in a data centre worked out by each node from the configuration in force. When a data centre joined or left between two attempts the second was decided elsewhere and could run again.

The home is now part of the accepted row; a change is refused while the earlier one has endpoints, and a rollback keeps it. Without AssignHomes or CheckHomes TestHomesStay fails.

--- a/config/agreed/service.go
+++ b/config/agreed/service.go
@@ -88,6 +88,10 @@
 		if err != nil {
 			return document.Value{}, err
 		}
+		config.AssignHomes(current, &next)
+		if err := config.CheckHomes(current, next).Err(); err != nil {
+			return document.Value{}, err
+		}
 		return encode(next)
 	})
 }
@@ -100,10 +104,16 @@
 	if err != nil {
 		return document.Version{}, fmt.Errorf("%w: %w", document.ErrNotAccepted, err)
 	}
-	return s.documents.Update(ctx, DocumentName, edit, func(current document.Version, _ []byte) (document.Value, error) {
+	return s.documents.Update(ctx, DocumentName, edit, func(current document.Version, value []byte) (document.Value, error) {
 		if expected != 0 && current.Generation != expected {
 			return document.Value{}, fmt.Errorf("%w: it has generation %d", ErrChangedMeanwhile, current.Generation)
 		}
+		now, err := config.Decode(value)
+		if err != nil {
+			return document.Value{}, err
+		}
+		config.KeepHomes(now, &old)
+		config.AssignHomes(now, &old)
 		return encode(old)
 	})
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -39,8 +39,8 @@
 	// KeyHashes are the SHA-256 of the organisation's API keys in hexadecimal,
 	// separated by spaces. The keys themselves are kept nowhere.
 	KeyHashes string `cbor:"6,keyasint,omitempty" toml:"key_hashes" csv:"key_hashes" json:"key_hashes"`
-	// HomeDataCentre decides request keys sent outside a session; empty spreads
-	// them over all data centres.
+	// HomeDataCentre decides request keys sent outside a session. One is assigned
+	// when the row is accepted without, and it stays while it has endpoints.
 	HomeDataCentre domain.DataCentre `cbor:"7,keyasint,omitempty" toml:"home_data_centre" csv:"home_data_centre" json:"home_data_centre"`
 }
 
