--- a/routing/quarantine/quarantine_test.go
+++ b/routing/quarantine/quarantine_test.go
@@ -162,7 +162,7 @@
 
 func newSite(name string, q routing.Quarantine) *site {
 	s := &site{router: routing.NewRouter(routing.Options{Quarantine: q}), running: make(map[int][]capacity.Ask)}
-	for i := range 4 {
+	for i := range 2 {
 		s.states = append(s.states, &capacity.EndpointState{ID: domain.EndpointID(fmt.Sprint(name, i)), Row: &config.EndpointRow{ID: domain.EndpointID(fmt.Sprint(name, i))}})
 	}
 	return s
