--- a/endpoint/httpengine/client_test.go
+++ b/endpoint/httpengine/client_test.go
@@ -19,7 +19,7 @@
 
 const body = `{"model":"m","messages":[{"role":"user","content":"How wide is the hob?"}],"max_tokens":20,"stream":true}`
 
-func newClient(t *testing.T, options engine.Options) (*httpengine.Client, *engine.Engine) {
+func newClient(t testing.TB, options engine.Options) (*httpengine.Client, *engine.Engine) {
 	t.Helper()
 	e := engine.New(options)
 	server := httptest.NewServer(engine.NewHandler(e))
