--- a/ledger/client.go
+++ b/ledger/client.go
@@ -51,7 +51,7 @@
 // takeClaim keeps a copy of a claim that is now this life's, and ends the attempt
 // if it is not.
 func (r *Replica) takeClaim(t target, attempt uint64, fingerprint Fingerprint, reply claimReply) Claim {
-	claim := Claim{Key: t.key, ID: reply.Claim, Verdict: reply.Verdict, Endpoint: reply.Endpoint}
+	claim := Claim{Key: t.key, ID: reply.Claim, Verdict: reply.Verdict, Holder: r.self, Endpoint: reply.Endpoint}
 	if reply.Holder != nil {
 		claim.Holder = *reply.Holder
 	}
--- a/ledger/home_claim.go
+++ b/ledger/home_claim.go
@@ -67,7 +67,7 @@
 		flags:       r.holderFlags(d, from),
 	}
 	r.book.set(request.Key, rec, StateClaimed, d.now)
-	return r.verdict(d, VerdictGranted, rec)
+	return r.verdict(d, from, VerdictGranted, rec)
 }
 
 // holderFlags are those of a new claim of the life.
@@ -101,7 +101,7 @@
 	rec.holder = r.book.members.number(from)
 	rec.flags = r.holderFlags(d, from) | flagTakenOver
 	r.book.set(request.Key, rec, StateCommitted, d.now)
-	return r.verdict(d, VerdictTakeover, rec)
+	return r.verdict(d, from, VerdictTakeover, rec)
 }
 
 // claimHeld answers for a key whose claim another attempt holds or has used. The
@@ -110,29 +110,31 @@
 	same := rec.attempt == request.Attempt && r.book.members.value(rec.holder).SameLife(from)
 	switch {
 	case same && rec.state == StateClaimed:
-		return r.verdict(d, VerdictGranted, rec), nil
+		return r.verdict(d, from, VerdictGranted, rec), nil
 	case same && rec.state == StateCommitted && rec.has(flagTakenOver):
-		return r.verdict(d, VerdictTakeover, rec), nil
+		return r.verdict(d, from, VerdictTakeover, rec), nil
 	case rec.state == StateFailed, rec.state == StateFinished && r.holderGone(rec):
-		return r.verdict(d, VerdictRan, rec), nil
+		return r.verdict(d, from, VerdictRan, rec), nil
 	case rec.state == StateFinished:
-		return r.verdict(d, VerdictFinished, rec), nil
+		return r.verdict(d, from, VerdictFinished, rec), nil
 	}
-	return r.verdict(d, VerdictAttached, rec), r.doubtOf(d, from, request.Key, rec)
+	return r.verdict(d, from, VerdictAttached, rec), r.doubtOf(d, from, request.Key, rec)
 }
 
 // verdict spells the reply out. The lock is held.
-func (r *Replica) verdict(d desk, verdict Verdict, rec record) claimReply {
+func (r *Replica) verdict(d desk, from domain.Member, verdict Verdict, rec record) claimReply {
 	r.meters.verdicts[verdict].Inc()
-	holder := r.book.members.value(rec.holder)
-	return claimReply{
+	reply := claimReply{
 		Status:   statusOK,
 		Epoch:    d.epoch(),
 		Claim:    rec.claim,
 		Verdict:  verdict,
-		Holder:   &holder,
 		Endpoint: r.book.endpoints.value(rec.endpoint),
 	}
+	if holder := r.book.members.value(rec.holder); !holder.SameLife(from) {
+		reply.Holder = &holder
+	}
+	return reply
 }
 
 // confirmEpoch reports whether another member has the epoch too, so that no later
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -50,10 +50,11 @@
 }
 
 type claimReply struct {
-	Status   status            `cbor:"1,keyasint"`
-	Epoch    uint64            `cbor:"2,keyasint,omitempty"`
-	Claim    ClaimID           `cbor:"3,keyasint,omitempty"`
-	Verdict  Verdict           `cbor:"4,keyasint,omitempty"`
+	Status  status  `cbor:"1,keyasint"`
+	Epoch   uint64  `cbor:"2,keyasint,omitempty"`
+	Claim   ClaimID `cbor:"3,keyasint,omitempty"`
+	Verdict Verdict `cbor:"4,keyasint,omitempty"`
+	// Holder is nil if it is the asker.
 	Holder   *domain.Member    `cbor:"5,keyasint,omitempty"`
 	Endpoint domain.EndpointID `cbor:"6,keyasint,omitempty"`
 }
