Capacity: an owner counts its own node's grants when pools are regrouped; quotes find a new owner

Cause: a new group's owner asked its neighbours what they hold, but not itself, so with the same node as owner it granted taken places again; and a quote asked of a former owner was taken for a refusal. An ask that no owner has answered is no longer registered behind its caller's back, which made a settled owner ask everybody again.

--- a/capacity/calls.go
+++ b/capacity/calls.go
@@ -8,6 +8,9 @@
 	"hawthornrill.example/hawthornrill/peer"
 )
 
+// ownerAttempts is the most owners asked in a row for one ask.
+const ownerAttempts = 3
+
 // call asks another node, or serves the request here if it is this one.
 func call[Request, Reply any](ctx context.Context, s *Service, to domain.Member, timeout time.Duration,
 	method peer.Method, request Request, local func(domain.Member, *Request) Reply) (Reply, error) {
@@ -23,7 +26,7 @@
 // owner. The result is in the hold's state.
 func (h *hold) request(ctx context.Context, m mode) {
 	h.setMode(m)
-	for range 2 {
+	for range ownerAttempts {
 		owner, known := h.link.current()
 		if !known {
 			h.failed()
@@ -53,7 +56,14 @@
 	if h.apply(owner, reply, time.Now()) {
 		s.release(owner, h.link.key.pool, h.id, nil)
 	}
-	return false
+	return h.unanswered()
+}
+
+// unanswered reports whether the owner's reply came too late to count, because
+// this node deals with another one by now.
+func (h *hold) unanswered() bool {
+	state, _ := h.get()
+	return state == holdAsked
 }
 
 // follow takes an owner's word about another one, and registers with that.
--- a/capacity/collect.go
+++ b/capacity/collect.go
@@ -24,13 +24,14 @@
 	suspectPatience = 50 * time.Millisecond
 )
 
-// collect asks the nodes of the data centre what they hold of a new owner's
-// pools, and lets it grant when all have answered, or Options.Settle has passed.
+// collect asks the nodes of the data centre, this one among them, what they hold of
+// a new owner's pools, and lets it grant when all have answered, or Options.Settle has passed.
 func (s *Service) collect(c *cell) {
 	pools, begun := c.beginCollect()
 	if !begun {
 		return
 	}
+	s.takeAll(c, s.self, s.serveCollect(&collectRequest{DataCentre: s.self.DataCentre, Pools: pools}))
 	others := s.neighbours(membership.StatusAlive, membership.StatusLeaving)
 	suspects := s.neighbours(membership.StatusUnreachable)
 	if len(others)+len(suspects) == 0 {
@@ -108,13 +109,17 @@
 	if err != nil {
 		return false
 	}
+	s.takeAll(c, member, reply)
+	return reply.Elsewhere
+}
+
+// takeAll puts a node's accounts into the owner's.
+func (s *Service) takeAll(c *cell, from domain.Member, reply collectReply) {
 	for i := range reply.Accounts {
-		s.take(c, member, &reply.Accounts[i])
+		s.take(c, from, &reply.Accounts[i])
 	}
-	return reply.Elsewhere
 }
 
-// take puts a neighbour's account into the owner's.
 func (s *Service) take(c *cell, from domain.Member, r *registerRequest) {
 	out, _, _ := c.do(r.Pool, func(now time.Time, o *owner, p *pool) {
 		h := p.holder(from, now)
--- a/capacity/failures_test.go
+++ b/capacity/failures_test.go
@@ -190,6 +190,39 @@
 	})
 }
 
+// Another data centre's new owner is found too, by a node that does not know of it.
+func TestQuoteFindsTheOwner(t *testing.T) {
+	rows := []config.EndpointRow{engine("ea", "a", 1, "quote"), engine("eb", "b", 1, "quote")}
+	inCluster(t, rows, Options{}, twoCentres, func(t *testing.T, c *cluster) {
+		owner := c.ownerOf("a1", "b", quotePool)
+		c.status[owner] = membership.StatusLeaving
+		c.publish("b1", "b2")
+		time.Sleep(100 * time.Millisecond)
+		c.begin("a1", ask(1)).granted(t, 5*time.Millisecond)
+		a := ask(1)
+		a.FirstToken = 300 * time.Millisecond
+		assert.Equal(t, c.begin("a2", a).granted(t, 300*time.Millisecond).Endpoint(), domain.EndpointID("eb"))
+	})
+}
+
+// A change of the table that regroups pools keeps the account of what is held, also
+// where the same node owns the new group.
+func TestGroupChanges(t *testing.T) {
+	for _, names := range [][]domain.NodeID{{"a1"}, threeNodes} {
+		rows := []config.EndpointRow{engine("e1", "a", 1, "quote")}
+		inCluster(t, rows, Options{}, names, func(t *testing.T, c *cluster) {
+			held := c.begin("a1", ask(0)).granted(t, 5*time.Millisecond)
+			waiting := c.begin("a1", ask(0))
+			c.configure([]config.EndpointRow{engine("e1", "a", 1, "quote alpha")})
+			waiting.waits(t, 10*time.Second)
+			held.Release(used)
+			waiting.granted(t, 5*time.Millisecond)
+			owner := c.ownerOf("a1", "a", "model/alpha")
+			assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 1)
+		})
+	}
+}
+
 // An owner that does not reply, though the members' view has it alive, is asked
 // again until the deadline; another data centre serves meanwhile if it can.
 func TestOwnerOutOfReach(t *testing.T) {
--- a/capacity/handlers.go
+++ b/capacity/handlers.go
@@ -126,11 +126,17 @@
 }
 
 func (s *Service) serveQuote(r *quoteRequest) quote {
-	result := quote{Refused: reasonNoEndpoint}
-	s.withOwner(r.Ask.Pool, func(now time.Time, o *owner, p *pool) {
+	var result quote
+	owned := s.withOwner(r.Ask.Pool, func(now time.Time, o *owner, p *pool) {
 		result = o.quote(now, p, &r.Ask)
 	})
-	return result
+	if owned {
+		return result
+	}
+	if owner, ok := s.current().owner(s.self.DataCentre, r.Ask.Pool); ok {
+		return quote{Refused: reasonNoEndpoint, Owner: &owner}
+	}
+	return quote{Refused: reasonNoEndpoint}
 }
 
 func (s *Service) serveLeaving(from domain.Member, m *leavingMessage) {
--- a/capacity/link.go
+++ b/capacity/link.go
@@ -206,14 +206,17 @@
 	return grants, asks
 }
 
-// records describes the named asks and grants in full, or all if ids is nil.
+// records describes the named asks and grants in full, or all if ids is nil but
+// those that no owner has answered yet: these are asked for by their callers.
 func (l *link) records(ids []askID, now time.Time) []record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var records []record
 	if ids == nil {
 		for _, h := range l.holds {
-			records = append(records, h.record(now))
+			if h.state != holdAsked {
+				records = append(records, h.record(now))
+			}
 		}
 	}
 	for _, id := range ids {
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -206,6 +206,8 @@
 	Refused reason `cbor:"5,keyasint,omitempty"`
 	// Unknown is true if the ask would wait and nothing tells how long.
 	Unknown bool `cbor:"6,keyasint,omitempty"`
+	// Owner is set if the node asked is not the owner.
+	Owner *domain.Member `cbor:"7,keyasint,omitempty"`
 }
 
 // leavingMessage marks an endpoint, or removes the mark, in the sender's name.
--- a/capacity/visit.go
+++ b/capacity/visit.go
@@ -198,17 +198,27 @@
 	return offers
 }
 
-// offer asks one owner.
+// offer asks one owner, or the one that it names instead.
 func (a *acquisition) offer(ctx context.Context, owner domain.Member) (offer, bool) {
-	s := a.s
 	began := time.Now()
-	request := quoteRequest{Ask: a.hold.outstanding(began)}
-	request.Ask.Blocks = nil
-	local := func(_ domain.Member, r *quoteRequest) quote { return s.serveQuote(r) }
-	q, err := call(ctx, s, owner, s.options.QuoteTimeout, methodQuote, request, local)
+	q, err := a.quote(ctx, owner)
+	if err == nil && q.Owner != nil && !q.Owner.SameLife(owner) {
+		q, err = a.quote(ctx, *q.Owner)
+	}
 	if err != nil {
 		return offer{}, false
 	}
-	s.counts.quotes.Inc()
 	return offer{dc: owner.DataCentre, quote: q, distance: time.Since(began)}, true
 }
+
+func (a *acquisition) quote(ctx context.Context, owner domain.Member) (quote, error) {
+	s := a.s
+	request := quoteRequest{Ask: a.hold.outstanding(time.Now())}
+	request.Ask.Blocks = nil
+	local := func(_ domain.Member, r *quoteRequest) quote { return s.serveQuote(r) }
+	q, err := call(ctx, s, owner, s.options.QuoteTimeout, methodQuote, request, local)
+	if err == nil {
+		s.counts.quotes.Inc()
+	}
+	return q, err
+}
