--- a/daemon/server.go
+++ b/daemon/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/logging"
 )
 
 const (
@@ -37,7 +39,7 @@
 			Handler:           e,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
-			ErrorLog:          log.New(logger, "", 0),
+			ErrorLog:          log.New(logging.Writer{Logger: logger, Level: zerolog.DebugLevel}, "", 0),
 		},
 	}
 }
--- a/demo/conversation.go
+++ b/demo/conversation.go
@@ -19,6 +19,9 @@
 // maxErrorBytes bounds what is shown of an error's body.
 const maxErrorBytes = 4096
 
+// sessionHeader carries a session's token.
+const sessionHeader = "Hawthornrill-Session"
+
 // doneData is the data of the last event of a stream.
 const doneData = "[DONE]"
 
@@ -48,13 +51,34 @@
 // conversation is a caller's side of a chat.
 type conversation struct {
 	model, key string
-	messages   []message
+	// session is the token that the node gave out.
+	session  string
+	messages []message
 }
 
 func newConversation(model, key string) *conversation {
 	return &conversation{model: model, key: key}
 }
 
+// open opens the conversation's session.
+func (c *conversation) open(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/sessions", nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusCreated {
+		return statusError(response)
+	}
+	c.session = response.Header.Get(sessionHeader)
+	return nil
+}
+
 func (c *conversation) ask(text string) {
 	c.messages = append(c.messages, message{Role: "user", Content: text})
 }
@@ -83,6 +107,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Idempotency-Key", requestKey)
+	request.Header.Set(sessionHeader, c.session)
 	sent := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -90,12 +115,17 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-		return streamed{}, fmt.Errorf("%s: %s", response.Status, text)
+		return streamed{}, statusError(response)
 	}
 	return read(response.Body, sent)
 }
 
+// statusError is the error of a response that is no answer.
+func statusError(response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	return fmt.Errorf("%s: %s", response.Status, text)
+}
+
 // read collects a stream's text; a stream without its last event is an error.
 func read(body io.Reader, sent time.Time) (streamed, error) {
 	var s streamed
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,8 +14,11 @@
 	"hawthornrill.example/hawthornrill/deployment"
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/hostlist"
 	"hawthornrill.example/hawthornrill/settings"
 	"hawthornrill.example/hawthornrill/standin/engine"
+	"hawthornrill.example/hawthornrill/standin/hostserver"
+	"hawthornrill.example/hawthornrill/standin/service"
 	"hawthornrill.example/hawthornrill/standin/storeserver"
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
@@ -29,19 +30,24 @@
 	OperatorKey  = "demo-operator-key"
 )
 
-// readyPoll is the interval at which Start looks whether the nodes are ready.
-const readyPoll = 20 * time.Millisecond
+const (
+	// readyPoll is the interval at which Start looks whether the nodes are ready.
+	readyPoll = 20 * time.Millisecond
+	// hostListLag is how late the host list is.
+	hostListLag = 2 * time.Second
+)
 
 // Demo is a running deployment.
 type Demo struct {
-	options Options
-	table   config.Table
-	store   string
-	hosts   string
-	files   *files
-	sites   []*site
-	engines map[domain.EndpointID]*engine.Engine
-	daemons []*daemon.Daemon
+	options  Options
+	table    config.Table
+	store    string
+	hosts    string
+	files    *files
+	sites    []*site
+	engines  map[domain.EndpointID]*engine.Engine
+	services map[domain.EndpointID]*service.Service
+	daemons  []*daemon.Daemon
 
 	// nodes and endpoints are the goroutines that run them; stop ends the nodes.
 	nodes     errgroup.Group
@@ -53,9 +59,10 @@
 // Stop must be called.
 func Start(ctx context.Context, options Options) (*Demo, error) {
 	d := &Demo{
-		options: options,
-		table:   withoutServices(options.Deployment.Table),
-		engines: make(map[domain.EndpointID]*engine.Engine),
+		options:  options,
+		table:    options.Deployment.Table.Clone(),
+		engines:  make(map[domain.EndpointID]*engine.Engine),
+		services: make(map[domain.EndpointID]*service.Service),
 	}
 	running, stop := context.WithCancel(context.Background())
 	d.stop = stop
@@ -67,13 +74,17 @@
 }
 
 func (d *Demo) start(ctx, running context.Context) error {
-	if err := d.startPlatform(); err != nil {
+	seeds, err := d.seeds()
+	if err != nil {
+		return err
+	}
+	if err := d.startPlatform(seeds); err != nil {
 		return err
 	}
 	if err := d.startEndpoints(); err != nil {
 		return err
 	}
-	if err := d.startNodes(running); err != nil {
+	if err := d.startNodes(running, seeds); err != nil {
 		return err
 	}
 	if err := d.accept(ctx); err != nil {
@@ -82,14 +93,17 @@
 	return d.awaitReady(ctx)
 }
 
-// startPlatform runs the stand-ins of the store and of the host list. The list is
-// empty: the nodes go by their seeds and each other's word.
-func (d *Demo) startPlatform() error {
+// startPlatform runs the stand-ins of the store and of the host list.
+func (d *Demo) startPlatform(seeds []settings.Seed) error {
 	store, err := d.serve(storeserver.NewHandler(memstore.New(memstore.Options{}), storeserver.Options{}))
 	if err != nil {
 		return err
 	}
-	hosts, err := d.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "[]") }))
+	list := hostserver.New(hostListLag)
+	for _, seed := range seeds {
+		list.Put(hostlist.Host{Node: seed.Node, Address: seed.Address, DataCentre: seed.DataCentre, State: hostlist.StateLive})
+	}
+	hosts, err := d.serve(hostserver.NewHandler(list))
 	if err != nil {
 		return err
 	}
@@ -112,24 +126,31 @@
 func (d *Demo) startEndpoints() error {
 	for i := range d.table.Endpoints {
 		row := &d.table.Endpoints[i]
-		if row.Kind != config.KindEngine {
-			continue
-		}
-		e := engine.New(engine.Options{
-			Speed:         speed(row.Generation),
-			IgnoreFencing: !row.ChecksFencing,
-			Seed:          uint64(i),
-		})
-		s, err := d.serve(engine.NewHandler(e))
+		s, err := d.serve(d.newEndpoint(row, uint64(i)))
 		if err != nil {
 			return err
 		}
 		row.Address = s.url()
-		d.engines[row.ID] = e
 	}
 	return nil
 }
 
+// newEndpoint makes the stand-in of a row.
+func (d *Demo) newEndpoint(row *config.EndpointRow, seed uint64) http.Handler {
+	if row.Kind == config.KindService {
+		s := service.New(service.Options{})
+		d.services[row.ID] = s
+		return s.Handler()
+	}
+	e := engine.New(engine.Options{
+		Speed:         speed(row.Generation),
+		IgnoreFencing: !row.ChecksFencing,
+		Seed:          seed,
+	})
+	d.engines[row.ID] = e
+	return engine.NewHandler(e)
+}
+
 func speed(generation string) engine.Speed {
 	if generation == deployment.GenerationB {
 		return engine.GenerationB()
@@ -138,11 +159,8 @@
 }
 
 // startNodes runs a daemon for each host.
-func (d *Demo) startNodes(running context.Context) error {
-	seeds, err := d.seeds()
-	if err != nil {
-		return err
-	}
+func (d *Demo) startNodes(running context.Context, seeds []settings.Seed) error {
+	var err error
 	if d.files, err = newFiles(); err != nil {
 		return err
 	}
@@ -235,9 +253,14 @@
 	return urls
 }
 
-// Runs counts how often each request was run by the engines, the demo's witness.
+// Runs counts how often each request was run by the endpoints, the demo's witnesses.
 func (d *Demo) Runs() map[string]int {
 	counts := make(map[string]int)
+	for _, s := range d.services {
+		for _, r := range s.Runs() {
+			counts[r.Key]++
+		}
+	}
 	for _, e := range d.engines {
 		for _, r := range e.Runs() {
 			counts[r.Key]++
@@ -256,11 +279,3 @@
 	}
 	return errors.Join(nodes, d.endpoints.Wait())
 }
-
-// withoutServices leaves out the plain services.
-func withoutServices(table config.Table) config.Table {
-	table = table.Clone()
-	table.Services = nil
-	table.Endpoints = slices.DeleteFunc(table.Endpoints, func(row config.EndpointRow) bool { return row.Kind != config.KindEngine })
-	return table
-}
--- a/deployment/cucine.go
+++ b/deployment/cucine.go
@@ -45,5 +45,7 @@
 		ClientOneWay: 3 * time.Millisecond,
 		Model:        model,
 		Service:      service,
+		OncePath:     "/quotes",
+		OnceBody:     "oak worktop, 2.4 m",
 	}
 }
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -36,8 +36,11 @@
 	ClientOneWay time.Duration
 	// Model is the name of the model that the engines serve.
 	Model string
-	// Service is the name of the plain service.
-	Service string
+	// Service is the name of the plain service. OncePath and OnceBody are a POST to it
+	// that may not be repeated.
+	Service  string
+	OncePath string
+	OnceBody string
 }
 
 // Names lists the deployments.
--- a/deployment/pryce.go
+++ b/deployment/pryce.go
@@ -46,5 +46,7 @@
 		ClientOneWay: time.Millisecond,
 		Model:        model,
 		Service:      service,
+		OncePath:     "/unlocks",
+		OnceBody:     `{"team":"otters","clue":"bridge"}`,
 	}
 }
--- a/peer/wslink/listen.go
+++ b/peer/wslink/listen.go
@@ -9,6 +9,9 @@
 	"net"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/logging"
 	"hawthornrill.example/hawthornrill/peer/pki"
 )
 
@@ -27,7 +30,7 @@
 		Handler:           mux,
 		ReadHeaderTimeout: t.options.DialTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(t.options.Logger.With().Str("listener", "peer").Logger(), "", 0),
+		ErrorLog:          log.New(logging.Writer{Logger: t.options.Logger, Level: zerolog.DebugLevel}, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
