--- /dev/null
+++ b/standin/command/engine.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"hawthornrill.example/hawthornrill/standin/engine"
+	"hawthornrill.example/hawthornrill/standin/weightserver"
+)
+
+// speeds are the presets of -speed.
+func speeds() map[string]engine.Speed {
+	return map[string]engine.Speed{
+		"gen-a": engine.GenerationA(),
+		"gen-b": engine.GenerationB(),
+		"none":  engine.NoDelay(),
+	}
+}
+
+func defineEngine(f *flagSet) builder {
+	o := engine.DefaultOptions()
+	o.Speed = engine.GenerationA()
+	var weights string
+	var restart time.Duration
+	var seed int
+	f.define("speed", "speed `preset`: gen-a, gen-b (2.5 times slower) or none, which takes no time (default gen-a)", func(text string) error {
+		speed, ok := speeds()[text]
+		if !ok {
+			return fmt.Errorf("must be one of %v", slices.Sorted(maps.Keys(speeds())))
+		}
+		o.Speed = speed
+		return nil
+	})
+	f.define("models", "`names` of the models loaded from the start, separated by commas (default: any model is served)", func(text string) error {
+		o.Models = strings.Split(text, ",")
+		if slices.Contains(o.Models, "") {
+			return fmt.Errorf("must not contain an empty name")
+		}
+		return nil
+	})
+	f.integer("batch", &o.BatchLimit, 1, "`sequences` computed at a time")
+	f.integer("kv-tokens", &o.KVTokens, 1, "size of the KV cache in `tokens`")
+	f.integer("waiting", &o.WaitingLimit, 0, "`requests` that may wait for the batch, 0 for no bound")
+	f.duration("retention", &o.Retention, "`time` for which an ended stream can be resumed, 0s for none")
+	f.duration("load-lag", &o.LoadLag, "`age` of load reports")
+	f.duration("cache-event-delay", &o.CacheEventDelay, "`time` after which cache events appear")
+	f.fraction("cache-event-gap", &o.CacheEventGap, 0, 1, "`share` of the cache events that never appear")
+	f.duration("restart", &restart, "`time` for which the engine is down after a crash, 0s for the time to load a model")
+	f.integer("seed", &seed, 0, "`number` that tells this engine's chance events from others'")
+	f.BoolVar(&o.IgnoreFencing, "ignore-fencing", false, "obey orders with an old fencing number")
+	f.StringVar(&o.Poison, "poison", "", "`text` that crashes the engine when it is in a prompt")
+	f.baseURL("weights", &weights, "`URL` of the weight store to load from, such as http://127.0.0.1:8004 (default: none, loading only takes time)")
+	return func(onUp func(up bool)) stand {
+		o.OnUp = onUp
+		o.RestartDelay = restart
+		o.Seed = uint64(seed)
+		if weights != "" {
+			o.FetchWeights = weightserver.NewClient(weights).Fetch
+		}
+		o.LoadLag = orNone(o.LoadLag)
+		o.Retention = orNone(o.Retention)
+		o.CacheEventDelay = orNone(o.CacheEventDelay)
+		e := engine.New(o)
+		return stand{handler: engine.NewHandler(e), control: engine.NewControlHandler(e), close: e.Close}
+	}
+}
+
+// orNone turns zero into what the options take for none instead of the default.
+func orNone(d time.Duration) time.Duration {
+	if d == 0 {
+		return -1
+	}
+	return d
+}
--- /dev/null
+++ b/standin/command/serve.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/logging"
+	"hawthornrill.example/hawthornrill/settings"
+	"hawthornrill.example/hawthornrill/standin/server"
+)
+
+// serve runs the stand-in until a signal; requests that are open then may
+// finish.
+func serve(name string, common commonFlags, build builder, errorOut io.Writer) error {
+	log := logging.New(settings.Log{Level: common.level, Format: "console"}, errorOut)
+	var main *server.Server
+	built := build(func(up bool) {
+		log.Info().Bool("up", up).Msg("availability")
+		main.SetUp(up)
+	})
+	if built.close != nil {
+		defer built.close()
+	}
+	main, err := server.Listen(common.listen, built.handler)
+	if err != nil {
+		return err
+	}
+	var group run.Group
+	add(&group, main)
+	log.Info().Str("kind", name).Str("url", main.URL()).Msg("serving")
+	if common.control != "" {
+		if err := addControl(&group, common.control, built.control, log); err != nil {
+			return err
+		}
+	}
+	group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
+	err = group.Run()
+	if errors.Is(err, run.ErrSignal) {
+		log.Info().Err(err).Msg("stopped")
+		return nil
+	}
+	return err
+}
+
+func add(group *run.Group, s *server.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return s.Run(ctx) }, func(error) { cancel() })
+}
+
+func addControl(group *run.Group, address string, handler http.Handler, log zerolog.Logger) error {
+	control, err := server.Listen(address, handler)
+	if err != nil {
+		return err
+	}
+	add(group, control)
+	log.Info().Str("url", control.URL()).Msg("serving control")
+	return nil
+}
--- /dev/null
+++ b/standin/command/service.go
@@ -0,0 +1,21 @@
+package command
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/standin/service"
+)
+
+func defineService(f *flagSet) builder {
+	o := service.DefaultOptions()
+	f.integer("workers", &o.Workers, 1, "`calls` that run at a time")
+	f.duration("work", &o.Work, "`time` that a call takes")
+	f.duration("restart", &o.RestartDelay, "`time` for which the service is down after a crash")
+	return func(onUp func(up bool)) stand {
+		o.OnUp = onUp
+		o.Work = orNone(o.Work)
+		o.RestartDelay = max(o.RestartDelay, time.Nanosecond)
+		s := service.New(o)
+		return stand{handler: s.Handler(), control: service.NewControlHandler(s)}
+	}
+}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -46,6 +46,10 @@
 	return endpoint.EngineRequest{Key: key, Body: data}
 }
 
+func endpointRequest(body []byte) endpoint.EngineRequest {
+	return endpoint.EngineRequest{Key: "k", Body: body}
+}
+
 func newEngine(t *testing.T, options engine.Options) *engine.Engine {
 	t.Helper()
 	e := engine.New(options)
--- a/standin/engine/history.go
+++ b/standin/engine/history.go
@@ -40,9 +40,9 @@
 	h.samples = append(h.samples[:0], h.samples[old:]...)
 }
 
-// report returns the load as it was a lag ago.
+// report returns the load as it was a lag ago, or the first that is known.
 func (h *history) report(now time.Time) endpoint.LoadReport {
-	var report endpoint.LoadReport
+	report := h.samples[0].report
 	for _, s := range h.samples {
 		if s.at.After(now.Add(-h.lag)) {
 			break
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -54,6 +54,9 @@
 	defaultCacheEventDelay = time.Second
 )
 
+// DefaultOptions returns the options with their defaults, of no speed.
+func DefaultOptions() Options { return Options{}.withDefaults() }
+
 func (o Options) withDefaults() Options {
 	setDefault(&o.BatchLimit, defaultBatchLimit)
 	setDefault(&o.KVTokens, defaultKVTokens)
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -46,7 +46,7 @@
 func (e *Engine) OrderLog() []OrderRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Clone(e.orders)
+	return append([]OrderRecord{}, e.orders...)
 }
 
 func (e *Engine) order(order endpoint.Order) error {
--- a/standin/service/options.go
+++ b/standin/service/options.go
@@ -22,6 +22,9 @@
 	defaultRestartDelay = 5 * time.Second
 )
 
+// DefaultOptions returns the options with their defaults.
+func DefaultOptions() Options { return Options{}.withDefaults() }
+
 func (o Options) withDefaults() Options {
 	if o.Workers <= 0 {
 		o.Workers = defaultWorkers
--- a/standin/weightserver/store.go
+++ b/standin/weightserver/store.go
@@ -71,12 +71,20 @@
 	Bytes     uint64 `json:"bytes"`
 }
 
+// DefaultOptions returns the options with their defaults.
+func DefaultOptions() Options { return Options{}.withDefaults() }
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.BytesPerSecond, defaultRate)
+	setDefault(&o.ModelBytes, defaultModelBytes)
+	setDefault(&o.AdapterBytes, defaultAdapterBytes)
+	setDefault(&o.Transfers, defaultTransfers)
+	return o
+}
+
 // New returns a store.
 func New(options Options) *Store {
-	setDefault(&options.BytesPerSecond, defaultRate)
-	setDefault(&options.ModelBytes, defaultModelBytes)
-	setDefault(&options.AdapterBytes, defaultAdapterBytes)
-	setDefault(&options.Transfers, defaultTransfers)
+	options = options.withDefaults()
 	return &Store{
 		options: options,
 		rate:    rate.NewLimiter(rate.Limit(options.BytesPerSecond), chunkBytes),
--- a/store/memstore/counts.go
+++ b/store/memstore/counts.go
@@ -4,11 +4,14 @@
 
 // Counts are calls since the start, refused ones included.
 type Counts struct {
-	Reads, Writes, Watches uint64
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
 	// Refused counts calls over the rate limit.
-	Refused uint64
+	Refused uint64 `json:"refused"`
 	// Bytes counts the values written and read.
-	BytesWritten, BytesRead uint64
+	BytesWritten uint64 `json:"bytes_written"`
+	BytesRead    uint64 `json:"bytes_read"`
 }
 
 type counters struct {
