Node: endpoints that the platform's host list says are leaving get nothing new

The list may name endpoints' hosts; the nodes that read it for membership pass that on to the pools' owners, so that it is read no more often. The word is taken back when another node reads the list.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,10 +68,12 @@
 	if err != nil {
 		return err
 	}
+	list := d.newHostList()
 	d.node, err = node.New(node.Options{
 		Transport:      d.transport,
 		Store:          d.newStore(set),
-		Members:        d.newMembers(d.transport, set),
+		Members:        d.newMembers(d.transport, list, set),
+		EndpointList:   list,
 		Adapters:       httpAdapters{onesend.New(onesend.Options{})},
 		Log:            d.options.Log,
 		Metrics:        set,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,6 +6,7 @@
 	"hawthornrill.example/hawthornrill/hostlist"
 	"hawthornrill.example/hawthornrill/hostlist/httphostlist"
 	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/node"
 	"hawthornrill.example/hawthornrill/peer"
 	"hawthornrill.example/hawthornrill/store"
 	"hawthornrill.example/hawthornrill/store/budget"
@@ -21,13 +22,18 @@
 	})
 }
 
+// newHostList returns the platform's host list.
+func (d *Daemon) newHostList() *node.EndpointList {
+	options := httphostlist.Options{BaseURL: d.options.Settings.Platform.HostList}
+	return node.NewEndpointList(httphostlist.New(options))
+}
+
 // newMembers returns the membership by the platform's host list, the seeds and
 // the peers' own word.
-func (d *Daemon) newMembers(transport peer.Transport, set *metrics.Set) *membership.Service {
-	s := d.options.Settings
+func (d *Daemon) newMembers(transport peer.Transport, list hostlist.List, set *metrics.Set) *membership.Service {
 	return membership.New(membership.Options{
 		Transport: transport,
-		List:      httphostlist.New(httphostlist.Options{BaseURL: s.Platform.HostList}),
+		List:      list,
 		Seeds:     d.seeds(),
 		Logger:    d.options.Log,
 		Metrics:   set,
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -28,10 +28,12 @@
 	StateLeaving State = "leaving"
 )
 
-// Host is an entry host as the platform lists it.
+// Host is a host as the platform lists it: an entry host, which has a Node, or an
+// endpoint's, which has an Endpoint.
 type Host struct {
-	Node domain.NodeID `json:"node"`
-	// Address is the peer listener, "IP:port".
+	Node     domain.NodeID     `json:"node,omitempty"`
+	Endpoint domain.EndpointID `json:"endpoint,omitempty"`
+	// Address is the peer listener or the endpoint's, "IP:port".
 	Address    string            `json:"address"`
 	DataCentre domain.DataCentre `json:"data_centre"`
 	State      State             `json:"state"`
--- a/hostlist/httphostlist/client.go
+++ b/hostlist/httphostlist/client.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/hostlist"
 )
 
@@ -111,22 +110,23 @@
 	if hosts == nil {
 		return nil, errors.New("not an array")
 	}
-	seen := make(map[domain.NodeID]bool, len(hosts))
+	seen := make(map[string]bool, len(hosts))
 	for i, host := range hosts {
 		if err := check(host); err != nil {
 			return nil, fmt.Errorf("host %d: %w", i, err)
 		}
-		if seen[host.Node] {
-			return nil, fmt.Errorf("host %d: %q is listed twice", i, host.Node)
+		name := "node " + string(host.Node) + ", endpoint " + string(host.Endpoint)
+		if seen[name] {
+			return nil, fmt.Errorf("host %d: %s is listed twice", i, name)
 		}
-		seen[host.Node] = true
+		seen[name] = true
 	}
 	return hosts, nil
 }
 
 func check(host hostlist.Host) error {
-	if host.Node == "" || host.DataCentre == "" {
-		return errors.New("node and data_centre are needed")
+	if (host.Node == "") == (host.Endpoint == "") || host.DataCentre == "" {
+		return errors.New("data_centre and either node or endpoint are needed")
 	}
 	if _, err := netip.ParseAddrPort(host.Address); err != nil {
 		return fmt.Errorf("address: %w", err)
--- a/node/node.go
+++ b/node/node.go
@@ -142,19 +142,37 @@
 	options.Quarantine = n.quarantine
 	options.Metrics = n.options.Metrics
 	n.routers = routing.NewFactory(options)
-	n.capacity = capacity.New(capacity.Options{
-		Transport:  n.options.Transport,
-		Membership: n.options.Members,
-		Config:     n.config,
-		NewChooser: n.routers.New,
-		Metrics:    n.options.Metrics,
-		Logger:     n.options.Log,
-	})
+	n.capacity = capacity.New(n.capacityOptions())
 	n.endpoints = newEndpoints(n.config, n.options.Adapters)
 	n.reports = newReports(n.capacity, n.endpoints)
+	if n.options.EndpointList != nil {
+		n.options.EndpointList.bind(n.capacity)
+	}
 	return nil
 }
 
+// capacityOptions fills the parts into the numbers that were given.
+func (n *Node) capacityOptions() capacity.Options {
+	o := n.options.Capacity
+	o.Transport = n.options.Transport
+	o.Membership = n.options.Members
+	o.Config = n.config
+	o.Metrics = n.options.Metrics
+	o.Logger = n.options.Log
+	if o.NewChooser == nil {
+		o.NewChooser = n.routers.New
+	}
+	return o
+}
+
+// lengths returns the predictor of answers' lengths.
+func (n *Node) lengths() scheduler.Lengths {
+	if n.options.Lengths != nil {
+		return n.options.Lengths
+	}
+	return routing.NewLengthPredictor()
+}
+
 func (n *Node) buildScheduler() error {
 	n.answers = answer.NewRegistry(answer.NewCache(answer.CacheOptions{
 		Bytes:     n.options.AnswerBytes,
@@ -168,7 +186,7 @@
 		Answers:    n.answers,
 		Relay:      answer.NewRelay(n.options.Transport, n.answers),
 		Transport:  n.options.Transport,
-		Lengths:    routing.NewLengthPredictor(),
+		Lengths:    n.lengths(),
 	}, n.options.Scheduler)
 	return nil
 }
@@ -226,6 +244,9 @@
 			return ctx.Err()
 		case <-expire.C:
 			n.answers.Expire()
+			if n.options.EndpointList != nil {
+				n.options.EndpointList.expire(time.Now())
+			}
 		}
 	}
 }
--- a/node/options.go
+++ b/node/options.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/peer"
 	"hawthornrill.example/hawthornrill/routing"
@@ -19,9 +20,11 @@
 	Transport peer.Transport
 	Store     store.Store
 	Members   Members
-	Adapters  Adapters
-	Log       zerolog.Logger
-	Metrics   *metrics.Set
+	// EndpointList tells which endpoints the platform takes away; nil for none.
+	EndpointList *EndpointList
+	Adapters     Adapters
+	Log          zerolog.Logger
+	Metrics      *metrics.Set
 
 	// SessionSecrets sign session tokens, the first; all verify.
 	SessionSecrets [][]byte
@@ -40,4 +43,9 @@
 	Entry     entry.Options
 	Scheduler scheduler.Options
 	Routing   routing.Options
+	// Capacity holds numbers, and NewChooser if the node is not to use package
+	// routing; the parts are filled in by the node.
+	Capacity capacity.Options
+	// Lengths predicts the lengths of answers; nil for a routing.LengthPredictor.
+	Lengths scheduler.Lengths
 }
