--- a/endpoint/httpengine/bench_test.go
+++ b/endpoint/httpengine/bench_test.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
@@ -63,3 +66,72 @@
 		}
 	}
 }
+
+// BenchmarkPacedStreams reports, for 500 streams at a token each 20 ms, how late
+// tokens come and what processor time one costs, stand-in and adapter together.
+func BenchmarkPacedStreams(b *testing.B) {
+	const (
+		streams  = 500
+		interval = 20 * time.Millisecond
+	)
+	client, _ := newClient(b, engine.Options{Speed: engine.Flat(interval), BatchLimit: streams})
+	request := []byte(strings.Replace(body, "20", fmt.Sprint(benchTokens), 1))
+	var number int
+	late := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	processor := processorTime(b)
+	for b.Loop() {
+		var all errgroup.Group
+		for range streams {
+			number++
+			engineRequest := endpoint.EngineRequest{Key: fmt.Sprint(number), Body: request}
+			all.Go(func() error {
+				gaps, err := readGaps(b.Context(), client, engineRequest)
+				mu.Lock()
+				defer mu.Unlock()
+				for _, gap := range gaps {
+					_ = late.RecordValue(max(1, int64(gap-interval)))
+				}
+				return err
+			})
+		}
+		assert.NilError(b, all.Wait())
+	}
+	tokens := float64(number * benchTokens)
+	b.ReportMetric(float64(processorTime(b)-processor)/tokens, "cpu-ns/token")
+	b.ReportMetric(float64(late.ValueAtQuantile(50))/1e3, "late-p50-us")
+	b.ReportMetric(float64(late.ValueAtQuantile(99))/1e3, "late-p99-us")
+}
+
+// readGaps returns the times between the tokens of an answer.
+func readGaps(ctx context.Context, client *httpengine.Client, request endpoint.EngineRequest) ([]time.Duration, error) {
+	s, err := client.Start(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	var gaps []time.Duration
+	var last time.Time
+	for {
+		_, err := s.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return gaps[:benchTokens-1], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		if !last.IsZero() {
+			gaps = append(gaps, now.Sub(last))
+		}
+		last = now
+	}
+}
+
+// processorTime is what the process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/standin/command/command_test.go
+++ b/standin/command/command_test.go
@@ -24,7 +24,7 @@
 			`-cache-event-gap = "2": must be a number between 0 and 1`,
 			`argument = "stray": is not a flag`,
 			`-load-lag = "-1s": must be a time such as "500ms" or "1m30s", not negative`,
-			`-speed = "gen-c": must be one of [gen-a gen-b none]`,
+			`-speed = "gen-c": must be one of [flat gen-a gen-b none]`,
 			`-weights = "x": must be "http://IP:port"`,
 		}},
 		"missing value": {"weights -listen 127.0.0.1:0 -transfers", []string{`-transfers = "": flag needs an argument`}},
--- a/standin/command/engine.go
+++ b/standin/command/engine.go
@@ -11,11 +11,15 @@
 	"hawthornrill.example/hawthornrill/standin/weightserver"
 )
 
+// flatInterval is the time between tokens of the preset flat.
+const flatInterval = 20 * time.Millisecond
+
 // speeds are the presets of -speed.
 func speeds() map[string]engine.Speed {
 	return map[string]engine.Speed{
 		"gen-a": engine.GenerationA(),
 		"gen-b": engine.GenerationB(),
+		"flat":  engine.Flat(flatInterval),
 		"none":  engine.NoDelay(),
 	}
 }
@@ -26,7 +30,7 @@
 	var weights string
 	var restart time.Duration
 	var seed int
-	f.define("speed", "speed `preset`: gen-a, gen-b (2.5 times slower) or none, which takes no time (default gen-a)", func(text string) error {
+	f.define("speed", "speed `preset`: gen-a, gen-b (2.5 times slower), flat (20 ms a token whatever the batch) or none, which takes no time (default gen-a)", func(text string) error {
 		speed, ok := speeds()[text]
 		if !ok {
 			return fmt.Errorf("must be one of %v", slices.Sorted(maps.Keys(speeds())))
--- a/standin/engine/speed.go
+++ b/standin/engine/speed.go
@@ -50,6 +50,10 @@
 // NoDelay takes no time for anything; it serves to measure what others add.
 func NoDelay() Speed { return Speed{Chunk: defaultChunk} }
 
+// Flat yields a token every interval whatever the batch and the prompt, so that
+// what others add to it can be told from its own delays.
+func Flat(interval time.Duration) Speed { return Speed{Step: interval, Chunk: 1 << 20} }
+
 // step is the time of one step of the batch.
 func (s Speed) step(decoding, prefill int) time.Duration {
 	d := time.Duration(prefill) * s.Prefill
