--- a/demo/files.go
+++ b/demo/files.go
@@ -13,11 +13,15 @@
 	"hawthornrill.example/hawthornrill/settings"
 )
 
-// secretMode lets only the owner read a file.
-const secretMode = 0o600
+const (
+	// secretMode lets only the owner read a file.
+	secretMode        = 0o600
+	sessionSecretName = "session.secret"
+	operatorKeyName   = "operator.key"
+)
 
 // files are the secrets of the demo's nodes, in a directory of their own: one for
-// session tokens, and a certificate for each node.
+// session tokens, the operator's key, and a certificate for each node.
 type files struct {
 	directory string
 	authority *pki.Authority
@@ -35,7 +39,10 @@
 	}
 	secret := make([]byte, session.MinSecretBytes)
 	_, _ = rand.Read(secret) // never fails
-	return f, f.write("session.secret", []byte(hex.EncodeToString(secret)))
+	if err := f.write(sessionSecretName, []byte(hex.EncodeToString(secret))); err != nil {
+		return f, err
+	}
+	return f, f.write(operatorKeyName, []byte(OperatorKey))
 }
 
 func (f *files) path(name string) string { return filepath.Join(f.directory, name) }
@@ -45,7 +52,10 @@
 }
 
 // sessionSecret is the path of the secret.
-func (f *files) sessionSecret() string { return f.path("session.secret") }
+func (f *files) sessionSecret() string { return f.path(sessionSecretName) }
+
+// operatorKey is the path of the operator's key, as hawthornctl takes it.
+func (f *files) operatorKey() string { return f.path(operatorKeyName) }
 
 // issue writes a certificate for the node.
 func (f *files) issue(node domain.NodeID) (settings.TLS, error) {
--- a/demo/guide.go
+++ b/demo/guide.go
@@ -22,7 +22,8 @@
 	fmt.Fprintf(w, "\nTry:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", listen.Callers, deployment.Keys[org])
 	fmt.Fprintf(w, "    -H 'Content-Type: application/json' -H 'Idempotency-Key: first' \\\n")
 	fmt.Fprintf(w, "    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":30,\"messages\":[{\"role\":\"user\",\"content\":\"Good morning\"}]}'\n", deployment.Model)
-	fmt.Fprintf(w, "  hawthornctl -node http://%s -key %s status\n", listen.Operators, OperatorKey)
+	fmt.Fprintf(w, "  go run ./cmd/hawthornctl status -node http://%s -key-file %s\n", listen.Operators, d.files.operatorKey())
+	fmt.Fprintf(w, "  the operators' page: http://%s/operator with the key %s\n", listen.Operators, OperatorKey)
 	_, err := fmt.Fprintf(w, "  curl http://%s/debug/state\n  curl http://%s/metrics\n\nCtrl-C drains and ends.\n", listen.Operators, listen.Operators)
 	return err
 }
