Scheduler: a request whose place is taken back before dispatch asks for another

Cause: a request of a lower tier that was granted a place and lost it during the commit was told not_run, though nothing had been lost and its deadline was far. The time to wait for a place now counts over all tries; it began anew with each.

--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -38,20 +38,27 @@
 
 // acquire waits for a place until the request's deadline.
 func (t *task) acquire() (capacity.Grant, error) {
-	deadline := t.deadline()
-	ctx, cancel := context.WithTimeoutCause(t.ctx, deadline, errDeadline)
+	left := t.timeLeft()
+	ctx, cancel := context.WithTimeoutCause(t.ctx, left, errDeadline)
 	defer cancel()
-	grant, err := t.scheduler.parts.Capacity.Acquire(ctx, t.ask(deadline))
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	grant, err := t.scheduler.parts.Capacity.Acquire(ctx, t.ask(left))
 	if err != nil && ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
 	return grant, err
 }
 
+// deadline is how long the request may wait for a place, over all its tries.
 func (t *task) deadline() time.Duration {
 	return positive(t.request.Deadline, t.scheduler.options.Deadline)
 }
 
+// timeLeft is what is left of the deadline.
+func (t *task) timeLeft() time.Duration { return t.deadline() - time.Since(t.started) }
+
 func (t *task) ask(deadline time.Duration) capacity.Ask {
 	request := &t.request
 	return capacity.Ask{
@@ -150,14 +157,16 @@
 }
 
 // notSent settles a request of which not one byte was sent. If only the endpoint
-// could not be reached, or the claim was overtaken, it is tried anew.
+// could not be reached, the place was taken back in time, or the claim was
+// overtaken, it is tried anew.
 func (t *task) notSent(claim ledger.Claim, result dispatch.Result) step {
 	if errors.Is(result.NotSent, ledger.ErrRevoked) {
 		// Another attempt holds the key: the next claim attaches to it.
 		return t.again(unknown(answer.CodeHistoryUnknown, "another attempt took the key over", retrySoon))
 	}
 	end := causeEnd(result.NotSent)
-	if !result.Use.Unreachable || t.ctx.Err() != nil {
+	placeLost := result.Use.Unreachable || errors.Is(result.NotSent, dispatch.ErrPreempted)
+	if !placeLost || t.ctx.Err() != nil {
 		return t.refuse(claim, end)
 	}
 	if !t.release(claim) {
