ledger: tables of other data centres are asked for when met, and ages are kept by departure

A node needs to follow its own data centre's table only. A life that departs twice counts two ages: the second had the age of the first, which would have ended the loss window early. A record that all its keepers lost comes back with its end.

--- a/ledger/adopt.go
+++ b/ledger/adopt.go
@@ -21,7 +21,7 @@
 		return
 	}
 	now := time.Now()
-	r.noteLosses(t, now)
+	r.lost.note(t, now)
 	next := newHistory(t)
 	r.history.Store(next)
 	if old == nil || t.Epoch > old.table.Epoch {
@@ -30,20 +30,6 @@
 	r.signal()
 }
 
-// noteLosses counts each departure's age on from now, or from an earlier word of
-// it. The lock is held.
-func (r *Replica) noteLosses(t *Table, now time.Time) {
-	known := make(map[domain.Member]time.Time, len(t.Departed))
-	for _, d := range t.Departed {
-		since := now.Add(-d.Age)
-		if earlier, ok := r.lost[d.TableMember.Member]; ok && earlier.Before(since) {
-			since = earlier
-		}
-		known[d.TableMember.Member] = since
-	}
-	r.lost = known
-}
-
 // enterEpoch does what a change of members asks for. The lock is held.
 func (r *Replica) enterEpoch(old, next *history) {
 	if r.removedSince(old, next) {
@@ -95,13 +81,7 @@
 
 // lossAge returns how long ago a life was lost, or less. The lock is held.
 func (r *Replica) lossAge(now time.Time) func(Departure) time.Duration {
-	return func(d Departure) time.Duration {
-		since, ok := r.lost[d.TableMember.Member]
-		if !ok {
-			return d.Age
-		}
-		return now.Sub(since)
-	}
+	return func(d Departure) time.Duration { return r.lost.age(d, now) }
 }
 
 // snapshot returns the adopted table with the ages of its departures as of now.
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -225,7 +225,27 @@
 	t := r.targetOf(claim.Key)
 	r.finishCopy(t, claim.ID, complete)
 	request := endRequest{Key: t.hash, Claim: claim.ID, Complete: complete}
-	return r.end(ctx, t, methodFinish, r.serveFinish, request)
+	err := r.end(ctx, t, methodFinish, r.serveFinish, request)
+	if errors.Is(err, ErrNotFound) && r.restore(ctx, t, claim.ID) {
+		return nil
+	}
+	return err
+}
+
+// restore gives the home a record that it has lost, from the holder's copy.
+func (r *Replica) restore(ctx context.Context, t target, claim ClaimID) bool {
+	r.mu.Lock()
+	rec, ok := r.book.get(t.hash)
+	e := r.book.export(t.hash, rec, time.Now())
+	r.mu.Unlock()
+	at, err := r.route(ctx, t)
+	if !ok || rec.claim != claim || err != nil || at.home.SameLife(r.self) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.options.TryTimeout)
+	defer cancel()
+	reply, err := peer.Call[mirrorRequest, statusReply](ctx, r.transport, at.home, methodMirror, mirrorRequest{at.epoch, []entry{e}})
+	return err == nil && reply.Status == statusOK
 }
 
 // finishCopy ends this life's own copy, if another member decides about the key.
--- a/ledger/departure.go
+++ b/ledger/departure.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
 
 // Departure is a life that is no longer in the table.
 type Departure struct {
@@ -25,3 +29,12 @@
 func (d Departure) eligible(epoch uint64) bool {
 	return d.present(epoch) && d.TableMember.eligible(epoch)
 }
+
+// departureKey names a departure: a life taken out by mistake may join again and
+// depart a second time.
+type departureKey struct {
+	member  domain.Member
+	removed uint64
+}
+
+func (d Departure) key() departureKey { return departureKey{d.TableMember.Member, d.Removed} }
--- a/ledger/exchange.go
+++ b/ledger/exchange.go
@@ -37,7 +37,7 @@
 	var none Reply
 	last := errNoAnswer
 	for ctx.Err() == nil {
-		at, err := r.route(t)
+		at, err := r.route(ctx, t)
 		if err != nil {
 			return none, err
 		}
@@ -49,6 +49,8 @@
 			}
 			err = retryErrors[st]
 			r.refresh(ctx, t, at, epoch)
+		} else {
+			r.refreshLost(ctx, t, at)
 		}
 		last = err
 		r.meters.retries.Inc()
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -107,5 +107,9 @@
 
 // LossWindow is how long a loss makes records uncertain: as long as a lost record
 // would have been kept, and as a member that was taken out by mistake could go on
-// without noticing.
-func (o Options) LossWindow() time.Duration { return o.Retention + 2*o.FenceTimeout }
+// without noticing. Defaults stand in for what is zero.
+func (o Options) LossWindow() time.Duration {
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.FenceTimeout, DefaultFenceTimeout)
+	return o.Retention + 2*o.FenceTimeout
+}
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -31,8 +31,8 @@
 	claims uint64
 	// open holds this life's attempts that have not ended.
 	open map[openAttempt]struct{}
-	// lost tells since when each lost life has been known to be lost.
-	lost map[domain.Member]time.Time
+	// lost counts the ages of the table's departures.
+	lost AgeCounter
 	// ready is the epoch up to which this member knows all records of its keys; zero
 	// for none.
 	ready    uint64
@@ -77,7 +77,6 @@
 		wake:      make(chan struct{}, 1),
 		book:      newBook(time.Now(), options.Retention),
 		open:      make(map[openAttempt]struct{}),
-		lost:      make(map[domain.Member]time.Time),
 		exports:   make(map[domain.NodeID]*export),
 		asking:    make(map[KeyHash]struct{}),
 		silent:    make(map[domain.Member]time.Time),
--- a/ledger/tablestore.go
+++ b/ledger/tablestore.go
@@ -41,8 +41,7 @@
 	mu sync.Mutex
 	// latest is the latest table that this process has met.
 	latest *Table
-	// seen tells when a departure was first seen, less its age then.
-	seen map[domain.Member]time.Time
+	ages   AgeCounter
 }
 
 // NewTableStore returns a TableStore that keeps departures for the loss window of
@@ -51,8 +50,7 @@
 	return &TableStore{
 		store:      s,
 		dataCentre: dataCentre,
-		keep:       options.withDefaults().LossWindow(),
-		seen:       make(map[domain.Member]time.Time),
+		keep:       options.LossWindow(),
 	}
 }
 
@@ -125,22 +123,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	s.age(t, time.Now())
-	return t, entry.Revision, nil
-}
-
-// age counts the departures' ages on from when this process first saw them.
-func (s *TableStore) age(t *Table, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := make(map[domain.Member]time.Time, len(t.Departed))
-	for i, d := range t.Departed {
-		since, ok := s.seen[d.TableMember.Member]
-		if from := now.Add(-d.Age); !ok || from.Before(since) {
-			since = from
-		}
-		seen[d.TableMember.Member] = since
-		t.Departed[i].Age = now.Sub(since)
-	}
-	s.seen = seen
+	s.ages.Count(t, time.Now())
+	return t, entry.Revision, nil
 }
--- a/ledger/target.go
+++ b/ledger/target.go
@@ -43,11 +43,14 @@
 }
 
 // route finds the key's home by what this node knows now.
-func (r *Replica) route(t target) (route, error) {
+func (r *Replica) route(ctx context.Context, t target) (route, error) {
 	if t.key.Scope.Kind == domain.ScopeNode {
 		return r.routeToLife(t.key.Scope)
 	}
 	h := r.historyOf(t.key.Scope.DataCentre)
+	if h == nil {
+		h = r.askForTable(ctx, t.key.Scope.DataCentre, nil)
+	}
 	if h == nil {
 		return route{}, fmt.Errorf("%w: no table of data centre %s", ErrUnknown, t.key.Scope.DataCentre)
 	}
@@ -74,42 +77,3 @@
 	}
 	return route{}, fmt.Errorf("%w: %s is not known", ErrUnknown, life)
 }
-
-// historyOf returns the latest table known of a data centre, or nil.
-func (r *Replica) historyOf(dataCentre domain.DataCentre) *history {
-	if dataCentre == r.self.DataCentre {
-		return r.history.Load()
-	}
-	r.mu.Lock()
-	known := r.foreign[dataCentre]
-	r.mu.Unlock()
-	return r.learn(known, r.options.Tables.Table(dataCentre))
-}
-
-// learn keeps the later of a known table of another data centre and one just met.
-func (r *Replica) learn(known *history, met *Table) *history {
-	if met == nil || known != nil && met.Epoch <= known.table.Epoch {
-		return known
-	}
-	next := newHistory(met)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.foreign[met.DataCentre] = next
-	return next
-}
-
-// refresh fetches the table of the key's data centre from a member that has
-// another epoch.
-func (r *Replica) refresh(ctx context.Context, t target, at route, epoch uint64) {
-	dataCentre := t.key.Scope.DataCentre
-	if dataCentre == r.self.DataCentre {
-		r.catchUp(ctx, at.home, epoch)
-		return
-	}
-	if epoch <= at.epoch {
-		return
-	}
-	if met, err := r.fetchTable(ctx, at.home, dataCentre); err == nil {
-		r.learn(r.historyOf(dataCentre), met)
-	}
-}
