--- a/demo/demo.go
+++ b/demo/demo.go
@@ -142,11 +142,13 @@
 		d.services[row.ID] = s
 		return s.Handler()
 	}
-	e := engine.New(engine.Options{
-		Speed:         speed(row.Generation),
-		IgnoreFencing: !row.ChecksFencing,
-		Seed:          seed,
-	})
+	options := engine.Options{Speed: speed(row.Generation)}
+	if d.options.Engine != nil {
+		options = d.options.Engine(row)
+	}
+	options.IgnoreFencing = !row.ChecksFencing
+	options.Seed = seed
+	e := engine.New(options)
 	d.engines[row.ID] = e
 	return engine.NewHandler(e)
 }
