--- a/config/agreed/service.go
+++ b/config/agreed/service.go
@@ -84,14 +84,10 @@
 		if err != nil {
 			return document.Value{}, err
 		}
-		next, err := config.Merge(current, changes)
+		next, err := config.Next(current, changes)
 		if err != nil {
 			return document.Value{}, err
 		}
-		config.AssignHomes(current, &next)
-		if err := config.CheckHomes(current, next).Err(); err != nil {
-			return document.Value{}, err
-		}
 		return encode(next)
 	})
 }
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -11,6 +13,9 @@
 	"hawthornrill.example/hawthornrill/operatorapi"
 )
 
+// maxRows bounds the rows shown; the others are counted.
+const maxRows = 200
+
 // maxEffects bounds the organisations shown; the others are counted.
 const maxEffects = 20
 
@@ -37,13 +42,61 @@
 	return tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 }
 
+// printCells shows changed rows cell by cell, and new and removed rows on a line
+// each.
 func printCells(out io.Writer, cells []operatorapi.CellEffect) {
 	w := newTable(out)
 	_, _ = fmt.Fprintln(w, "KIND\tROW\tCOLUMN\tNOW\tTHEN")
-	for _, cell := range cells {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", cell.Kind, cell.Key, cell.Column, orDash(cell.Before), orDash(cell.After))
+	rows := 0
+	for len(cells) > 0 {
+		row := firstRow(cells)
+		cells = cells[len(row):]
+		if rows++; rows <= maxRows {
+			printRow(w, row)
+		}
 	}
 	_ = w.Flush()
+	if rows > maxRows {
+		_, _ = fmt.Fprintf(out, "and %d more rows\n", rows-maxRows)
+	}
+}
+
+// firstRow returns the cells of the first row.
+func firstRow(cells []operatorapi.CellEffect) []operatorapi.CellEffect {
+	first := cells[0]
+	end := slices.IndexFunc(cells, func(c operatorapi.CellEffect) bool { return c.Kind != first.Kind || c.Key != first.Key })
+	if end < 0 {
+		return cells
+	}
+	return cells[:end]
+}
+
+// printRow shows a row. The first column is the key, which changes only with the
+// whole row.
+func printRow(w io.Writer, row []operatorapi.CellEffect) {
+	first := row[0]
+	switch {
+	case first.Before == "" && first.After == first.Key:
+		_, _ = fmt.Fprintf(w, "%s\t%s\tnew row\t-\t%s\n", first.Kind, first.Key, filledCells(row[1:]))
+		return
+	case first.After == "" && first.Before == first.Key:
+		_, _ = fmt.Fprintf(w, "%s\t%s\tremoved\t\t-\n", first.Kind, first.Key)
+		return
+	}
+	for _, cell := range row {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", cell.Kind, cell.Key, cell.Column, orDash(cell.Before), orDash(cell.After))
+	}
+}
+
+// filledCells lists the cells of a new row that hold something.
+func filledCells(cells []operatorapi.CellEffect) string {
+	var filled []string
+	for _, cell := range cells {
+		if cell.After != "" && cell.After != "0" && cell.After != "false" {
+			filled = append(filled, cell.Column+"="+cell.After)
+		}
+	}
+	return strings.Join(filled, " ")
 }
 
 func printEffects(out io.Writer, effects []config.ShareEffect) {
--- a/ctl/rollback.go
+++ b/ctl/rollback.go
@@ -18,6 +18,7 @@
 	if err != nil {
 		return p, err
 	}
+	config.KeepHomes(current.Table, &old.Table)
 	p.base = current.Version.Generation
 	p.changes = config.Diff(current.Table, old.Table)
 	p.preview.Version = current.Version
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -109,14 +109,13 @@
 // previewOf tells what the changes would do to the table.
 func previewOf(current config.Table, changes []config.Change) (PreviewReply, error) {
 	var reply PreviewReply
-	next, err := config.Merge(current, changes)
-	if errors.As(err, &reply.Conflicts) {
+	next, err := config.Next(current, changes)
+	if errors.As(err, &reply.Conflicts) || errors.As(err, &reply.Problems) {
 		return reply, nil
 	}
 	if err != nil {
 		return reply, err
 	}
-	reply.Problems = config.Validate(&next)
 	reply.Effects = config.ShareEffects(current, next)
 	for _, change := range config.Diff(current, next) {
 		for _, cell := range change.Cells() {
