--- /dev/null
+++ b/coordinator/candidates.go
@@ -0,0 +1,52 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+)
+
+// candidates returns the members that campaign for a group's lease: the first of
+// the living in rendezvous order, from as many data centres as there are, so that
+// one data centre cut off from the store does not have them all.
+func candidates(group string, members *membership.Snapshot, count int) []domain.Member {
+	ranked := ranking(group, living(members))
+	seen := make(map[domain.DataCentre]int)
+	chosen := make([]domain.Member, 0, count)
+	for round := 0; len(chosen) < min(count, len(ranked)); round++ {
+		for _, m := range ranked {
+			if seen[m.DataCentre] == round && len(chosen) < count && !slices.Contains(chosen, m) {
+				seen[m.DataCentre]++
+				chosen = append(chosen, m)
+			}
+		}
+	}
+	return chosen
+}
+
+// living returns the members that are alive, each once.
+func living(members *membership.Snapshot) []domain.Member {
+	var alive []domain.Member
+	for _, p := range members.Peers {
+		if p.Status == membership.StatusAlive {
+			alive = append(alive, p.Member)
+		}
+	}
+	return alive
+}
+
+// ranking sorts the members in rendezvous order for the key.
+func ranking(key string, members []domain.Member) []domain.Member {
+	scores := make(map[domain.NodeID]uint64, len(members))
+	for _, m := range members {
+		scores[m.Node] = xxhash.Sum64String(key + "\x00" + string(m.Node))
+	}
+	slices.SortFunc(members, func(a, b domain.Member) int {
+		return cmp.Or(cmp.Compare(scores[b.Node], scores[a.Node]), cmp.Compare(a.Node, b.Node))
+	})
+	return members
+}
--- /dev/null
+++ b/coordinator/messages.go
@@ -0,0 +1,16 @@
+package coordinator
+
+import "hawthornrill.example/hawthornrill/peer"
+
+// methodDemand tells a candidate what the pools need that the sender owns.
+const methodDemand peer.Method = "coordinator.demand"
+
+// demandMessage is about the sender's data centre.
+type demandMessage struct {
+	Loads []modelLoad `cbor:"1,keyasint"`
+}
+
+type modelLoad struct {
+	Model string `cbor:"1,keyasint"`
+	Load  Load   `cbor:"2,keyasint"`
+}
