--- a/ledger/home_test.go
+++ b/ledger/home_test.go
@@ -97,3 +97,17 @@
 		})
 	}
 }
+
+// A life that departs twice, taken out by mistake the first time, is as young a
+// loss as its second departure.
+func TestAgesAreOfDepartures(t *testing.T) {
+	start, life := time.Now(), TableMember{}
+	table := &Table{Departed: []Departure{{TableMember: life, Removed: 2, Lost: true}}}
+	var counter AgeCounter
+	counter.Count(table, start)
+	table.Departed = append(table.Departed, Departure{TableMember: life, Removed: 4, Lost: true})
+	counter.Count(table, start.Add(time.Hour))
+	assert.Equal(t, table.Departed[0].Age, time.Hour)
+	assert.Equal(t, table.Departed[1].Age, time.Duration(0))
+	assert.Equal(t, Options{}.LossWindow(), DefaultRetention+2*DefaultFenceTimeout)
+}
--- a/ledger/tablestore.go
+++ b/ledger/tablestore.go
@@ -96,6 +96,7 @@
 	if _, err := s.store.CompareAndSwap(ctx, TableKey(s.dataCentre), revision, value, 0); err != nil {
 		return nil, err
 	}
+	s.Observe(next)
 	return next, nil
 }
 
