document: status by data centre instead of by node

A node that is asked for the status of all had to call each: with 1,000 nodes links to all, for minutes. Nodes cut off from it alone are reported all the same.

--- a/document/message.go
+++ b/document/message.go
@@ -14,6 +14,7 @@
 	methodPull     peer.Method = "document.pull"
 	methodParts    peer.Method = "document.parts"
 	methodStatus   peer.Method = "document.status"
+	methodCentre   peer.Method = "document.centre"
 )
 
 // announcement tells that the sender holds a version. As an offer it goes to a
@@ -66,7 +67,7 @@
 	Parts [][]byte `cbor:"1,keyasint"`
 }
 
-// statusRequest asks for the conditions of a node.
+// statusRequest asks for the conditions of a node, or of a data centre's nodes.
 type statusRequest struct{}
 
 // statusReply has the conditions of all documents of a node.
@@ -74,3 +75,8 @@
 	Conditions []Condition   `cbor:"1,keyasint"`
 	Uptime     time.Duration `cbor:"2,keyasint"`
 }
+
+// centreReply has the nodes of a data centre that could be reached from there.
+type centreReply struct {
+	Nodes []NodeStatus `cbor:"1,keyasint"`
+}
--- a/document/serve.go
+++ b/document/serve.go
@@ -19,6 +19,7 @@
 	peer.Handle(s.options.Transport, methodPull, s.servePull)
 	peer.Handle(s.options.Transport, methodParts, s.serveParts)
 	peer.Handle(s.options.Transport, methodStatus, s.serveStatus)
+	peer.Handle(s.options.Transport, methodCentre, s.serveCentre)
 }
 
 func (s *Service) serveAnnouncement(_ context.Context, from domain.Member, a announcement) (struct{}, error) {
