--- /dev/null
+++ b/load/choosers.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+// balancer is the part that the plain choosers share: they learn nothing.
+type balancer struct{}
+
+// Admit implements capacity.Chooser.
+func (balancer) Admit(time.Time, *capacity.Ask) error { return nil }
+
+// Granted implements capacity.Chooser.
+func (balancer) Granted(time.Time, *capacity.EndpointState, *capacity.Ask) {}
+
+// Forecast implements capacity.Chooser.
+func (balancer) Forecast(time.Time, *capacity.EndpointState, *capacity.Ask) capacity.Forecast {
+	return capacity.Forecast{}
+}
+
+// Observe implements capacity.Chooser.
+func (balancer) Observe(time.Time, *capacity.EndpointState, *capacity.Ask, capacity.Result) {}
+
+// Random takes any endpoint.
+type Random struct {
+	balancer
+	random *rand.Rand
+}
+
+// NewRandom returns a seeded Random.
+func NewRandom(seed uint64) *Random { return &Random{random: rand.New(rand.NewPCG(seed, 1))} }
+
+// Choose implements capacity.Chooser.
+func (c *Random) Choose(_ time.Time, _ *capacity.Waiting, candidates []*capacity.EndpointState) (int, bool) {
+	return c.random.IntN(len(candidates)), true
+}
+
+// RoundRobin takes the endpoints in turn.
+type RoundRobin struct {
+	balancer
+	turn int
+}
+
+// Choose implements capacity.Chooser.
+func (c *RoundRobin) Choose(_ time.Time, _ *capacity.Waiting, candidates []*capacity.EndpointState) (int, bool) {
+	c.turn++
+	return c.turn % len(candidates), true
+}
+
+// LeastReported takes the endpoint whose last report told the least load.
+type LeastReported struct {
+	balancer
+	load map[domain.EndpointID]int
+	turn int
+}
+
+var _ capacity.Reporter = (*LeastReported)(nil)
+
+// NewLeastReported returns a LeastReported that has no reports yet.
+func NewLeastReported() *LeastReported {
+	return &LeastReported{load: make(map[domain.EndpointID]int)}
+}
+
+// Choose implements capacity.Chooser. Among equals it takes turns.
+func (c *LeastReported) Choose(_ time.Time, _ *capacity.Waiting, candidates []*capacity.EndpointState) (int, bool) {
+	c.turn++
+	best := c.turn % len(candidates)
+	for i := range candidates {
+		at := (c.turn + i) % len(candidates)
+		if c.load[candidates[at].ID] < c.load[candidates[best].ID] {
+			best = at
+		}
+	}
+	return best, true
+}
+
+// Report implements capacity.Reporter.
+func (c *LeastReported) Report(_ time.Time, e *capacity.EndpointState, report endpoint.LoadReport) {
+	c.load[e.ID] = report.Running + report.Waiting
+}
+
+// CacheEvents implements capacity.Reporter.
+func (*LeastReported) CacheEvents(time.Time, *capacity.EndpointState, []endpoint.CacheEvent) {}
--- /dev/null
+++ b/load/cost.go
@@ -0,0 +1,48 @@
+package load
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/standin/engine"
+)
+
+// SpeedOf returns the stand-in's speed for a generation of hardware.
+func SpeedOf(generation string) engine.Speed {
+	if generation == deployment.GenerationB {
+		return engine.GenerationB()
+	}
+	return engine.GenerationA()
+}
+
+// Cost is the engine time that a request takes at least on the faster hardware,
+// with a batch that is always full and nothing computed twice.
+func Cost(r *Request, batch int) time.Duration {
+	speed := engine.GenerationA()
+	perToken := (speed.Step + time.Duration(batch-1)*speed.PerSequence) / time.Duration(batch)
+	return time.Duration(r.NewTokens)*speed.Prefill + time.Duration(r.AnswerTokens)*perToken
+}
+
+// Capacity is how many engines of the faster hardware a table's engines make up.
+func Capacity(table *config.Table) float64 {
+	full := engine.GenerationA().Step
+	var sum float64
+	for i := range table.Endpoints {
+		row := &table.Endpoints[i]
+		if row.Kind == config.KindEngine {
+			sum += float64(full) / float64(SpeedOf(row.Generation).Step)
+		}
+	}
+	return sum
+}
+
+// batchOf returns the operators' limit of the first engine.
+func batchOf(table *config.Table) int {
+	for i := range table.Endpoints {
+		if row := &table.Endpoints[i]; row.Kind == config.KindEngine {
+			return row.Limit
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/load/summary.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// summary counts results by group.
+type summary struct {
+	runs  map[string]runSum
+	total *Row
+	calls *Row
+	tiers map[domain.Tier]*Row
+	orgs  map[domain.OrganisationID]*Row
+	codes map[string]int
+}
+
+func newSummary(w *Witness) *summary {
+	return &summary{
+		runs:  w.runsOf(),
+		total: newRow("total"),
+		calls: newRow("plain calls"),
+		tiers: make(map[domain.Tier]*Row),
+		orgs:  make(map[domain.OrganisationID]*Row),
+		codes: make(map[string]int),
+	}
+}
+
+func newRow(group string) *Row { return &Row{Group: group, first: newHistogram()} }
+
+func (s *summary) add(r *Result) {
+	for i := range r.Attempts {
+		if code := r.Attempts[i].Code; code != "" {
+			s.codes[code]++
+		}
+	}
+	ran := s.runs[r.Request.Key].runs > 0
+	if !r.Request.Model() {
+		s.calls.add(r, ran)
+		return
+	}
+	tier, org := r.Request.Tier, r.Request.Organisation
+	if s.tiers[tier] == nil {
+		s.tiers[tier] = newRow(fmt.Sprintf("tier %d", tier))
+	}
+	if s.orgs[org] == nil {
+		s.orgs[org] = newRow(string(org))
+	}
+	for _, row := range []*Row{s.total, s.tiers[tier], s.orgs[org]} {
+		row.add(r, ran)
+	}
+}
+
+// rows returns the rows in order, with the bound by tier.
+func (s *summary) rows(bound map[domain.Tier]int) (tiers, orgs []Row) {
+	for _, tier := range slices.Sorted(maps.Keys(s.tiers)) {
+		row := s.tiers[tier].finish()
+		row.Bound = bound[tier]
+		tiers = append(tiers, row)
+	}
+	for _, org := range slices.Sorted(maps.Keys(s.orgs)) {
+		orgs = append(orgs, s.orgs[org].finish())
+	}
+	return tiers, orgs
+}
+
+func (r *Row) add(result *Result, ran bool) {
+	// A caller that means to hang up is left out whether or not the answer came
+	// before.
+	if result.Request.HangUpAfter > 0 {
+		r.HungUp++
+		return
+	}
+	r.Offered++
+	if ran {
+		r.Admitted++
+	}
+	if first := result.FirstToken(); first > 0 {
+		_ = r.first.RecordValue(max(first.Microseconds(), leastMicros))
+	}
+	switch result.Fate() {
+	case FateOnTime:
+		r.OnTime++
+		if result.Prompt() {
+			r.Prompt++
+		}
+	case FateLate:
+		r.Late++
+	case FateNotRun:
+		r.NotRun++
+	case FateUnknown:
+		r.Unknown++
+	case FateRan:
+		r.Ran++
+	default:
+		r.Broken++
+	}
+}
+
+func (r *Row) finish() Row {
+	r.First = quantiles(r.first)
+	return *r
+}
--- /dev/null
+++ b/load/virtual/experiment.go
@@ -0,0 +1,25 @@
+package virtual
+
+import (
+	"context"
+
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/load"
+)
+
+// Experiment runs a workload once under a policy. Under testing/synctest it takes
+// no more time than the computing does. The bound is that of the operators' table
+// as the default policy has it.
+func Experiment(d *deployment.Deployment, policy Policy, options load.Options) (*load.Report, error) {
+	workload, err := load.Generate(load.ModelOf(d), options)
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := Start(d, policy)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Stop()
+	record := load.Run(context.Background(), workload, fleet, load.RunOptions{OneWay: d.ClientOneWay})
+	return load.Measure(workload, policy.Name, record, fleet.Witness(), load.Bound(workload, &d.Table)), nil
+}
--- /dev/null
+++ b/load/virtual/experiment_test.go
@@ -0,0 +1,84 @@
+package virtual
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/deployment"
+	"hawthornrill.example/hawthornrill/load"
+)
+
+// The flags of the experiments, which docs/EXPERIMENTS.md tells how to repeat:
+// go test ./load/virtual -run TestExperiment -args -policies default,round-robin -seeds 1,2,3.
+var (
+	deployments = flag.String("deployments", "cucine,pryce", "deployments to run")
+	policyNames = flag.String("policies", "", "policies to run; none skips the experiments")
+	seeds       = flag.String("seeds", "1", "seeds of the workloads")
+	loads       = flag.String("loads", "2", "offered work in parts of capacity")
+	seconds     = flag.Int("seconds", 30, "time over which requests arrive")
+	reportDir   = flag.String("report", "", "directory for a JSON file of each run")
+)
+
+// run makes one experiment in virtual time.
+func run(t *testing.T, d *deployment.Deployment, policy Policy, options load.Options) *load.Report {
+	var report *load.Report
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		report, err = Experiment(d, policy, options)
+		assert.NilError(t, err)
+	})
+	return report
+}
+
+func number(t *testing.T, text string) float64 {
+	value, err := strconv.ParseFloat(text, 64)
+	assert.NilError(t, err)
+	return value
+}
+
+func TestExperiment(t *testing.T) {
+	if *policyNames == "" {
+		t.Skip("no -policies given")
+	}
+	for _, name := range strings.Split(*deployments, ",") {
+		for _, part := range strings.Split(*loads, ",") {
+			for _, policyName := range strings.Split(*policyNames, ",") {
+				for _, seed := range strings.Split(*seeds, ",") {
+					policy, err := PolicyByName(policyName)
+					assert.NilError(t, err)
+					d, err := deployment.ByName(name)
+					assert.NilError(t, err)
+					began := time.Now()
+					report := run(t, d, policy, load.Options{
+						Seed: uint64(number(t, seed)),
+						Load: number(t, part),
+						For:  time.Duration(*seconds) * time.Second,
+					})
+					assert.NilError(t, report.WriteTable(os.Stdout))
+					fmt.Printf("computed in %v\n\n", time.Since(began).Round(time.Millisecond))
+					keep(t, report)
+				}
+			}
+		}
+	}
+}
+
+func keep(t *testing.T, report *load.Report) {
+	if *reportDir == "" {
+		return
+	}
+	data, err := json.MarshalIndent(report, "", "  ")
+	assert.NilError(t, err)
+	name := fmt.Sprintf("%s-%s-%g-%d.json", report.Workload, report.Policy, report.Load, report.Seed)
+	assert.NilError(t, os.WriteFile(filepath.Join(*reportDir, name), data, 0o644))
+}
--- /dev/null
+++ b/load/virtual/members.go
@@ -0,0 +1,34 @@
+package virtual
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+)
+
+// members is a view in which everyone is alive.
+type members struct{ snapshot *membership.Snapshot }
+
+// Current implements membership.View.
+func (m *members) Current() *membership.Snapshot { return m.snapshot }
+
+// Run implements node.Members.
+func (m *members) Run(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+
+// Leave implements node.Members.
+func (m *members) Leave(context.Context) error { return nil }
+
+// Farewell implements node.Members.
+func (m *members) Farewell(context.Context) error { return nil }
+
+func peersOf(all []domain.Member) []membership.Peer {
+	var peers []membership.Peer
+	for _, m := range all {
+		peers = append(peers, membership.Peer{Member: m})
+	}
+	slices.SortFunc(peers, func(a, b membership.Peer) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	return peers
+}
