httpengine: a last event without an id of its own ends the stream

Cause: an event without an id inherits that of the one before, so the last event looked repeated, was dropped, and a complete answer counted as broken. The new case of TestStreamIsInOrderWithoutGaps fails without the change.

--- a/endpoint/httpengine/stream.go
+++ b/endpoint/httpengine/stream.go
@@ -116,10 +116,13 @@
 	return fmt.Errorf("%w: %w", endpoint.ErrBroken, io.ErrUnexpectedEOF)
 }
 
-// offsetOf reads the event's offset from its id; without one it is the next.
+// offsetOf reads the event's offset from its id; without one it is the next. An
+// event without an id has that of the one before it; the last event of an answer,
+// which comes once, is then taken for the next.
 func offsetOf(event sse.Event, next uint64) uint64 {
 	offset, err := strconv.ParseUint(event.LastEventID, 10, 64)
-	if err != nil {
+	inherited := event.Data == lastData && offset+1 == next
+	if err != nil || inherited {
 		return next
 	}
 	return offset
--- a/endpoint/httpengine/stream_test.go
+++ b/endpoint/httpengine/stream_test.go
@@ -49,6 +49,7 @@
 		"cut":          {events(2, 3), "2 3", endpoint.ErrBroken},
 		"cut in event": {events(2) + "id: 3\nda", "2", endpoint.ErrBroken},
 		"too long":     {events(2) + "data: " + strings.Repeat("x", 2<<20) + "\n\n", "2", endpoint.ErrBroken},
+		"last without": {events(2, 3, 4) + "data: [DONE]\n\n", "2 3 4 5", io.EOF},
 		"without ids":  {"data: a\n\ndata: [DONE]\n\n", "2 3", io.EOF},
 		"rubbish":      {"\x00\xff{}\n\n\n", "", endpoint.ErrBroken},
 	}
