--- a/capacity/options.go
+++ b/capacity/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer"
 )
@@ -104,29 +105,23 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	setDefault(&o.QueueBound, DefaultQueueBound)
-	setDefault(&o.LookAhead, DefaultLookAhead)
-	setDefault(&o.Tick, DefaultTick)
-	setDefault(&o.RenewEvery, DefaultRenewEvery)
-	setDefault(&o.GrantTTL, DefaultGrantTTL)
-	setDefault(&o.Settle, DefaultSettle)
-	setDefault(&o.ConfirmAfter, DefaultConfirmAfter)
-	setDefault(&o.AimMargin, DefaultAimMargin)
-	setDefault(&o.DeadlineMargin, DefaultDeadlineMargin)
-	setDefault(&o.Hopeless, DefaultHopeless)
-	setDefault(&o.RevokeRepeat, DefaultRevokeRepeat)
-	setDefault(&o.SeekTimeout, DefaultSeekTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.QuoteTimeout, DefaultQuoteTimeout)
-	setDefault(&o.QuoteAge, DefaultQuoteAge)
-	setDefault(&o.RetryEvery, DefaultRetryEvery)
-	setDefault(&o.OwnerPatience, DefaultOwnerPatience)
-	setDefault(&o.MaxMoves, DefaultMaxMoves)
+	defaults.Set(&o.QueueBound, DefaultQueueBound)
+	defaults.Set(&o.LookAhead, DefaultLookAhead)
+	defaults.Set(&o.Tick, DefaultTick)
+	defaults.Set(&o.RenewEvery, DefaultRenewEvery)
+	defaults.Set(&o.GrantTTL, DefaultGrantTTL)
+	defaults.Set(&o.Settle, DefaultSettle)
+	defaults.Set(&o.ConfirmAfter, DefaultConfirmAfter)
+	defaults.Set(&o.AimMargin, DefaultAimMargin)
+	defaults.Set(&o.DeadlineMargin, DefaultDeadlineMargin)
+	defaults.Set(&o.Hopeless, DefaultHopeless)
+	defaults.Set(&o.RevokeRepeat, DefaultRevokeRepeat)
+	defaults.Set(&o.SeekTimeout, DefaultSeekTimeout)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.QuoteTimeout, DefaultQuoteTimeout)
+	defaults.Set(&o.QuoteAge, DefaultQuoteAge)
+	defaults.Set(&o.RetryEvery, DefaultRetryEvery)
+	defaults.Set(&o.OwnerPatience, DefaultOwnerPatience)
+	defaults.Set(&o.MaxMoves, DefaultMaxMoves)
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/membership"
@@ -52,12 +53,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Candidates, 3)
-	setDefault(&o.Period, 5*time.Second)
-	setDefault(&o.OrderTimeout, 3*time.Second)
-	setDefault(&o.LeaseTTL, 30*time.Second)
-	setDefault(&o.LeaseMargin, o.LeaseTTL/5)
-	setDefault(&o.StepDown, 10*time.Second)
+	defaults.Set(&o.Candidates, 3)
+	defaults.Set(&o.Period, 5*time.Second)
+	defaults.Set(&o.OrderTimeout, 3*time.Second)
+	defaults.Set(&o.LeaseTTL, 30*time.Second)
+	defaults.Set(&o.LeaseMargin, o.LeaseTTL/5)
+	defaults.Set(&o.StepDown, 10*time.Second)
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
--- a/coordinator/planoptions.go
+++ b/coordinator/planoptions.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/defaults"
+)
 
 // PlanOptions are the numbers of a Planner. Zero values mean the defaults.
 type PlanOptions struct {
@@ -24,20 +28,13 @@
 }
 
 func (o PlanOptions) withDefaults() PlanOptions {
-	setDefault(&o.ModelsPerEngine, 1)
-	setDefault(&o.PressWaiting, 2)
-	setDefault(&o.PressFor, 30*time.Second)
-	setDefault(&o.IdleTokens, 2000)
-	setDefault(&o.IdleFor, 10*time.Minute)
-	setDefault(&o.ChangeEvery, time.Minute)
-	setDefault(&o.LoadPatience, 10*time.Minute)
-	setDefault(&o.MaxLoading, 4)
+	defaults.Set(&o.ModelsPerEngine, 1)
+	defaults.Set(&o.PressWaiting, 2)
+	defaults.Set(&o.PressFor, 30*time.Second)
+	defaults.Set(&o.IdleTokens, 2000)
+	defaults.Set(&o.IdleFor, 10*time.Minute)
+	defaults.Set(&o.ChangeEvery, time.Minute)
+	defaults.Set(&o.LoadPatience, 10*time.Minute)
+	defaults.Set(&o.MaxLoading, 4)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/defaults"
+)
 
 // Options bounds what the dispatcher does about faulty endpoints.
 type Options struct {
@@ -38,20 +42,13 @@
 
 func (o Options) withDefaults() Options {
 	d := DefaultOptions()
-	o.ResumeWindow = positive(o.ResumeWindow, d.ResumeWindow)
-	o.ResumeFirst = positive(o.ResumeFirst, d.ResumeFirst)
-	o.ResumeMax = positive(o.ResumeMax, d.ResumeMax)
-	o.NotFoundWindow = positive(o.NotFoundWindow, d.NotFoundWindow)
-	o.Stall = positive(o.Stall, d.Stall)
-	o.ServiceStall = positive(o.ServiceStall, d.ServiceStall)
-	o.CancelTimeout = positive(o.CancelTimeout, d.CancelTimeout)
-	o.ProgressEvery = positive(o.ProgressEvery, d.ProgressEvery)
+	o.ResumeWindow = defaults.Positive(o.ResumeWindow, d.ResumeWindow)
+	o.ResumeFirst = defaults.Positive(o.ResumeFirst, d.ResumeFirst)
+	o.ResumeMax = defaults.Positive(o.ResumeMax, d.ResumeMax)
+	o.NotFoundWindow = defaults.Positive(o.NotFoundWindow, d.NotFoundWindow)
+	o.Stall = defaults.Positive(o.Stall, d.Stall)
+	o.ServiceStall = defaults.Positive(o.ServiceStall, d.ServiceStall)
+	o.CancelTimeout = defaults.Positive(o.CancelTimeout, d.CancelTimeout)
+	o.ProgressEvery = defaults.Positive(o.ProgressEvery, d.ProgressEvery)
 	return o
 }
-
-func positive[T ~int | ~int64](value, fallback T) T {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
--- a/document/options.go
+++ b/document/options.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer"
 	"hawthornrill.example/hawthornrill/store"
@@ -52,19 +53,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Watchers, 2)
-	setDefault(&o.Fanout, 8)
-	setDefault(&o.AntiEntropy, 5*time.Second)
-	setDefault(&o.Supervision, time.Second)
-	setDefault(&o.WatchRenewal, 45*time.Second)
-	setDefault(&o.StoreTimeout, 5*time.Second)
-	setDefault(&o.CallTimeout, 2*time.Second)
-	setDefault(&o.EditTimeout, 15*time.Second)
-	setDefault(&o.RepairDelay, 10*time.Second)
-	setDefault(&o.RetryMax, 2*time.Second)
-	setDefault(&o.CollectInterval, 30*time.Minute)
-	setDefault(&o.CollectAge, time.Hour)
-	setDefault(&o.PageBytes, 128<<10)
+	defaults.Set(&o.Watchers, 2)
+	defaults.Set(&o.Fanout, 8)
+	defaults.Set(&o.AntiEntropy, 5*time.Second)
+	defaults.Set(&o.Supervision, time.Second)
+	defaults.Set(&o.WatchRenewal, 45*time.Second)
+	defaults.Set(&o.StoreTimeout, 5*time.Second)
+	defaults.Set(&o.CallTimeout, 2*time.Second)
+	defaults.Set(&o.EditTimeout, 15*time.Second)
+	defaults.Set(&o.RepairDelay, 10*time.Second)
+	defaults.Set(&o.RetryMax, 2*time.Second)
+	defaults.Set(&o.CollectInterval, 30*time.Minute)
+	defaults.Set(&o.CollectAge, time.Hour)
+	defaults.Set(&o.PageBytes, 128<<10)
 	return o
 }
 
@@ -81,10 +82,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/defaults"
+)
 
 // Options bounds what callers may send and how long they may take.
 type Options struct {
@@ -39,20 +43,13 @@
 
 func (o Options) withDefaults() Options {
 	d := DefaultOptions()
-	o.MaxBodyBytes = positive(o.MaxBodyBytes, d.MaxBodyBytes)
-	o.MaxCallBytes = positive(o.MaxCallBytes, d.MaxCallBytes)
-	o.MaxHeldBytes = positive(o.MaxHeldBytes, d.MaxHeldBytes)
-	o.BodyTimeout = positive(o.BodyTimeout, d.BodyTimeout)
-	o.WriteTimeout = positive(o.WriteTimeout, d.WriteTimeout)
-	o.HeaderDelay = positive(o.HeaderDelay, d.HeaderDelay)
-	o.KeepAlive = positive(o.KeepAlive, d.KeepAlive)
-	o.MaxTimeout = positive(o.MaxTimeout, d.MaxTimeout)
+	o.MaxBodyBytes = defaults.Positive(o.MaxBodyBytes, d.MaxBodyBytes)
+	o.MaxCallBytes = defaults.Positive(o.MaxCallBytes, d.MaxCallBytes)
+	o.MaxHeldBytes = defaults.Positive(o.MaxHeldBytes, d.MaxHeldBytes)
+	o.BodyTimeout = defaults.Positive(o.BodyTimeout, d.BodyTimeout)
+	o.WriteTimeout = defaults.Positive(o.WriteTimeout, d.WriteTimeout)
+	o.HeaderDelay = defaults.Positive(o.HeaderDelay, d.HeaderDelay)
+	o.KeepAlive = defaults.Positive(o.KeepAlive, d.KeepAlive)
+	o.MaxTimeout = defaults.Positive(o.MaxTimeout, d.MaxTimeout)
 	return o
 }
-
-func positive[T ~int64](value, fallback T) T {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer"
@@ -79,28 +80,21 @@
 
 // withDefaults fills what is zero.
 func (o Options) withDefaults() Options {
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.TryTimeout, DefaultTryTimeout)
-	setDefault(&o.RetryDelay, DefaultRetryDelay)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.MaxRecords, DefaultMaxRecords)
-	setDefault(&o.FenceTimeout, DefaultFenceTimeout)
-	setDefault(&o.HoldsAfter, DefaultHoldsAfter)
-	setDefault(&o.AuditInterval, DefaultAuditInterval)
-	setDefault(&o.PageRecords, DefaultPageRecords)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.TryTimeout, DefaultTryTimeout)
+	defaults.Set(&o.RetryDelay, DefaultRetryDelay)
+	defaults.Set(&o.Retention, DefaultRetention)
+	defaults.Set(&o.MaxRecords, DefaultMaxRecords)
+	defaults.Set(&o.FenceTimeout, DefaultFenceTimeout)
+	defaults.Set(&o.HoldsAfter, DefaultHoldsAfter)
+	defaults.Set(&o.AuditInterval, DefaultAuditInterval)
+	defaults.Set(&o.PageRecords, DefaultPageRecords)
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // secondTimeout bounds a message that a home sends while another node waits for its
 // answer: several fit into that node's TryTimeout.
 func (o Options) secondTimeout() time.Duration { return o.TryTimeout / maxWitnesses }
@@ -109,7 +103,7 @@
 // would have been kept, and as a member that was taken out by mistake could go on
 // without noticing. Defaults stand in for what is zero.
 func (o Options) LossWindow() time.Duration {
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.FenceTimeout, DefaultFenceTimeout)
+	defaults.Set(&o.Retention, DefaultRetention)
+	defaults.Set(&o.FenceTimeout, DefaultFenceTimeout)
 	return o.Retention + 2*o.FenceTimeout
 }
--- a/limits/options.go
+++ b/limits/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer"
 )
@@ -67,22 +68,16 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	setDefault(&o.ReportEvery, DefaultReportEvery)
-	setDefault(&o.QuietEvery, DefaultQuietEvery)
-	setDefault(&o.Settle, DefaultSettle)
-	setDefault(&o.Keep, DefaultKeep)
-	setDefault(&o.IdleAfter, DefaultIdleAfter)
-	setDefault(&o.ForgetAfter, DefaultForgetAfter)
-	setDefault(&o.Patience, DefaultPatience)
-	setDefault(&o.Cooldown, DefaultCooldown)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.RetryAfter, DefaultRetryAfter)
-	setDefault(&o.Rotate, DefaultRotate)
+	defaults.Set(&o.ReportEvery, DefaultReportEvery)
+	defaults.Set(&o.QuietEvery, DefaultQuietEvery)
+	defaults.Set(&o.Settle, DefaultSettle)
+	defaults.Set(&o.Keep, DefaultKeep)
+	defaults.Set(&o.IdleAfter, DefaultIdleAfter)
+	defaults.Set(&o.ForgetAfter, DefaultForgetAfter)
+	defaults.Set(&o.Patience, DefaultPatience)
+	defaults.Set(&o.Cooldown, DefaultCooldown)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.RetryAfter, DefaultRetryAfter)
+	defaults.Set(&o.Rotate, DefaultRotate)
 	return o
 }
-
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/membership/options.go
+++ b/membership/options.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/hostlist"
 	"hawthornrill.example/hawthornrill/peer"
 )
@@ -63,25 +64,18 @@
 
 // withDefaults fills in what is zero.
 func (o Options) withDefaults() Options {
-	setDefault(&o.ProbeInterval, DefaultProbeInterval)
-	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&o.SuspicionTimeout, DefaultSuspicionTimeout)
-	setDefault(&o.Relays, DefaultRelays)
-	setDefault(&o.ExchangeInterval, DefaultExchangeInterval)
-	setDefault(&o.ExchangeTimeout, DefaultExchangeTimeout)
-	setDefault(&o.Delegates, DefaultDelegates)
-	setDefault(&o.ListInterval, DefaultListInterval)
-	setDefault(&o.GoneAfter, DefaultGoneAfter)
-	setDefault(&o.GoneRetention, DefaultGoneRetention)
+	defaults.Set(&o.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&o.SuspicionTimeout, DefaultSuspicionTimeout)
+	defaults.Set(&o.Relays, DefaultRelays)
+	defaults.Set(&o.ExchangeInterval, DefaultExchangeInterval)
+	defaults.Set(&o.ExchangeTimeout, DefaultExchangeTimeout)
+	defaults.Set(&o.Delegates, DefaultDelegates)
+	defaults.Set(&o.ListInterval, DefaultListInterval)
+	defaults.Set(&o.GoneAfter, DefaultGoneAfter)
+	defaults.Set(&o.GoneRetention, DefaultGoneRetention)
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/peer/wslink/options.go
+++ b/peer/wslink/options.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/peer/pki"
 )
@@ -67,16 +68,16 @@
 
 // withDefaults fills in what is zero.
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&o.MaxQueuedBytes, DefaultMaxQueuedBytes)
-	setDefault(&o.MaxOutstanding, DefaultMaxOutstanding)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.PingInterval, DefaultPingInterval)
-	setDefault(&o.PingTimeout, DefaultPingTimeout)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.MinBackoff, DefaultMinBackoff)
-	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	defaults.Set(&o.MaxFrameBytes, DefaultMaxFrameBytes)
+	defaults.Set(&o.MaxQueuedBytes, DefaultMaxQueuedBytes)
+	defaults.Set(&o.MaxOutstanding, DefaultMaxOutstanding)
+	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&o.PingInterval, DefaultPingInterval)
+	defaults.Set(&o.PingTimeout, DefaultPingTimeout)
+	defaults.Set(&o.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.MinBackoff, DefaultMinBackoff)
+	defaults.Set(&o.MaxBackoff, DefaultMaxBackoff)
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
@@ -86,13 +87,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address)
--- a/routing/options.go
+++ b/routing/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/defaults"
 )
 
 // Options are the numbers of a Router. Zero values are replaced by the defaults
@@ -109,31 +111,25 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	setDefault(&o.LearnRate, DefaultLearnRate)
-	setDefault(&o.RequestTokens, DefaultRequestTokens)
-	setDefault(&o.TokenInterval, DefaultTokenInterval)
-	setDefault(&o.PrefillWeight, DefaultPrefillWeight)
+	defaults.Set(&o.LearnRate, DefaultLearnRate)
+	defaults.Set(&o.RequestTokens, DefaultRequestTokens)
+	defaults.Set(&o.TokenInterval, DefaultTokenInterval)
+	defaults.Set(&o.PrefillWeight, DefaultPrefillWeight)
 	o.PrefillWeight = max(o.PrefillWeight, 0)
-	setDefault(&o.TieMargin, DefaultTieMargin)
-	setDefault(&o.PrefixBlocks, DefaultPrefixBlocks)
-	setDefault(&o.EvictionLag, DefaultEvictionLag)
-	setDefault(&o.Sessions, DefaultSessions)
-	setDefault(&o.SessionTTL, DefaultSessionTTL)
-	setDefault(&o.StragglerRatio, DefaultStragglerRatio)
-	setDefault(&o.ProbeEvery, DefaultProbeEvery)
-	setDefault(&o.Silence, DefaultSilence)
-	setDefault(&o.EjectFirst, DefaultEjectFirst)
-	setDefault(&o.EjectMost, DefaultEjectMost)
-	setDefault(&o.EjectPart, DefaultEjectPart)
-	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&o.ReportAge, DefaultReportAge)
-	setDefault(&o.ReportWeight, DefaultReportWeight)
-	setDefault(&o.ForecastSamples, DefaultForecastSamples)
+	defaults.Set(&o.TieMargin, DefaultTieMargin)
+	defaults.Set(&o.PrefixBlocks, DefaultPrefixBlocks)
+	defaults.Set(&o.EvictionLag, DefaultEvictionLag)
+	defaults.Set(&o.Sessions, DefaultSessions)
+	defaults.Set(&o.SessionTTL, DefaultSessionTTL)
+	defaults.Set(&o.StragglerRatio, DefaultStragglerRatio)
+	defaults.Set(&o.ProbeEvery, DefaultProbeEvery)
+	defaults.Set(&o.Silence, DefaultSilence)
+	defaults.Set(&o.EjectFirst, DefaultEjectFirst)
+	defaults.Set(&o.EjectMost, DefaultEjectMost)
+	defaults.Set(&o.EjectPart, DefaultEjectPart)
+	defaults.Set(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&o.ReportAge, DefaultReportAge)
+	defaults.Set(&o.ReportWeight, DefaultReportWeight)
+	defaults.Set(&o.ForecastSamples, DefaultForecastSamples)
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/routing/quarantine/options.go
+++ b/routing/quarantine/options.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer"
 )
@@ -50,18 +51,12 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	setDefault(&o.First, DefaultFirst)
-	setDefault(&o.Most, DefaultMost)
-	setDefault(&o.Memory, DefaultMemory)
-	setDefault(&o.Contents, DefaultContents)
-	setDefault(&o.Flush, DefaultFlush)
-	setDefault(&o.PullEvery, DefaultPullEvery)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.First, DefaultFirst)
+	defaults.Set(&o.Most, DefaultMost)
+	defaults.Set(&o.Memory, DefaultMemory)
+	defaults.Set(&o.Contents, DefaultContents)
+	defaults.Set(&o.Flush, DefaultFlush)
+	defaults.Set(&o.PullEvery, DefaultPullEvery)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/answer"
+	"hawthornrill.example/hawthornrill/defaults"
 )
 
 // Options bounds requests and the waits of their steps.
@@ -51,23 +52,16 @@
 
 func (o Options) withDefaults() Options {
 	d := DefaultOptions()
-	o.Grace = positive(o.Grace, d.Grace)
-	o.Deadline = positive(o.Deadline, d.Deadline)
-	o.MaxRun = positive(o.MaxRun, d.MaxRun)
-	o.ClaimTimeout = positive(o.ClaimTimeout, d.ClaimTimeout)
-	o.SettleTimeout = positive(o.SettleTimeout, d.SettleTimeout)
-	o.SettleWindow = positive(o.SettleWindow, d.SettleWindow)
-	o.AttachWindow = positive(o.AttachWindow, d.AttachWindow)
-	o.Attempts = positive(o.Attempts, d.Attempts)
-	o.MaxTasks = positive(o.MaxTasks, d.MaxTasks)
-	o.AnswerBytes = positive(o.AnswerBytes, d.AnswerBytes)
-	o.ResponseBytes = positive(o.ResponseBytes, d.ResponseBytes)
+	o.Grace = defaults.Positive(o.Grace, d.Grace)
+	o.Deadline = defaults.Positive(o.Deadline, d.Deadline)
+	o.MaxRun = defaults.Positive(o.MaxRun, d.MaxRun)
+	o.ClaimTimeout = defaults.Positive(o.ClaimTimeout, d.ClaimTimeout)
+	o.SettleTimeout = defaults.Positive(o.SettleTimeout, d.SettleTimeout)
+	o.SettleWindow = defaults.Positive(o.SettleWindow, d.SettleWindow)
+	o.AttachWindow = defaults.Positive(o.AttachWindow, d.AttachWindow)
+	o.Attempts = defaults.Positive(o.Attempts, d.Attempts)
+	o.MaxTasks = defaults.Positive(o.MaxTasks, d.MaxTasks)
+	o.AnswerBytes = defaults.Positive(o.AnswerBytes, d.AnswerBytes)
+	o.ResponseBytes = defaults.Positive(o.ResponseBytes, d.ResponseBytes)
 	return o
 }
-
-func positive[T ~int | ~int64](value, fallback T) T {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -8,6 +8,7 @@
 
 	"hawthornrill.example/hawthornrill/answer"
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/dispatch"
 	"hawthornrill.example/hawthornrill/ledger"
 )
@@ -53,7 +54,7 @@
 
 // deadline is how long the request may wait for a place, over all its tries.
 func (t *task) deadline() time.Duration {
-	return positive(t.request.Deadline, t.scheduler.options.Deadline)
+	return defaults.Positive(t.request.Deadline, t.scheduler.options.Deadline)
 }
 
 // timeLeft is what is left of the deadline.
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/defaults"
+)
 
 // Options describe an engine. New fills in the defaults.
 type Options struct {
@@ -58,20 +62,14 @@
 func DefaultOptions() Options { return Options{}.withDefaults() }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.BatchLimit, defaultBatchLimit)
-	setDefault(&o.KVTokens, defaultKVTokens)
-	setDefault(&o.Speed.Chunk, defaultChunk)
-	setDefault(&o.Retention, defaultRetention)
-	setDefault(&o.LoadLag, defaultLoadLag)
-	setDefault(&o.CacheEventDelay, defaultCacheEventDelay)
-	setDefault(&o.RestartDelay, o.Speed.Load)
+	defaults.Set(&o.BatchLimit, defaultBatchLimit)
+	defaults.Set(&o.KVTokens, defaultKVTokens)
+	defaults.Set(&o.Speed.Chunk, defaultChunk)
+	defaults.Set(&o.Retention, defaultRetention)
+	defaults.Set(&o.LoadLag, defaultLoadLag)
+	defaults.Set(&o.CacheEventDelay, defaultCacheEventDelay)
+	defaults.Set(&o.RestartDelay, o.Speed.Load)
 	o.LoadLag = max(0, o.LoadLag)
 	o.CacheEventDelay = max(0, o.CacheEventDelay)
 	return o
 }
-
-func setDefault[T int | time.Duration](value *T, to T) {
-	if *value == 0 {
-		*value = to
-	}
-}
--- a/standin/weightserver/store.go
+++ b/standin/weightserver/store.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/time/rate"
 
+	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/standin/engine"
 )
 
@@ -75,10 +76,10 @@
 func DefaultOptions() Options { return Options{}.withDefaults() }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.BytesPerSecond, defaultRate)
-	setDefault(&o.ModelBytes, defaultModelBytes)
-	setDefault(&o.AdapterBytes, defaultAdapterBytes)
-	setDefault(&o.Transfers, defaultTransfers)
+	defaults.Set(&o.BytesPerSecond, defaultRate)
+	defaults.Set(&o.ModelBytes, defaultModelBytes)
+	defaults.Set(&o.AdapterBytes, defaultAdapterBytes)
+	defaults.Set(&o.Transfers, defaultTransfers)
 	return o
 }
 
@@ -91,12 +92,6 @@
 	}
 }
 
-func setDefault(value *int, to int) {
-	if *value == 0 {
-		*value = to
-	}
-}
-
 // SetFaults replaces the faults in force.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
--- a/store/budget/options.go
+++ b/store/budget/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/defaults"
 )
 
 // Options bound a node's calls. Zero values mean the defaults.
@@ -24,21 +26,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.BackgroundPerSecond, 20)
-	setDefault(&o.BackgroundBurst, 40)
-	setDefault(&o.UrgentPerSecond, 100)
-	setDefault(&o.UrgentBurst, 100)
-	setDefault(&o.BackoffMin, 250*time.Millisecond)
-	setDefault(&o.BackoffMax, 10*time.Second)
+	defaults.Set(&o.BackgroundPerSecond, 20)
+	defaults.Set(&o.BackgroundBurst, 40)
+	defaults.Set(&o.UrgentPerSecond, 100)
+	defaults.Set(&o.UrgentBurst, 100)
+	defaults.Set(&o.BackoffMin, 250*time.Millisecond)
+	defaults.Set(&o.BackoffMax, 10*time.Second)
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
