--- a/ledger/home_test.go
+++ b/ledger/home_test.go
@@ -111,3 +111,19 @@
 	assert.Equal(t, table.Departed[1].Age, time.Duration(0))
 	assert.Equal(t, Options{}.LossWindow(), DefaultRetention+2*DefaultFenceTimeout)
 }
+
+// Records are merged by their claims, so a later home must give a greater one.
+func TestLaterHomesGiveGreaterClaims(t *testing.T) {
+	inCluster(t, 3, func(t *testing.T, c *cluster) {
+		k := c.keyAt(nodeName(0))
+		for range 10 {
+			c.nodes[nodeName(1)].grant(t, c.keyAt(nodeName(0)))
+		}
+		first := c.nodes[nodeName(1)].grant(t, k)
+		assert.NilError(t, c.nodes[nodeName(1)].Release(t.Context(), first))
+		c.crash(nodeName(0))
+		c.remove(nodeName(0))
+		c.settle()
+		assert.Assert(t, c.nodes[nodeName(1)].grant(t, k).ID > first.ID)
+	})
+}
