--- a/config/homes.go
+++ b/config/homes.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // AssignHomes gives every organisation of next without a home data centre the one
@@ -21,7 +20,7 @@
 			row.HomeDataCentre = known[row.ID]
 		}
 		if row.HomeDataCentre == "" {
-			row.HomeDataCentre = firstInRendezvousOrder(row.ID, places)
+			row.HomeDataCentre = spread(row.ID, places)
 		}
 	}
 }
@@ -81,14 +80,11 @@
 	return slices.Compact(places)
 }
 
-// firstInRendezvousOrder spreads organisations over the data centres.
-func firstInRendezvousOrder(id domain.OrganisationID, places []domain.DataCentre) domain.DataCentre {
-	var first domain.DataCentre
-	var best uint64
-	for _, place := range places {
-		if score := xxhash.Sum64String(string(place) + "\x00" + string(id)); first == "" || score > best {
-			first, best = place, score
-		}
+// spread chooses a place by the organisation, none if there is none.
+func spread(id domain.OrganisationID, places []domain.DataCentre) domain.DataCentre {
+	first := rendezvous.First(string(id), places, func(d domain.DataCentre) string { return string(d) })
+	if first < 0 {
+		return ""
 	}
-	return first
+	return places[first]
 }
--- a/entry/scope.go
+++ b/entry/scope.go
@@ -5,10 +5,9 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // scopeOf returns where a caller's own key is decided: in the session's data
@@ -20,22 +19,18 @@
 	}
 	home := cmp.Or(who.session.Home, who.organisation.HomeDataCentre)
 	if home == "" {
-		home = rendezvous(s.dataCentres(who.snapshot), who.organisation.ID, key)
+		home = spread(s.dataCentres(who.snapshot), who.organisation.ID, key)
 	}
 	return domain.Scope{Kind: domain.ScopeDataCentre, DataCentre: home}, home != ""
 }
 
-// rendezvous returns the data centre with the highest hash of the key.
-func rendezvous(places []domain.DataCentre, organisation domain.OrganisationID, key string) domain.DataCentre {
-	var best domain.DataCentre
-	var top uint64
-	for _, place := range places {
-		weight := xxhash.Sum64String(string(place) + "\x00" + string(organisation) + "\x00" + key)
-		if best == "" || weight > top {
-			best, top = place, weight
-		}
+// spread chooses a data centre by the key, none if there is none.
+func spread(places []domain.DataCentre, organisation domain.OrganisationID, key string) domain.DataCentre {
+	first := rendezvous.First(string(organisation)+"\x00"+key, places, func(d domain.DataCentre) string { return string(d) })
+	if first < 0 {
+		return ""
 	}
-	return best
+	return places[first]
 }
 
 // places is the sorted list of a snapshot's data centres, worked out once.
--- a/limits/fleet.go
+++ b/limits/fleet.go
@@ -4,10 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // fleet is the set of live nodes, and the one before its last change. It is
@@ -83,22 +82,9 @@
 
 // first returns the first of the members in the organisation's rendezvous order.
 func first(members []domain.Member, organisation domain.OrganisationID) (domain.Member, bool) {
-	var best domain.Member
-	var score uint64
-	found := false
-	for _, m := range members {
-		if s := weight(m.Node, organisation); !found || s > score || s == score && m.Node < best.Node {
-			best, score, found = m, s, true
-		}
+	index := rendezvous.First(string(organisation), members, func(m domain.Member) string { return string(m.Node) })
+	if index < 0 {
+		return domain.Member{}, false
 	}
-	return best, found
-}
-
-func weight(node domain.NodeID, organisation domain.OrganisationID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(node))
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(organisation))
-	return d.Sum64()
+	return members[index], true
 }
