--- a/load/report.go
+++ b/load/report.go
@@ -99,8 +99,7 @@
 	Verdict Verdict       `json:"verdict"`
 	Took    time.Duration `json:"took_ns"`
 
-	gaps   *hdrhistogram.Histogram
-	firsts map[string]*hdrhistogram.Histogram
+	gaps *hdrhistogram.Histogram
 }
 
 // Measure makes the report of a run.
--- a/load/table.go
+++ b/load/table.go
@@ -26,9 +26,19 @@
 		p.Done, p.Reused, p.Wasted(), p.Abandoned, p.Repeated, p.RepeatedSame)
 	fmt.Fprintf(w, "between tokens ms: p50 %.1f p95 %.1f p99 %.1f; answer tokens %d; problems %v; not sent %d\n",
 		r.Gaps.P50, r.Gaps.P95, r.Gaps.P99, r.Generated, r.Codes, r.Dropped)
-	fmt.Fprintf(w, "peers: %d messages, %d bytes; store: %d reads, %d writes, %d watches\n", r.PeerMessages, r.PeerBytes, r.StoreReads, r.StoreWrites, r.StoreWatches)
+	r.writeTraffic(w)
 	v := r.Verdict
 	_, err := fmt.Fprintf(w, "verdict: run twice %d, wrong answer %d, run though told not_run %d, answered but not run %d, shed above a served tier %d; refused for deadline above a served tier %d %v\n\n",
 		v.RunTwice, v.WrongAnswer, v.RunThoughNotRun, v.AnsweredUnrun, v.ShedAbove, v.LateAbove, v.Examples)
 	return err
 }
+
+// writeTraffic writes what went between the nodes and to the store. Over HTTP it
+// can't be seen.
+func (r *Report) writeTraffic(w io.Writer) {
+	if r.PeerMessages == 0 {
+		fmt.Fprintln(w, "peers and store: not seen from outside")
+		return
+	}
+	fmt.Fprintf(w, "peers: %d messages, %d bytes; store: %d reads, %d writes, %d watches\n", r.PeerMessages, r.PeerBytes, r.StoreReads, r.StoreWrites, r.StoreWatches)
+}
