--- a/ledger/basic_test.go
+++ b/ledger/basic_test.go
@@ -46,18 +46,25 @@
 	})
 }
 
+// A claim is given up before its commit, or after one that was not followed by a
+// dispatch, at the home itself, at another member and outside.
 func TestReleasedKeyIsAsNew(t *testing.T) {
 	inCluster(t, 7, func(t *testing.T, c *cluster) {
-		k := c.keyAt(nodeName(0))
-		claim, err := c.nodes[nodeName(1)].Claim(t.Context(), k, Fingerprint{1})
-		assert.NilError(t, err)
-		assert.NilError(t, c.nodes[nodeName(1)].Release(t.Context(), claim))
-		assert.ErrorIs(t, c.nodes[nodeName(1)].commit(claim), ErrRevoked)
-		_, _, err = c.nodes[nodeName(2)].Lookup(t.Context(), k)
-		assert.ErrorIs(t, err, ErrNotFound)
-		again, err := c.nodes[nodeName(2)].dispatch(k)
-		assert.NilError(t, err)
-		assert.Equal(t, again.Verdict, VerdictGranted)
+		far := c.startOutside("far", "catania")
+		for _, n := range []*testNode{c.nodes[nodeName(0)], c.nodes[nodeName(1)], far} {
+			for _, committed := range []bool{false, true} {
+				k := c.keyAt(nodeName(0))
+				claim := n.grant(t, k)
+				if committed {
+					assert.NilError(t, n.Commit(t.Context(), claim, "runner-1"))
+				}
+				assert.NilError(t, n.Release(t.Context(), claim))
+				assert.ErrorIs(t, n.commit(claim), ErrRevoked)
+				_, _, err := c.nodes[nodeName(2)].Lookup(t.Context(), k)
+				assert.ErrorIs(t, err, ErrNotFound)
+				assert.NilError(t, c.nodes[nodeName(2)].commit(c.nodes[nodeName(2)].grant(t, k)))
+			}
+		}
 	})
 }
 
