--- a/coordinator/planner_test.go
+++ b/coordinator/planner_test.go
@@ -38,6 +38,7 @@
 			need("a", "p", 0, 0).need("b", "p", 0, 0), []string{"unload b e1"}},
 		{"a drained engine is left alone and counts for nothing", newSim(PlanOptions{}, drained(machine("e1", "p", "a*", "b")), machine("e2", "p", "a", "b")).
 			need("a", "p", 0, 0).need("b", "p", 0, 0), []string{"load a e2"}},
+		{"a drained engine is not loaded", newSim(PlanOptions{}, drained(machine("e1", "p", "a"))), nil},
 		{"an engine that is not open is left alone", newSim(PlanOptions{}, shut(machine("e1", "p", "a"))), nil},
 	}
 	for _, c := range cases {
@@ -131,6 +132,22 @@
 	s.sound(t)
 }
 
+func TestStrayModelIsKeptWhereDemandIsUnknown(t *testing.T) {
+	s := newSim(PlanOptions{}, machine("e1", "p", "a*", "b"), machine("e2", "q", "b*"))
+	s.run(simPeriod)
+	s.engines[0].State.Models = append(s.engines[0].State.Models, endpoint.ModelState{Model: "b", Ready: true})
+	assert.Equal(t, len(s.run(time.Minute)), 0)
+}
+
+func TestReloadKeepsTheVersion(t *testing.T) {
+	s := newSim(PlanOptions{}, machine("e1", "p", "a*"))
+	s.engines[0].State.Models[0].Version = "2"
+	s.run(simPeriod)
+	s.forget(0)
+	assert.Equal(t, len(s.run(simPeriod)), 1)
+	assert.Equal(t, s.steps[0].Order.Version, "2")
+}
+
 // TestNeverTheLastRunner plans under random demand, restarts and silences.
 func TestNeverTheLastRunner(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
