--- a/node/path_test.go
+++ b/node/path_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -35,3 +36,20 @@
 		c.assertAtMostOnce()
 	})
 }
+
+// TestJoiningIsCheap shows what the start of a deployment costs the store, and that
+// nothing is written per request.
+func TestJoiningIsCheap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, deployment.Cucine(), engine.Options{Speed: engine.GenerationA()})
+		defer c.close()
+		time.Sleep(time.Minute)
+		before := c.store.Counts()
+		t.Logf("store calls after a start: %+v", before)
+		for i := range 10 {
+			response := c.chat(context.Background(), "palermo-1", "showrooms", fmt.Sprint(i), "hello", 5)
+			assert.Equal(t, response.Code, http.StatusOK)
+		}
+		assert.Equal(t, c.store.Counts().Writes, before.Writes, "a request was written to the store")
+	})
+}
--- a/node/tables.go
+++ b/node/tables.go
@@ -12,9 +12,6 @@
 	"hawthornrill.example/hawthornrill/ledger"
 )
 
-// tableKeepHistory is how many earlier ledger tables the store keeps.
-const tableKeepHistory = 2
-
 // tables distributes the ledger tables of all data centres as documents, one
 // each. It implements ledger.Tables for all, and ledger.TableEditor for this
 // node's own data centre.
@@ -57,11 +54,10 @@
 	t.known[dc] = new(atomic.Pointer[ledger.Table])
 	t.mu.Unlock()
 	return t.documents.Register(document.Spec{
-		Name:        ledger.TableKey(dc),
-		Apply:       func(_ document.Version, value []byte) error { return t.apply(dc, value) },
-		KeepHistory: tableKeepHistory,
-		WatchIn:     []domain.DataCentre{dc},
-		Optional:    true,
+		Name:     ledger.TableKey(dc),
+		Apply:    func(_ document.Version, value []byte) error { return t.apply(dc, value) },
+		WatchIn:  []domain.DataCentre{dc},
+		Optional: true,
 	})
 }
 
