--- a/load/report.go
+++ b/load/report.go
@@ -82,6 +82,7 @@
 	Total         Row   `json:"total"`
 	Tiers         []Row `json:"tiers"`
 	Organisations []Row `json:"organisations"`
+	Kinds         []Row `json:"kinds"`
 	Calls         Row   `json:"calls"`
 
 	Prefill   Prefill        `json:"prefill"`
@@ -113,7 +114,7 @@
 		Policy:       policy,
 		Seed:         w.Options.Seed,
 		Load:         w.Options.Load,
-		Seconds:      w.Options.For.Seconds(),
+		Seconds:      w.For.Seconds(),
 		Total:        s.total.finish(),
 		Calls:        s.calls.finish(),
 		Gaps:         quantiles(record.Gaps),
@@ -129,6 +130,7 @@
 		gaps:         record.Gaps,
 	}
 	report.Tiers, report.Organisations = s.rows(bound)
+	report.Kinds = finishAll(s.kinds)
 	for i := range report.Tiers {
 		report.Total.Bound += report.Tiers[i].Bound
 	}
--- a/load/summary.go
+++ b/load/summary.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,7 @@
 	calls *Row
 	tiers map[domain.Tier]*Row
 	orgs  map[domain.OrganisationID]*Row
+	kinds map[string]*Row
 	codes map[string]int
 }
 
@@ -25,6 +27,7 @@
 		calls: newRow("plain calls"),
 		tiers: make(map[domain.Tier]*Row),
 		orgs:  make(map[domain.OrganisationID]*Row),
+		kinds: make(map[string]*Row),
 		codes: make(map[string]int),
 	}
 }
@@ -49,7 +52,11 @@
 	if s.orgs[org] == nil {
 		s.orgs[org] = newRow(string(org))
 	}
-	for _, row := range []*Row{s.total, s.tiers[tier], s.orgs[org]} {
+	kind := fmt.Sprintf("%s, tier %d", r.Request.Kind, tier)
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = newRow(kind)
+	}
+	for _, row := range []*Row{s.total, s.tiers[tier], s.orgs[org], s.kinds[kind]} {
 		row.add(r, ran)
 	}
 }
@@ -61,10 +68,16 @@
 		row.Bound = bound[tier]
 		tiers = append(tiers, row)
 	}
-	for _, org := range slices.Sorted(maps.Keys(s.orgs)) {
-		orgs = append(orgs, s.orgs[org].finish())
+	return tiers, finishAll(s.orgs)
+}
+
+// finishAll returns the rows in order of their names.
+func finishAll[K cmp.Ordered](rows map[K]*Row) []Row {
+	var finished []Row
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		finished = append(finished, rows[name].finish())
 	}
-	return tiers, orgs
+	return finished
 }
 
 func (r *Row) add(result *Result, ran bool) {
--- a/load/table.go
+++ b/load/table.go
@@ -13,6 +13,7 @@
 	fmt.Fprintln(t, "group\toffered\tadmitted\ton time\tprompt\tlate\tnot_run\tunknown\tran\tbroken\thung up\tbound\tgoodput\tfirst p50\tp95\tp99 ms\t")
 	rows := append([]Row{r.Total}, r.Tiers...)
 	rows = append(rows, r.Organisations...)
+	rows = append(rows, r.Kinds...)
 	for _, row := range append(rows, r.Calls) {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t\n", row.Group, row.Offered, row.Admitted,
 			row.OnTime, row.Prompt, row.Late, row.NotRun, row.Unknown, row.Ran, row.Broken, row.HungUp, row.Bound, row.Goodput(),
--- a/load/virtual/policy.go
+++ b/load/virtual/policy.go
@@ -8,6 +8,7 @@
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/load"
 	"hawthornrill.example/hawthornrill/node"
+	"hawthornrill.example/hawthornrill/routing"
 	"hawthornrill.example/hawthornrill/scheduler"
 )
 
@@ -44,6 +45,8 @@
 	choosing("least-reported", true, func() capacity.Chooser { return load.NewLeastReported() }),
 	choosing("first-round", false, func() capacity.Chooser { return capacity.NewLeastOutstanding() }),
 	{Name: "longest", Configure: func(o *node.Options) { o.Lengths = scheduler.LongestAnswers{} }},
+	{Name: "without-limits", Configure: func(o *node.Options) { o.Lengths = withoutLimits{routing.NewLengthPredictor()} }},
+	{Name: "hold-1.5", Configure: func(o *node.Options) { o.Routing.HoldRatio = 1.5 }},
 	{Name: "hold-2", Configure: func(o *node.Options) { o.Routing.HoldRatio = 2 }},
 	{Name: "hold-4", Configure: func(o *node.Options) { o.Routing.HoldRatio = 4 }},
 	{Name: "prefill-0", Configure: func(o *node.Options) { o.Routing.PrefillWeight = -1 }},
@@ -52,6 +55,7 @@
 	{Name: "hopeless-1", Configure: func(o *node.Options) { o.Capacity.Hopeless = 1 }},
 	{Name: "batch-24", Table: slots(24)},
 	{Name: "batch-32", Table: slots(32)},
+	{Name: "hold-2-batch-24", Configure: func(o *node.Options) { o.Routing.HoldRatio = 2 }, Table: slots(24)},
 }
 
 // slots sets the engines' limit on requests.
--- a/load/workload.go
+++ b/load/workload.go
@@ -16,14 +16,17 @@
 	Seed uint64
 	// Load is the offered work as a part of the engines' capacity.
 	Load float64
-	// For is the time over which requests arrive.
+	// For is about the time over which requests arrive.
 	For time.Duration
 }
 
 // Workload is a list of requests in order of time.
 type Workload struct {
-	Name     string
-	Options  Options
+	Name    string
+	Options Options
+	// For is the time over which requests arrive: Options.For, stretched or
+	// compressed so that the work offered is exactly the load asked for.
+	For      time.Duration
 	Requests []Request
 }
 
@@ -43,7 +46,8 @@
 
 // Generate makes the workload; the same options give the same requests.
 // Conversations begin at random instants, so many that their turns that fall
-// into the time are the load asked for in the mean.
+// into the time are about the load asked for; then the time is stretched to make
+// it exact.
 func Generate(model Model, options Options) (*Workload, error) {
 	rate, err := conversationRate(model, options)
 	if err != nil {
@@ -59,7 +63,31 @@
 		}
 		return strings.Compare(a.Key, c.Key)
 	})
-	return &Workload{Name: model.Deployment.Name, Options: options, Requests: b.out}, nil
+	w := &Workload{Name: model.Deployment.Name, Options: options, Requests: b.out, For: options.For}
+	w.stretch(&model.Deployment.Table)
+	return w, nil
+}
+
+// Offered is the work of all requests as a part of the table's capacity.
+func (w *Workload) Offered(table *config.Table) float64 {
+	batch := batchOf(table)
+	var work time.Duration
+	for i := range w.Requests {
+		work += Cost(&w.Requests[i], batch)
+	}
+	return work.Seconds() / (Capacity(table) * w.For.Seconds())
+}
+
+// stretch moves the requests' instants so that the load is exact.
+func (w *Workload) stretch(table *config.Table) {
+	factor := w.Offered(table) / w.Options.Load
+	if factor == 0 {
+		return
+	}
+	w.For = time.Duration(float64(w.For) * factor)
+	for i := range w.Requests {
+		w.Requests[i].At = time.Duration(float64(w.Requests[i].At) * factor)
+	}
 }
 
 func newBuilder(model Model, options Options) *builder {
--- a/routing/length.go
+++ b/routing/length.go
@@ -22,7 +22,8 @@
 )
 
 // LengthPredictor estimates how long answers will be, by what was seen of the
-// organisation, the pool and prompts of like length. Its memory is fixed: two
+// organisation, the pool, prompts of like length and like limits: callers set the
+// limit by what they ask for. Its memory is fixed: two
 // keys that share a slot take it from each other. It is safe for concurrent use
 // and takes no lock; of two lengths observed at once one may be lost.
 type LengthPredictor struct {
@@ -43,7 +44,7 @@
 // 0 is none. Prompts are told apart by their length's power of four.
 func (p *LengthPredictor) Predict(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, limit int) int {
 	length := float64(DefaultAnswerTokens)
-	for _, key := range lengthKeys(organisation, pool, promptTokens) {
+	for _, key := range lengthKeys(organisation, pool, promptTokens, limit) {
 		if e := p.load(key); e != nil && e.samples >= lengthSamples {
 			length = e.mean
 			break
@@ -56,9 +57,9 @@
 	return predicted
 }
 
-// Observe tells the length of a complete answer.
-func (p *LengthPredictor) Observe(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, answerTokens int) {
-	for _, key := range lengthKeys(organisation, pool, promptTokens) {
+// Observe tells the length of a complete answer that was predicted with the limit.
+func (p *LengthPredictor) Observe(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, limit, answerTokens int) {
+	for _, key := range lengthKeys(organisation, pool, promptTokens, limit) {
 		p.observe(key, float64(answerTokens))
 	}
 }
@@ -83,10 +84,17 @@
 }
 
 // lengthKeys returns the keys to look at, the finest first: by organisation, pool
-// and prompt length, by organisation and pool, by pool and prompt length, by pool.
-func lengthKeys(organisation domain.OrganisationID, pool domain.PoolName, promptTokens int) [4]uint64 {
+// and limit, with the prompt's length and without; then by organisation and pool
+// and by pool alone, each with the prompt's length and without. Limits are told
+// apart by their power of two.
+func lengthKeys(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, limit int) [6]uint64 {
 	ofPool := xxhash.Sum64String(string(pool))
 	ofBoth := mix(ofPool ^ mix(xxhash.Sum64String(string(organisation))))
+	ofLimit := mix(ofBoth ^ mix(uint64(bits.Len(uint(max(limit, 0))))))
 	magnitude := uint64(bits.Len(uint(max(promptTokens, 0))) / 2)
-	return [4]uint64{mix(ofBoth + magnitude + 1), ofBoth, mix(ofPool + magnitude + 1), ofPool}
+	return [6]uint64{
+		mix(ofLimit + magnitude + 1), ofLimit,
+		mix(ofBoth + magnitude + 1), ofBoth,
+		mix(ofPool + magnitude + 1), ofPool,
+	}
 }
--- a/scheduler/lengths.go
+++ b/scheduler/lengths.go
@@ -6,8 +6,9 @@
 type Lengths interface {
 	// Predict returns the tokens to expect, from 1 to limit; a limit of 0 is none.
 	Predict(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, limit int) int
-	// Observe tells the length of a complete answer.
-	Observe(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, answerTokens int)
+	// Observe tells the length of a complete answer that was predicted with the
+	// limit.
+	Observe(organisation domain.OrganisationID, pool domain.PoolName, promptTokens, limit, answerTokens int)
 }
 
 // LongestAnswers expects every answer to be as long as it may be.
@@ -19,4 +20,4 @@
 }
 
 // Observe implements Lengths.
-func (LongestAnswers) Observe(domain.OrganisationID, domain.PoolName, int, int) {}
+func (LongestAnswers) Observe(domain.OrganisationID, domain.PoolName, int, int, int) {}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -91,7 +91,7 @@
 func (t *task) observeLength(use capacity.Result) {
 	request := &t.request
 	if request.Call == nil && use.Complete {
-		t.scheduler.parts.Lengths.Observe(request.Organisation.ID, request.Pool, request.PromptTokens, use.AnswerTokens)
+		t.scheduler.parts.Lengths.Observe(request.Organisation.ID, request.Pool, request.PromptTokens, request.AnswerTokens, use.AnswerTokens)
 	}
 }
 
