Capacity page: all roles, events, latency, store budget and replacements from measured slopes

Slopes that no package had are measured here by public interfaces: membership at rest, by data centres and after a restart, peer links, limits over 1,000 nodes, pools of the busiest owner, reading of engines, the host list, a change of the configuration.

--- /dev/null
+++ b/sizing/endpoint_bench_test.go
@@ -0,0 +1,129 @@
+package sizing
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/endpoint/httpengine"
+	"hawthornrill.example/hawthornrill/endpoint/onesend"
+	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/ledger"
+)
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return bothWays{countingConn{conn, l.bytes}}, err
+}
+
+// bothWays counts what is read too.
+type bothWays struct{ countingConn }
+
+func (c bothWays) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// reportServer answers like an engine that has so many cache events to tell.
+func reportServer(b *testing.B, events int, bytes *atomic.Int64) string {
+	b.Helper()
+	list := make([]endpoint.CacheEvent, events)
+	for i := range list {
+		list[i] = endpoint.CacheEvent{Sequence: 1_000_000 + uint64(i), Block: 0x9e3779b97f4a7c15 * uint64(i+1), Stored: i%2 == 0}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(endpoint.LoadReport{Running: 12, Waiting: 3, KVTokensUsed: 90_000, KVTokens: 131_072, Age: 500_000_000})
+	})
+	mux.HandleFunc("GET /v1/cache/events", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) })
+	server := httptest.NewUnstartedServer(mux)
+	server.Listener = countingListener{server.Listener, bytes}
+	server.Start()
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
+// BenchmarkSlopeEngineReport measures what an owner's reading of one engine's load
+// and cache events takes on the connection, both ways, and in processor time of
+// both ends, by the events.
+func BenchmarkSlopeEngineReport(b *testing.B) {
+	for _, events := range []int{0, 100, 400, 1600} {
+		b.Run(fmt.Sprintf("events=%d", events), func(b *testing.B) {
+			var bytes atomic.Int64
+			client := httpengine.New(reportServer(b, events, &bytes), onesend.New(onesend.Options{}))
+			read := func() {
+				_, err := client.Load(b.Context())
+				assert.NilError(b, err)
+				got, err := client.CacheEvents(b.Context(), 7)
+				assert.NilError(b, err)
+				assert.Equal(b, len(got), events)
+			}
+			read()
+			before, began := bytes.Load(), processorTime()
+			for b.Loop() {
+				read()
+			}
+			used := processorTime() - began
+			b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "B/reading")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N), "cpu-ns/reading")
+		})
+	}
+}
+
+// BenchmarkSlopeLedgerTable measures the stored form of a data centre's ledger
+// table, by its members.
+func BenchmarkSlopeLedgerTable(b *testing.B) {
+	for _, members := range []int{7, 24, 48} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			table := &ledger.Table{DataCentre: "dc00"}
+			for i := range members {
+				next, err := ledger.Join(fleetMember(0, i, domain.Incarnation(1_790_000_000_000+i)))(table)
+				assert.NilError(b, err)
+				table = next
+			}
+			var size int
+			for b.Loop() {
+				encoded, err := ledger.EncodeTable(table)
+				assert.NilError(b, err)
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "B/table")
+		})
+	}
+}
+
+// BenchmarkSlopeHostList measures the platform's host list as this repository's
+// adapter reads it, by its hosts.
+func BenchmarkSlopeHostList(b *testing.B) {
+	for _, hosts := range []int{37, 370, 3700} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			var list []hostlist.Host
+			for i := range hosts {
+				m := fleetMember(i%21, i, 1)
+				list = append(list, hostlist.Host{Node: m.Node, Address: m.Address, DataCentre: m.DataCentre, State: hostlist.StateLive})
+			}
+			var size int
+			for b.Loop() {
+				encoded, err := json.Marshal(list)
+				assert.NilError(b, err)
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "B/list")
+		})
+	}
+}
--- a/sizing/figure.go
+++ b/sizing/figure.go
@@ -29,3 +29,10 @@
 		return f.Value
 	}
 }
+
+// Between returns the figure at a part of the way from the first user's
+// deployment of today to the design size.
+func (f Figure) Between(part float64) float64 {
+	today := f.At(Cucine)
+	return today + part*(f.Value-today)
+}
--- a/sizing/formula.go
+++ b/sizing/formula.go
@@ -4,23 +4,24 @@
 	"fmt"
 	"go/ast"
 	"go/parser"
+	"sync"
 )
 
 // Formula is an arithmetic expression over names of constants, written as a Go
-// expression: + - * / ( ) min max.
+// expression: + - * / ( ) and the functions of this package.
 type Formula string
 
 // Names returns the names that the formula uses, each once, in order.
 func (f Formula) Names() ([]string, error) {
-	expr, err := parser.ParseExpr(string(f))
+	expr, err := f.parse()
 	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrFormula, f, err)
+		return nil, err
 	}
 	var names []string
 	seen := make(map[string]bool)
 	ast.Inspect(expr, func(n ast.Node) bool {
 		id, ok := n.(*ast.Ident)
-		if ok && !seen[id.Name] && !isFunction(id.Name) {
+		if ok && !seen[id.Name] && functions[id.Name] == nil {
 			seen[id.Name] = true
 			names = append(names, id.Name)
 		}
@@ -29,6 +30,17 @@
 	return names, nil
 }
 
-func isFunction(name string) bool {
-	return name == "min" || name == "max"
+// parsed keeps the expressions of formulas, which are few and read often.
+var parsed sync.Map
+
+func (f Formula) parse() (ast.Expr, error) {
+	if expr, ok := parsed.Load(f); ok {
+		return expr.(ast.Expr), nil
+	}
+	expr, err := parser.ParseExpr(string(f))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrFormula, f, err)
+	}
+	parsed.Store(f, expr)
+	return expr, nil
 }
--- a/sizing/link_bench_test.go
+++ b/sizing/link_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -131,3 +132,12 @@
 		})
 	}
 }
+
+// heapBytes returns the bytes of the heap that are in use.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/sizing/page_test.go
+++ b/sizing/page_test.go
@@ -100,6 +100,14 @@
 			all = append(all, m.Formula)
 		}
 	}
+	for _, p := range Peaks() {
+		all = append(all, p.Formula)
+	}
+	for _, r := range Replacements() {
+		for _, way := range r.Ways {
+			all = append(all, way.Formula)
+		}
+	}
 	for _, hop := range Hops() {
 		all = append(all, hop.Formula)
 	}
--- a/sizing/quantity.go
+++ b/sizing/quantity.go
@@ -8,7 +8,8 @@
 	Memory Quantity = iota
 	// Messages sent to other nodes and to the store, a second.
 	Messages
-	// Bytes sent to other nodes and to the store, a second.
+	// Bytes a second: sent to other nodes; sent to and received from the platform
+	// and the engines, which have no share in the limit.
 	Bytes
 	// Processor is the fraction of one core.
 	Processor
@@ -27,7 +28,7 @@
 	case Messages:
 		return "messages"
 	case Bytes:
-		return "bytes sent"
+		return "bytes"
 	default:
 		return "processor"
 	}
--- a/sizing/render_sums.go
+++ b/sizing/render_sums.go
@@ -30,13 +30,17 @@
 }
 
 func (r *Renderer) addSum(t *table, way reading, limit Limit) error {
-	cells := []string{way.name, limit.Quantity.String()}
+	cells := []string{way.name, limit.What}
 	unit := limit.Quantity.Unit()
+	var atDesign Value
 	for _, d := range deployments {
-		sum, err := r.total(d, way, limit.Quantity)
+		sum, err := total(r.scopes[d], Roles(), way, limit)
 		if err != nil {
 			return err
 		}
+		if d == Design {
+			atDesign = sum
+		}
 		cells = append(cells, show(sum, unit))
 	}
 	if !way.limited {
@@ -44,24 +48,26 @@
 		return nil
 	}
 	bound, _ := r.constants.Figure(limit.Name)
-	sum, err := r.total(Design, way, limit.Quantity)
-	if err != nil {
-		return err
-	}
-	t.add(append(cells, unit.Format(bound.Value), verdict(sum, bound.Value))...)
+	t.add(append(cells, unit.Format(bound.Value), verdict(atDesign, bound.Value))...)
 	return nil
 }
 
-// total adds up a quantity over all roles and the kinds of a reading.
-func (r *Renderer) total(d Deployment, way reading, q Quantity) (Value, error) {
+// total adds up a quantity over roles and the kinds of a reading.
+func total(s *Scope, roles []Role, way reading, limit Limit) (Value, error) {
 	var total Value
 	for _, kind := range way.kinds {
-		sum, err := Sum(r.scopes[d], Roles(), q, kind)
+		sum, err := Sum(s, roles, limit.Quantity, kind)
 		if err != nil {
 			return Value{}, err
 		}
 		total = total.Plus(sum)
 	}
+	factor, err := s.Eval(limit.Factor)
+	if err != nil {
+		return Value{}, err
+	}
+	total.Amount *= factor.Amount
+	total.Assumed = total.Assumed || factor.Assumed
 	return total, nil
 }
 
--- a/sizing/renderer.go
+++ b/sizing/renderer.go
@@ -42,9 +42,12 @@
 		{"roles", r.roles},
 		{"items", r.items},
 		{"sums", r.sums},
+		{"peaks", r.peaks},
 		{"events", r.events},
 		{"latency", r.latency},
 		{"store", r.store},
+		{"replacements", r.replacements},
+		{"growth", r.growth},
 	}
 	var sections []Section
 	for _, m := range makers {
--- a/sizing/role_configuration.go
+++ b/sizing/role_configuration.go
@@ -3,10 +3,14 @@
 func configurationRole() Role {
 	return Role{
 		Name:      "configuration",
-		Mechanism: "few watchers a data centre, chunks by hash, the rest from peers",
+		Mechanism: "two watchers a data centre, parts named by their hash, the rest from peers in a tree; comparisons by digest",
 		Items: []Item{
-			{"snapshot in force", Control, Memory, "config_organisation_bytes_base + config_organisation_bytes * organisations"},
-			{"changes", Control, Bytes, "config_changes_per_day / seconds_per_day * config_change_bytes"},
+			{"snapshot, by organisations", Control, Memory, "config_organisation_bytes_base + config_organisation_bytes * organisations"},
+			{"snapshot, by endpoints", Control, Memory, "config_endpoint_bytes * runners"},
+			{"comparisons and changes", Control, Messages, "document_messages"},
+			{"comparisons", Control, Bytes, "document_rest_bytes_base + document_rest_messages_base * message_overhead"},
+			{"changes", Control, Bytes, "config_changes * (document_change_bytes_base + document_change_bytes * organisations + change_messages * message_overhead)"},
+			{"changes decoded and compiled", Control, Processor, "config_changes * (config_change_ns_base + config_change_ns * organisations) / ns_per_second"},
 		},
 	}
 }
--- a/sizing/scope.go
+++ b/sizing/scope.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"go/constant"
-	"go/token"
-	"go/types"
+	"math"
 )
 
 // conversions between units may be named in formulas.
@@ -17,30 +15,36 @@
 // Scope evaluates formulas at the sizes of one deployment. It is not safe for
 // concurrent use.
 type Scope struct {
-	pkg     *types.Package
+	values  map[string]float64
 	assumed map[string]bool
 	missing map[string]bool
 }
 
-// NewScope returns a scope with all constants of c, its derived figures included.
+// NewScope returns a scope with all constants of c at a deployment's sizes, its
+// derived figures included.
 func NewScope(c *Constants, d Deployment) (*Scope, error) {
+	assumed := func(f Figure) bool { return f.AssumedToday && d != Design }
+	return newScope(c, func(f Figure) float64 { return f.At(d) }, assumed)
+}
+
+// NewScopeBetween returns a scope at a part of the way from the first user's
+// deployment of today to the design size.
+func NewScopeBetween(c *Constants, part float64) (*Scope, error) {
+	assumed := func(f Figure) bool { return f.AssumedToday && part != 1 }
+	return newScope(c, func(f Figure) float64 { return f.Between(part) }, assumed)
+}
+
+func newScope(c *Constants, at func(Figure) float64, assumed func(Figure) bool) (*Scope, error) {
 	s := &Scope{
-		pkg:     types.NewPackage("capacity", "capacity"),
+		values:  make(map[string]float64),
 		assumed: make(map[string]bool),
 		missing: make(map[string]bool),
 	}
 	for name, amount := range conversions {
 		s.define(name, amount)
 	}
-	s.addFigures(c, d)
-	for _, slope := range c.Slopes {
-		s.define(slope.Name, slope.Slope)
-		s.define(slope.Name+baseSuffix, slope.Intercept)
-	}
-	for _, m := range c.Missing {
-		s.missing[m.Name] = true
-		s.missing[m.Name+baseSuffix] = true
-	}
+	s.addFigures(c, at, assumed)
+	s.addSlopes(c)
 	for _, derived := range Derivations() {
 		if err := s.derive(derived); err != nil {
 			return nil, err
@@ -49,11 +53,11 @@
 	return s, nil
 }
 
-func (s *Scope) addFigures(c *Constants, d Deployment) {
+func (s *Scope) addFigures(c *Constants, at func(Figure) float64, assumed func(Figure) bool) {
 	for _, list := range [][]Figure{c.Sizes, c.Limits, c.Settings, c.Assumed} {
 		for _, f := range list {
-			s.define(f.Name, f.At(d))
-			s.assumed[f.Name] = f.AssumedToday && d != Design
+			s.define(f.Name, at(f))
+			s.assumed[f.Name] = assumed(f)
 		}
 	}
 	for _, f := range c.Assumed {
@@ -61,6 +65,17 @@
 	}
 }
 
+func (s *Scope) addSlopes(c *Constants) {
+	for _, slope := range c.Slopes {
+		s.define(slope.Name, slope.Slope)
+		s.define(slope.Name+baseSuffix, slope.Intercept)
+	}
+	for _, m := range c.Missing {
+		s.missing[m.Name] = true
+		s.missing[m.Name+baseSuffix] = true
+	}
+}
+
 func (s *Scope) derive(d Derivation) error {
 	v, err := s.Eval(d.Formula)
 	if err != nil {
@@ -75,10 +90,7 @@
 	return nil
 }
 
-func (s *Scope) define(name string, amount float64) {
-	value := constant.ToFloat(constant.MakeFloat64(amount))
-	s.pkg.Scope().Insert(types.NewConst(token.NoPos, s.pkg, name, types.Typ[types.UntypedFloat], value))
-}
+func (s *Scope) define(name string, amount float64) { s.values[name] = amount }
 
 // Eval returns what the formula comes to, or ErrFormula if it names something
 // unknown or can't be computed. A formula with a slope that was not measured is
@@ -103,13 +115,16 @@
 }
 
 func (s *Scope) compute(f Formula) (float64, error) {
-	tv, err := types.Eval(token.NewFileSet(), s.pkg, token.NoPos, string(f))
+	expr, err := f.parse()
+	if err != nil {
+		return 0, err
+	}
+	amount, err := evaluator{s.values}.expr(expr)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %s: %w", ErrFormula, f, err)
+		return 0, fmt.Errorf("%s: %w", f, err)
 	}
-	if tv.Value == nil || constant.ToFloat(tv.Value).Kind() != constant.Float {
-		return 0, fmt.Errorf("%w: %s is not a number", ErrFormula, f)
+	if math.IsNaN(amount) || math.IsInf(amount, 0) {
+		return 0, fmt.Errorf("%w: %s is not finite", ErrFormula, f)
 	}
-	amount, _ := constant.Float64Val(constant.ToFloat(tv.Value))
 	return amount, nil
 }
