Node: a lagging view of the ledger table doesn't make a node edit it without pause

Cause: an edit of the ledger table that finds its change made already succeeds, and the node then looked again at once; while its own copy of the table lagged, it read the store's head in a loop without pause. Ruled out: the retries of the document's edits, which pause.

--- a/node/enrolment.go
+++ b/node/enrolment.go
@@ -58,10 +58,15 @@
 	if change == nil {
 		return nil
 	}
+	before := e.tables.Table(e.self.DataCentre)
 	if _, err := e.tables.Edit(ctx, change); err != nil && ctx.Err() == nil {
 		e.log.Warn().Err(err).Msg("ledger table not changed")
 		return time.After(enrolRetry)
 	}
+	if e.tables.Table(e.self.DataCentre) == before {
+		// The store has the change already, and this node has not heard of it yet.
+		return time.After(enrolRetry)
+	}
 	return time.After(0)
 }
 
--- a/node/matrix_control_test.go
+++ b/node/matrix_control_test.go
@@ -124,7 +124,8 @@
 	group.Wait()
 }
 
-// runDrain has a node leave that has requests in progress.
+// runDrain has a node leave that has requests in progress. Its process ends when
+// the drain says that nothing is left.
 func (x *trial) runDrain() {
 	var group sync.WaitGroup
 	draining := x.nodes[x.home]
@@ -141,6 +142,7 @@
 		x.fire()
 	}
 	<-drained
+	x.die(x.home)
 	x.awaitFault()
 	group.Wait()
 	x.checkDrain(draining)
--- a/node/matrix_page_test.go
+++ b/node/matrix_page_test.go
@@ -20,7 +20,7 @@
 // grid is what the cells gave.
 type grid map[string]*cell
 
-func cellName(f *fault, s *step) string { return f.name + " / " + s.name }
+func cellName(f *fault, s *step) string { return f.name + " at " + s.name }
 
 // page writes the grid. It holds no counts that differ from run to run.
 func (g grid) page() string {
--- a/node/matrix_test.go
+++ b/node/matrix_test.go
@@ -17,13 +17,14 @@
 // cells, each step and each fault among them, and leaves the page.
 func TestFaultMatrix(t *testing.T) {
 	var mu sync.Mutex
-	cells := make(grid)
+	cells, wanted := make(grid), 0
 	t.Run("cells", func(t *testing.T) {
 		for i, f := range faults() {
 			if f.never != "" {
 				continue
 			}
 			for j, s := range append(requestSteps(), controlSteps()...) {
+				wanted++
 				if raceEnabled && (i+j)%raceShare != 0 {
 					continue
 				}
@@ -43,9 +44,11 @@
 		total.add(c.report)
 	}
 	t.Logf("%d cells: %+v", len(cells), total)
-	if !raceEnabled && !t.Failed() {
-		cells.comparePage(t)
+	if len(cells) < wanted {
+		t.Logf("%d of %d cells were run: the page is not compared", len(cells), wanted)
+		return
 	}
+	cells.comparePage(t)
 }
 
 // run runs one trial.
