--- a/node/matrix_control_test.go
+++ b/node/matrix_control_test.go
@@ -129,6 +129,7 @@
 func (x *trial) runDrain() {
 	var group sync.WaitGroup
 	draining := x.nodes[x.home]
+	x.patient = true
 	x.callers("beside", "fitters-west", 3, &group)
 	group.Go(func() { x.run(x.victim(), 1) })
 	time.Sleep(300 * time.Millisecond)
--- a/node/matrix_faults_test.go
+++ b/node/matrix_faults_test.go
@@ -204,6 +204,15 @@
 		{name: "host list lags: home dies and stays listed",
 			begin: func(x *trial) { x.die(x.home) },
 			end:   func(x *trial) { x.reborn(x.home) }},
+		{name: "host list lies: paused entry is called gone, and wakes",
+			begin: func(x *trial) {
+				x.pause(x.entry)
+				x.setStatus(x.nodes[x.entry].self, membership.StatusGone)
+			},
+			end: func(x *trial) {
+				x.resume(x.entry)
+				x.setStatus(x.nodes[x.entry].self, membership.StatusAlive)
+			}},
 		{name: "host list lies: home is called gone",
 			begin: func(x *trial) { x.setStatus(x.nodes[x.home].self, membership.StatusGone) },
 			end:   func(x *trial) { x.setStatus(x.nodes[x.home].self, membership.StatusAlive) }},
--- a/node/matrix_trial_test.go
+++ b/node/matrix_trial_test.go
@@ -22,8 +22,10 @@
 const (
 	// faultSpan is how long a fault lasts.
 	faultSpan = 8 * time.Second
-	// callerPatience is how long a caller waits for one attempt, callerPause how
-	// long it waits before the next one.
+	// firstPatience is how long a caller waits for its first attempt, and
+	// callerPatience for a later one; callerPause is the pause before the next one.
+	// The first ends before a fault does, so that attempts of one key overlap.
+	firstPatience  = 5 * time.Second
 	callerPatience = 25 * time.Second
 	callerPause    = time.Second
 	// maxAttempts bounds a caller's attempts.
@@ -50,6 +52,8 @@
 	killed chan *runningNode
 	// async is what faults do beside the trial.
 	async sync.WaitGroup
+	// serving are attempts at nodes, also those whose callers have gone.
+	serving sync.WaitGroup
 
 	mu      sync.Mutex
 	calls   []*call
@@ -57,6 +61,8 @@
 	report  tally
 	broken  []string
 	severed bool
+	// patient callers wait as long for the first attempt as for later ones.
+	patient bool
 }
 
 // call is one caller with one key.
@@ -219,12 +225,26 @@
 
 // attempt sends the key once and notes what the caller was told.
 func (x *trial) attempt(k *call, n *runningNode) string {
-	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	patience := callerPatience
+	if len(k.lives) == 0 && !x.patient {
+		patience = firstPatience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	w := &callerWriter{ResponseRecorder: httptest.NewRecorder(), key: k.key, gate: n.gate, ctx: ctx}
 	k.lives = append(k.lives, n)
-	n.echo.ServeHTTP(w, x.request(ctx, k))
-	return x.note(k, w)
+	done := make(chan struct{})
+	x.serving.Go(func() {
+		defer close(done)
+		n.echo.ServeHTTP(w, x.request(ctx, k))
+	})
+	select {
+	case <-done:
+		return x.note(k, w)
+	case <-ctx.Done():
+		// Whatever the node still writes, its caller has gone.
+		return x.note(k, &callerWriter{ResponseRecorder: httptest.NewRecorder()})
+	}
 }
 
 func (x *trial) request(ctx context.Context, k *call) *http.Request {
@@ -439,6 +459,7 @@
 func (x *trial) finish() {
 	x.watch(nil)
 	x.close()
+	x.serving.Wait()
 	close(x.killed)
 	for n := range x.killed {
 		<-n.done
