Node, demo: two faults of a start on a busy machine

A node that stopped before it had joined wrote an empty ledger table, which no node could read; an edit that changes nothing now writes nothing, and TestLeavingBeforeJoining fails without that. The demo took peers' addresses that had been free a moment before; it now opens the listeners first and hands them over.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,7 +45,7 @@
 func New(options Options) (*Daemon, error) {
 	s := options.Settings
 	options.Log = options.Log.With().Str("node", string(s.Node)).Logger()
-	listeners, err := listen(s.Listen)
+	listeners, err := listen(s.Listen, options.Peers)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -13,8 +13,8 @@
 	callers, peers, operators net.Listener
 }
 
-// listen opens all sockets, or none.
-func listen(s settings.Listen) (*listeners, error) {
+// listen opens all sockets, or none. One for peers may be open already.
+func listen(s settings.Listen, peers net.Listener) (*listeners, error) {
 	var l listeners
 	var errs []error
 	open := func(field, address string) net.Listener {
@@ -25,7 +25,9 @@
 		return listener
 	}
 	l.callers = open("callers", s.Callers)
-	l.peers = open("peers", s.Peers)
+	if l.peers = peers; peers == nil {
+		l.peers = open("peers", s.Peers)
+	}
 	l.operators = open("operators", s.Operators)
 	if len(errs) > 0 {
 		l.close()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -39,11 +40,13 @@
 
 // Demo is a running deployment.
 type Demo struct {
-	options  Options
-	table    config.Table
-	store    string
-	hosts    string
-	files    *files
+	options Options
+	table   config.Table
+	store   string
+	hosts   string
+	files   *files
+	// peers are the nodes' listeners for peers.
+	peers    []net.Listener
 	sites    []*site
 	engines  map[domain.EndpointID]*engine.Engine
 	services map[domain.EndpointID]*service.Service
@@ -74,7 +77,7 @@
 }
 
 func (d *Demo) start(ctx, running context.Context) error {
-	seeds, err := d.seeds()
+	seeds, err := d.openPeers()
 	if err != nil {
 		return err
 	}
@@ -171,7 +174,7 @@
 		if err != nil {
 			return err
 		}
-		node, err := daemon.New(daemon.Options{Settings: s, Log: d.options.Log})
+		node, err := daemon.New(daemon.Options{Settings: s, Log: d.options.Log, Peers: d.peers[i]})
 		if err != nil {
 			return err
 		}
@@ -202,14 +205,17 @@
 	return s, nil
 }
 
-func (d *Demo) seeds() ([]settings.Seed, error) {
+// openPeers opens the nodes' listeners for peers, so that all addresses are known
+// before the first node starts.
+func (d *Demo) openPeers() ([]settings.Seed, error) {
 	var seeds []settings.Seed
 	for _, host := range d.options.Deployment.Hosts {
-		address, err := freeAddress()
+		listener, err := net.Listen("tcp", loopback)
 		if err != nil {
 			return nil, err
 		}
-		seeds = append(seeds, settings.Seed{Node: host.Node, DataCentre: host.DataCentre, Address: address})
+		d.peers = append(d.peers, listener)
+		seeds = append(seeds, settings.Seed{Node: host.Node, DataCentre: host.DataCentre, Address: listener.Addr().String()})
 	}
 	return seeds, nil
 }
--- a/demo/loopback.go
+++ b/demo/loopback.go
@@ -37,13 +37,3 @@
 }
 
 func (s *site) close() { _ = s.server.Close() }
-
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
--- a/node/tables.go
+++ b/node/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,10 @@
 	}
 }
 
+// errUnchanged ends an edit that has nothing to change, also where there is no
+// table yet.
+var errUnchanged = errors.New("node: ledger table unchanged")
+
 // Edit implements ledger.TableEditor.
 func (t *tables) Edit(ctx context.Context, change ledger.TableChange) (*ledger.Table, error) {
 	var result *ledger.Table
@@ -120,7 +125,7 @@
 			return document.Value{}, err
 		}
 		if result == current {
-			return document.Single(value), nil
+			return document.Value{}, errUnchanged
 		}
 		if result, err = ledger.Forget(t.keep)(result); err != nil {
 			return document.Value{}, err
@@ -128,6 +133,9 @@
 		encoded, err := ledger.EncodeTable(result)
 		return document.Single(encoded), err
 	})
+	if errors.Is(err, errUnchanged) {
+		return result, nil
+	}
 	if err != nil {
 		return nil, fmt.Errorf("node: edit the ledger table of %s: %w", t.self.DataCentre, err)
 	}
