--- a/load/cost.go
+++ b/load/cost.go
@@ -37,11 +37,19 @@
 	return sum
 }
 
-// batchOf returns the operators' limit of the first engine.
+// referenceBatch is the batch at which capacity is reckoned, whatever the operators'
+// limits are, so that a load means the same work under all of them: it is the limit
+// that the deployments began with.
+const referenceBatch = 16
+
+// fullBatch is the largest batch that a stand-in engine computes.
+const fullBatch = 32
+
+// batchOf returns the batch that the limit of the table's engines allows.
 func batchOf(table *config.Table) int {
 	for i := range table.Endpoints {
 		if row := &table.Endpoints[i]; row.Kind == config.KindEngine {
-			return row.Limit
+			return min(row.Limit, fullBatch)
 		}
 	}
 	return 1
--- a/load/virtual/experiment.go
+++ b/load/virtual/experiment.go
@@ -9,7 +9,7 @@
 
 // Experiment runs a workload once under a policy. Under testing/synctest it takes
 // no more time than the computing does. The bound is that of the operators' table
-// as the default policy has it.
+// as the policy has it.
 func Experiment(d *deployment.Deployment, policy Policy, options load.Options) (*load.Report, error) {
 	workload, err := load.Generate(load.ModelOf(d), options)
 	if err != nil {
@@ -20,6 +20,7 @@
 		return nil, err
 	}
 	defer fleet.Stop()
+	table := policy.table(d.Table)
 	record := load.Run(context.Background(), workload, fleet, load.RunOptions{OneWay: d.ClientOneWay})
-	return load.Measure(workload, policy.Name, record, fleet.Witness(), load.Bound(workload, &d.Table)), nil
+	return load.Measure(workload, policy.Name, record, fleet.Witness(), load.Bound(workload, &table)), nil
 }
--- a/load/virtual/policy.go
+++ b/load/virtual/policy.go
@@ -43,19 +43,54 @@
 	choosing("random", true, func() capacity.Chooser { return load.NewRandom(1) }),
 	choosing("round-robin", true, func() capacity.Chooser { return &load.RoundRobin{} }),
 	choosing("least-reported", true, func() capacity.Chooser { return load.NewLeastReported() }),
-	choosing("first-round", false, func() capacity.Chooser { return capacity.NewLeastOutstanding() }),
+	firstRound(),
+	withoutLengthLimits(),
+	holding(holdOff, 16),
+	holding(2, 16),
+	holding(holdOff, 24),
+	holding(2, 24),
+	holding(2, 32),
+	holding(1.3, 32),
 	{Name: "longest", Configure: func(o *node.Options) { o.Lengths = scheduler.LongestAnswers{} }},
-	{Name: "without-limits", Configure: func(o *node.Options) { o.Lengths = withoutLimits{routing.NewLengthPredictor()} }},
-	{Name: "hold-1.5", Configure: func(o *node.Options) { o.Routing.HoldRatio = 1.5 }},
-	{Name: "hold-2", Configure: func(o *node.Options) { o.Routing.HoldRatio = 2 }},
-	{Name: "hold-4", Configure: func(o *node.Options) { o.Routing.HoldRatio = 4 }},
 	{Name: "prefill-0", Configure: func(o *node.Options) { o.Routing.PrefillWeight = -1 }},
 	{Name: "prefill-4", Configure: func(o *node.Options) { o.Routing.PrefillWeight = 4 }},
 	{Name: "hopeless-0.5", Configure: func(o *node.Options) { o.Capacity.Hopeless = 0.5 }},
 	{Name: "hopeless-1", Configure: func(o *node.Options) { o.Capacity.Hopeless = 1 }},
-	{Name: "batch-24", Table: slots(24)},
-	{Name: "batch-32", Table: slots(32)},
-	{Name: "hold-2-batch-24", Configure: func(o *node.Options) { o.Routing.HoldRatio = 2 }, Table: slots(24)},
+}
+
+// holdOff is a HoldRatio that holds nothing back.
+const holdOff = -1
+
+// firstRound is the project's first: a queue, and the least outstanding requests.
+func firstRound() Policy {
+	p := choosing("first-round", false, func() capacity.Chooser { return capacity.NewLeastOutstanding() })
+	p.Table = slots(16)
+	return p
+}
+
+// withoutLengthLimits is what the nodes did before round 1.
+func withoutLengthLimits() Policy {
+	p := holding(holdOff, 16)
+	configure := p.Configure
+	p.Name = "without-limits"
+	p.Configure = func(o *node.Options) {
+		configure(o)
+		o.Lengths = withoutLimits{routing.NewLengthPredictor()}
+	}
+	return p
+}
+
+// holding makes a policy with a HoldRatio and a limit on the engines' requests.
+func holding(ratio float64, limit int) Policy {
+	name := fmt.Sprintf("hold-%g-batch-%d", ratio, limit)
+	if ratio == holdOff {
+		name = fmt.Sprintf("hold-off-batch-%d", limit)
+	}
+	return Policy{
+		Name:      name,
+		Configure: func(o *node.Options) { o.Routing.HoldRatio = ratio },
+		Table:     slots(limit),
+	}
 }
 
 // slots sets the engines' limit on requests.
--- a/load/workload.go
+++ b/load/workload.go
@@ -14,7 +14,8 @@
 // Options say how much of a workload to make.
 type Options struct {
 	Seed uint64
-	// Load is the offered work as a part of the engines' capacity.
+	// Load is the offered work as a part of the engines' capacity, both reckoned at
+	// batches of 16.
 	Load float64
 	// For is about the time over which requests arrive.
 	For time.Duration
@@ -70,10 +71,9 @@
 
 // Offered is the work of all requests as a part of the table's capacity.
 func (w *Workload) Offered(table *config.Table) float64 {
-	batch := batchOf(table)
 	var work time.Duration
 	for i := range w.Requests {
-		work += Cost(&w.Requests[i], batch)
+		work += Cost(&w.Requests[i], referenceBatch)
 	}
 	return work.Seconds() / (Capacity(table) * w.For.Seconds())
 }
@@ -121,10 +121,9 @@
 			return 0, err
 		}
 	}
-	batch := batchOf(&model.Deployment.Table)
 	var work time.Duration
 	for i := range b.out {
-		work += Cost(&b.out[i], batch)
+		work += Cost(&b.out[i], referenceBatch)
 	}
 	each := work.Seconds() / float64(b.made)
 	return options.Load * Capacity(&model.Deployment.Table) / each, nil
--- a/load/workload_test.go
+++ b/load/workload_test.go
@@ -38,7 +38,7 @@
 			count(&once, r.Once)
 			count(&turns, r.Model() && r.NewTokens < r.PromptTokens/2)
 			if r.Model() {
-				work += Cost(r, batchOf(&d.Table))
+				work += Cost(r, referenceBatch)
 				shortest, longest = min(shortest, r.AnswerTokens), max(longest, r.AnswerTokens)
 			}
 		}
