--- a/routing/options.go
+++ b/routing/options.go
@@ -32,7 +32,7 @@
 	TieMargin float64
 	// HoldRatio keeps an ask waiting for a better endpoint that has no room now, if
 	// the best one that has would take so many times as long as the better one,
-	// its wait included. Zero or below 1 for never.
+	// its wait included. Below 1 for never.
 	HoldRatio float64
 	// PrefixBlocks bounds the prompt blocks remembered for an endpoint.
 	PrefixBlocks int
@@ -78,6 +78,7 @@
 	DefaultTokenInterval   = 62 * time.Millisecond
 	DefaultPrefillWeight   = 2.0
 	DefaultTieMargin       = 0.01
+	DefaultHoldRatio       = 2.0
 	DefaultPrefixBlocks    = 4096
 	DefaultEvictionLag     = 3 * time.Second
 	DefaultSessions        = 8192
@@ -117,6 +118,7 @@
 	defaults.Set(&o.PrefillWeight, DefaultPrefillWeight)
 	o.PrefillWeight = max(o.PrefillWeight, 0)
 	defaults.Set(&o.TieMargin, DefaultTieMargin)
+	defaults.Set(&o.HoldRatio, DefaultHoldRatio)
 	defaults.Set(&o.PrefixBlocks, DefaultPrefixBlocks)
 	defaults.Set(&o.EvictionLag, DefaultEvictionLag)
 	defaults.Set(&o.Sessions, DefaultSessions)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -285,7 +285,7 @@
 }
 
 func TestHoldBack(t *testing.T) {
-	for ratio, want := range map[float64]int{0: 1, 2: -1, 50: 1} {
+	for ratio, want := range map[float64]int{-1: 1, 0: -1, 2: -1, 50: 1} {
 		b := newBench(t, 2, Options{HoldRatio: ratio})
 		b.states[1].Row = &config.EndpointRow{ID: "1", Generation: "old"}
 		b.train(40, 0.2, 4)
