--- a/deployment/build.go
+++ b/deployment/build.go
@@ -9,7 +9,7 @@
 
 const (
 	// engineSlots and engineTokens keep an engine just below saturation.
-	engineSlots  = 24
+	engineSlots  = 32
 	engineTokens = 60_000
 	serviceSlots = 64
 	fullWeight   = 100
