--- a/routing/options.go
+++ b/routing/options.go
@@ -78,7 +78,7 @@
 	DefaultTokenInterval   = 62 * time.Millisecond
 	DefaultPrefillWeight   = 2.0
 	DefaultTieMargin       = 0.01
-	DefaultHoldRatio       = 2.0
+	DefaultHoldRatio       = 1.3
 	DefaultPrefixBlocks    = 4096
 	DefaultEvictionLag     = 3 * time.Second
 	DefaultSessions        = 8192
