--- a/membership/detector.go
+++ b/membership/detector.go
@@ -16,9 +16,6 @@
 	checkLimit = 4
 	// doubtLimit bounds the doubtful peers that are remembered.
 	doubtLimit = 256
-	// deafFactor times the suspicion timeout is what a node waits that gets no
-	// answers at all: it is probably cut off itself.
-	deafFactor = 3
 )
 
 // detector chooses whom to probe.
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,6 +228,21 @@
 	}
 }
 
+// watch counts the snapshots of the viewers in which one of the nodes is not alive.
+func (x *fleet) watch(viewers, of []domain.NodeID) *atomic.Int32 {
+	seen := new(atomic.Int32)
+	for _, viewer := range viewers {
+		x.nodes[viewer].Subscribe(func(s *Snapshot) {
+			for _, node := range of {
+				if p, _ := s.Peer(node); p.Status != StatusAlive {
+					seen.Add(1)
+				}
+			}
+		})
+	}
+	return seen
+}
+
 // group returns the nodes of a data centre.
 func (x *fleet) group(dc int) []domain.NodeID {
 	var group []domain.NodeID
--- a/membership/news.go
+++ b/membership/news.go
@@ -46,12 +46,9 @@
 func (s *Service) absorb(from domain.Member, n news) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	trusted := s.trusts(from)
 	changed := s.learn(newRecord(from, n.Version, n.Intent), true)
 	for _, r := range n.Records {
-		if trusted || r.Health == healthOK {
-			changed = s.learn(r, true) || changed
-		}
+		changed = s.learn(r, true) || changed
 	}
 	for _, c := range n.Contacts {
 		changed = s.learnContact(c, true) || changed
@@ -61,13 +58,6 @@
 	}
 }
 
-// trusts reports whether a peer's accusations count. Those of a peer that is
-// itself unreachable do not: it may be deaf, and find everyone unreachable.
-func (s *Service) trusts(from domain.Member) bool {
-	e := s.table.entries[from.Node]
-	return e == nil || e.Incarnation != from.Incarnation || e.Health < healthUnreachable
-}
-
 // learn merges a record and, if spread is true, passes on what is news. A record
 // about this node itself is answered. The lock is held.
 func (s *Service) learn(r record, spread bool) bool {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -33,19 +33,14 @@
 	if s.ping(ctx, target) {
 		return
 	}
-	alive, deaf := s.pingThroughOthers(ctx, target)
-	if alive || ctx.Err() != nil {
+	if s.pingThroughOthers(ctx, target) || ctx.Err() != nil {
 		return
 	}
 	version, ok := s.suspect(target)
 	if !ok {
 		return
 	}
-	patience := s.options.SuspicionTimeout
-	if deaf {
-		patience *= deafFactor
-	}
-	if !s.askOn(ctx, target, patience) {
+	if !s.askOn(ctx, target) {
 		s.declareUnreachable(target, version)
 	}
 }
@@ -56,13 +51,12 @@
 	delete(s.detector.probing, node)
 }
 
-// askOn pings a suspect, directly and through others, for as long as patience
-// lasts. It reports whether the suspicion is over, or the context. If this process
+// askOn pings a suspect, directly and through others, for the suspicion timeout. It reports whether the suspicion is over, or the context. If this process
 // was paused meanwhile, it begins again: the time that it slept says nothing about
 // the peer.
-func (s *Service) askOn(ctx context.Context, target domain.Member, patience time.Duration) bool {
+func (s *Service) askOn(ctx context.Context, target domain.Member) bool {
 	for {
-		deadline := time.Now().Add(patience)
+		deadline := time.Now().Add(s.options.SuspicionTimeout)
 		if s.askUntil(ctx, target, deadline) {
 			return true
 		}
@@ -81,7 +75,7 @@
 		if s.ping(askCtx, target) {
 			return true
 		}
-		if alive, _ := s.pingThroughOthers(askCtx, target); alive || !s.isSuspect(target) {
+		if s.pingThroughOthers(askCtx, target) || !s.isSuspect(target) {
 			return true
 		}
 		if !sleep(ctx, time.Until(next)) {
@@ -132,40 +126,33 @@
 // errNotIntroduced means that a life did not say which it is.
 var errNotIntroduced = errors.New("membership: peer did not introduce itself")
 
-// pingThroughOthers asks relays to ping the peer. It reports whether the peer
-// answered, and whether this node seems deaf: there are relays and none of them
-// answered either.
-func (s *Service) pingThroughOthers(ctx context.Context, target domain.Member) (alive, deaf bool) {
-	relays, accusation := s.planRelays(target)
-	if len(relays) == 0 {
-		return false, false
-	}
+// pingThroughOthers asks relays to ping the peer, and reports whether it answered
+// one of them.
+func (s *Service) pingThroughOthers(ctx context.Context, target domain.Member) bool {
 	// A relay waits for the peer as long as this node did.
 	ctx, cancel := context.WithTimeout(ctx, 2*s.options.ProbeTimeout)
 	defer cancel()
-	answers := make(chan *relayReply, len(relays))
+	relays, accusation := s.planRelays(target)
+	answers := make(chan relayReply, len(relays))
 	for _, relay := range relays {
 		s.running.Go(func() { answers <- s.askRelay(ctx, relay, relayRequest{target, accusation}) })
 	}
-	deaf = true
 	for range relays {
-		answer := <-answers
-		deaf = deaf && answer == nil
-		if answer != nil && answer.Answered {
+		if answer := <-answers; answer.Answered {
 			s.absorb(target, news{Version: answer.Version, Intent: answer.Intent})
-			return true, false
+			return true
 		}
 	}
-	return false, deaf
+	return false
 }
 
-// askRelay returns the relay's answer, nil for none.
-func (s *Service) askRelay(ctx context.Context, relay domain.Member, request relayRequest) *relayReply {
+// askRelay returns the relay's answer; without one the peer has not answered.
+func (s *Service) askRelay(ctx context.Context, relay domain.Member, request relayRequest) relayReply {
 	reply, err := peer.Call[relayRequest, relayReply](ctx, s.transport, relay, methodRelay, request)
 	if err != nil {
-		return nil
+		return relayReply{}
 	}
-	return &reply
+	return reply
 }
 
 func (s *Service) planRelays(target domain.Member) ([]domain.Member, *record) {
