Node: ledger tables of other data centres are no longer followed

Cause: package ledger now asks for another data centre's table when it meets a key of it, so that following all of them did the work twice; at the design size with the store down each node would have fetched 11.8 incomplete tables a second (2.44 KB/s, docs/CAPACITY.md until now). The fetching by membership is taken out again.

--- a/node/node.go
+++ b/node/node.go
@@ -109,7 +109,11 @@
 		Retention:  n.options.Retention,
 		MaxRecords: n.options.MaxKeys,
 	}
-	n.tables = newTables(n.documents, n.self, options.LossWindow())
+	tables, err := newTables(n.documents, n.self, options.LossWindow())
+	if err != nil {
+		return err
+	}
+	n.tables = tables
 	options.Tables = n.tables
 	options.Editor = n.tables
 	replica, err := ledger.New(options)
@@ -118,7 +122,7 @@
 	}
 	n.ledger = replica
 	n.enrolment = &enrolment{self: n.self, tables: n.tables, members: n.options.Members, log: n.options.Log}
-	return n.tables.follow(n.self.DataCentre)
+	return nil
 }
 
 func (n *Node) buildLimits() error {
@@ -211,9 +215,6 @@
 	group.Go(func() error { return n.options.Members.Run(ctx) })
 	group.Go(func() error { return n.documents.Run(ctx) })
 	group.Go(func() error { return n.ledger.Run(ctx) })
-	group.Go(func() error {
-		return newForeignTables(n.documents, n.tables, n.options.Members, n.options.Log).run(ctx)
-	})
 	group.Go(func() error { return n.limits.Run(ctx) })
 	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.capacity.Run(ctx) })
@@ -309,13 +310,5 @@
 	return nil
 }
 
-// joined reports whether the node can decide about keys and find those who decide
-// about the others.
-func (n *Node) joined() bool {
-	for _, p := range n.options.Members.Current().Peers {
-		if n.tables.Table(p.DataCentre) == nil {
-			return false
-		}
-	}
-	return n.ledger.Ready()
-}
+// joined reports whether the node can decide about keys.
+func (n *Node) joined() bool { return n.ledger.Ready() }
--- a/node/tables.go
+++ b/node/tables.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,16 +15,16 @@
 	"hawthornrill.example/hawthornrill/ledger"
 )
 
-// tables distributes the ledger tables of all data centres as documents, one
-// each. It implements ledger.Tables for all, and ledger.TableEditor for this
-// node's own data centre.
+// tables distributes the ledger table of this node's data centre as a document. It
+// implements ledger.Tables and ledger.TableEditor. Tables of other data centres are
+// asked for by package ledger when they are met.
 type tables struct {
 	documents *document.Service
 	self      domain.Member
 	keep      time.Duration
+	current   atomic.Pointer[ledger.Table]
 
 	mu          sync.Mutex
-	known       map[domain.DataCentre]*atomic.Pointer[ledger.Table]
 	subscribers map[int]func(domain.DataCentre)
 	nextID      int
 	// ages counts the departures' ages on between edits.
@@ -34,62 +36,49 @@
 	_ ledger.TableEditor = (*tables)(nil)
 )
 
-// newTables returns the tables; keep is for how long departures matter.
-func newTables(documents *document.Service, self domain.Member, keep time.Duration) *tables {
-	return &tables{
+// newTables registers the table's document; keep is for how long departures matter.
+func newTables(documents *document.Service, self domain.Member, keep time.Duration) (*tables, error) {
+	t := &tables{
 		documents:   documents,
 		self:        self,
 		keep:        keep,
-		known:       make(map[domain.DataCentre]*atomic.Pointer[ledger.Table]),
 		subscribers: make(map[int]func(domain.DataCentre)),
 	}
-}
-
-// follow begins to keep the data centre's table up to date, once.
-func (t *tables) follow(dc domain.DataCentre) error {
-	t.mu.Lock()
-	if _, ok := t.known[dc]; ok {
-		t.mu.Unlock()
-		return nil
-	}
-	t.known[dc] = new(atomic.Pointer[ledger.Table])
-	t.mu.Unlock()
-	return t.documents.Register(document.Spec{
-		Name:     ledger.TableKey(dc),
-		Apply:    func(_ document.Version, value []byte) error { return t.apply(dc, value) },
-		WatchIn:  []domain.DataCentre{dc},
+	err := documents.Register(document.Spec{
+		Name:     ledger.TableKey(self.DataCentre),
+		Apply:    t.apply,
 		Optional: true,
 	})
+	return t, err
 }
 
-func (t *tables) apply(dc domain.DataCentre, value []byte) error {
+// apply puts a stored table in force.
+func (t *tables) apply(_ document.Version, value []byte) error {
 	table, err := ledger.DecodeTable(value)
 	if err != nil {
 		return err
 	}
-	t.mu.Lock()
-	t.ages.Count(table, time.Now())
-	t.known[dc].Store(table)
-	notify := make([]func(domain.DataCentre), 0, len(t.subscribers))
-	for _, f := range t.subscribers {
-		notify = append(notify, f)
-	}
-	t.mu.Unlock()
-	for _, f := range notify {
-		f(dc)
+	for _, notify := range t.adopt(table) {
+		notify(t.self.DataCentre)
 	}
 	return nil
 }
 
-// Table implements ledger.Tables.
-func (t *tables) Table(dc domain.DataCentre) *ledger.Table {
+// adopt stores the table and returns who is to be told.
+func (t *tables) adopt(table *ledger.Table) []func(domain.DataCentre) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, ok := t.known[dc]
-	if !ok {
+	t.ages.Count(table, time.Now())
+	t.current.Store(table)
+	return slices.Collect(maps.Values(t.subscribers))
+}
+
+// Table implements ledger.Tables.
+func (t *tables) Table(dc domain.DataCentre) *ledger.Table {
+	if dc != t.self.DataCentre {
 		return nil
 	}
-	return p.Load()
+	return t.current.Load()
 }
 
 // Subscribe implements ledger.Tables.
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -37,8 +37,8 @@
 			Store:     store.NewClient(),
 		})
 		assert.NilError(t, err)
-		tables := newTables(documents, self, 0)
-		assert.NilError(t, tables.follow("d"))
+		tables, err := newTables(documents, self, 0)
+		assert.NilError(t, err)
 
 		for _, change := range []ledger.TableChange{ledger.Leave(self), ledger.Remove(self)} {
 			table, err := tables.Edit(context.Background(), change)
--- a/sizing/derivation.go
+++ b/sizing/derivation.go
@@ -48,7 +48,6 @@
 
 // eventDerivations are about events.
 var eventDerivations = []Derivation{
-	{"incomplete_tables", "data centres, at most", "min(other_dcs, life_changes * seconds_per_hour)"},
 	{"table_watchers", "calls that wait at the store all the time", "2 * watchers * data_centres"},
 	{"burst_at_busiest", "asks", "requests_per_second / data_centres * busiest_pool_part * burst_seconds"},
 }
--- a/sizing/events.go
+++ b/sizing/events.go
@@ -99,9 +99,6 @@
 		Measures: []Measure{
 			{"lives that end and can't be taken out of their table", Count, "life_changes * seconds_per_hour"},
 			{"part of keys answered `unknown` at its end", CoreFraction, "life_changes * seconds_per_hour / nodes"},
-			{"data centres whose table lacks a live node at its end, at most", Count, "incomplete_tables"},
-			{"fetches of such tables by a node, bytes a second", BytesPerSecond, "incomplete_tables / foreign_seconds * 2 * message_overhead"},
-			{"memory of the links that these fetches open at a node", ByteCount, "2 * incomplete_tables * nodes_per_dc * link_end_bytes"},
 			{"calls when it is back, a second, spread by the backoff", PerSecond, "(table_watchers + life_changes * seconds_per_hour) / backoff_seconds"},
 		},
 	}
--- a/sizing/settings_test.go
+++ b/sizing/settings_test.go
@@ -38,7 +38,6 @@
 		"list_seconds":              membership.DefaultListInterval.Seconds(),
 		"link_idle_seconds":         wslink.DefaultIdleTimeout.Seconds(),
 		"report_seconds":            sourceDuration(t, "../node/reports.go", "reportEvery").Seconds(),
-		"foreign_seconds":           sourceDuration(t, "../node/foreigntables.go", "foreignEvery").Seconds(),
 		"watch_seconds":             sourceDuration(t, "../document/options.go", "WatchRenewal").Seconds(),
 		"renewals_per_lease":        sourceNumber(t, "../store/lease/lease.go", "options.TTL", " / "),
 		"candidates":                sourceNumber(t, "../coordinator/options.go", "o.Candidates", ", "),
