--- a/node/matrix_control_test.go
+++ b/node/matrix_control_test.go
@@ -15,10 +15,10 @@
 	"hawthornrill.example/hawthornrill/membership"
 )
 
-// editKey matches an event about the configuration's keys in the store.
+// editKey matches an event about the configuration's head in the store.
 func editKey(name string) func(*trial, event) bool {
 	return func(x *trial, e event) bool {
-		return e.node == x.entry && e.name == name && strings.Contains(e.key, agreed.DocumentName)
+		return e.node == x.entry && e.name == name && strings.HasSuffix(e.key, agreed.DocumentName+"/head")
 	}
 }
 
