--- a/cmd/hawthornrill-sizing/main.go
+++ b/cmd/hawthornrill-sizing/main.go
@@ -16,7 +16,7 @@
 )
 
 const usage = `usage:
-  go test -run '^$' -bench BenchmarkSlope -count 3 ./... | hawthornrill-sizing fit [-in FILE] [-out docs/capacity.toml]
+  go test -run '^$' -bench BenchmarkSlope -timeout 1h ./... | hawthornrill-sizing fit [-in FILE] [-out docs/capacity.toml]
         fit the slopes of the constants file anew to benchmark output
   hawthornrill-sizing page [-constants docs/capacity.toml] [-out docs/CAPACITY.md]
         work out the tables of the page from the constants
--- a/sizing/endpoint_bench_test.go
+++ b/sizing/endpoint_bench_test.go
@@ -114,8 +114,7 @@
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			var list []hostlist.Host
 			for i := range hosts {
-				m := fleetMember(i%21, i, 1)
-				list = append(list, hostlist.Host{Node: m.Node, Address: m.Address, DataCentre: m.DataCentre, State: hostlist.StateLive})
+				list = append(list, hostOf(fleetMember(i%21, i, 1)))
 			}
 			var size int
 			for b.Loop() {
--- a/sizing/membership_bench_test.go
+++ b/sizing/membership_bench_test.go
@@ -40,6 +40,11 @@
 	}
 }
 
+// hostOf lists a member.
+func hostOf(m domain.Member) hostlist.Host {
+	return hostlist.Host{Node: m.Node, Address: m.Address, DataCentre: m.DataCentre, State: hostlist.StateLive}
+}
+
 // newMemberFleet starts the nodes and waits until each sees all others alive and
 // the news of the start is no longer passed on.
 func newMemberFleet(b *testing.B, dataCentres, nodes int) *memberFleet {
@@ -47,8 +52,7 @@
 	f := &memberFleet{network: peertest.NewNetwork()}
 	for dc := range dataCentres {
 		for i := range nodes {
-			m := fleetMember(dc, i, 1)
-			f.hosts = append(f.hosts, hostlist.Host{Node: m.Node, Address: m.Address, DataCentre: m.DataCentre, State: hostlist.StateLive})
+			f.hosts = append(f.hosts, hostOf(fleetMember(dc, i, 1)))
 		}
 	}
 	for dc := range dataCentres {
@@ -179,8 +183,7 @@
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			var hosts []hostlist.Host
 			for i := range members {
-				m := fleetMember(i%21, i, 1)
-				hosts = append(hosts, hostlist.Host{Node: m.Node, Address: m.Address, DataCentre: m.DataCentre, State: hostlist.StateLive})
+				hosts = append(hosts, hostOf(fleetMember(i%21, i, 1)))
 			}
 			for b.Loop() {
 				network := peertest.NewNetwork()
--- a/sizing/page_test.go
+++ b/sizing/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"go/ast"
 	"go/parser"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -151,6 +152,23 @@
 	return cells
 }
 
+// The parts that the sums are made of must add up to a whole node.
+func TestPartsAddUpToTheWhole(t *testing.T) {
+	const tolerance = 0.05
+	constants, err := ReadConstants(strings.NewReader(read(t, constantsFile)))
+	assert.NilError(t, err)
+	scope, err := NewScope(constants, Design)
+	assert.NilError(t, err)
+	for _, c := range CrossChecks() {
+		parts, err := scope.Eval(c.Parts)
+		assert.NilError(t, err)
+		whole, err := scope.Eval(c.Whole)
+		assert.NilError(t, err)
+		off := math.Abs(parts.Amount/whole.Amount - 1)
+		assert.Assert(t, off < tolerance, "%s: parts %v, whole %v", c.What, parts.Amount, whole.Amount)
+	}
+}
+
 // A number in a formula would be a constant without a name, a source or a mark.
 func TestFormulasHaveNoBareNumbers(t *testing.T) {
 	for _, f := range allFormulas() {
--- /dev/null
+++ b/sizing/render_crosscheck.go
@@ -0,0 +1,17 @@
+package sizing
+
+func (r *Renderer) crossCheck() (string, error) {
+	t := table{header: []string{"a node at rest, one data centre", "parts", "whole", "parts of whole", "formula of the parts", "formula of the whole"}}
+	for _, c := range CrossChecks() {
+		parts, err := r.scopes[Design].Eval(c.Parts)
+		if err != nil {
+			return "", err
+		}
+		whole, err := r.scopes[Design].Eval(c.Whole)
+		if err != nil {
+			return "", err
+		}
+		t.add(c.What, show(parts, c.Unit), show(whole, c.Unit), CoreFraction.Format(parts.Amount/whole.Amount), code(string(c.Parts)), code(string(c.Whole)))
+	}
+	return t.String(), nil
+}
--- a/sizing/renderer.go
+++ b/sizing/renderer.go
@@ -43,6 +43,7 @@
 		{"items", r.items},
 		{"sums", r.sums},
 		{"peaks", r.peaks},
+		{"crosscheck", r.crossCheck},
 		{"events", r.events},
 		{"latency", r.latency},
 		{"store", r.store},
--- a/sizing/role_membership.go
+++ b/sizing/role_membership.go
@@ -11,7 +11,6 @@
 			{"links opened for exchanges with random nodes", Control, Bytes, "exchange_openings * link_opening_bytes"},
 			{"lives that end and begin", Control, Bytes, "life_changes * membership_restart_bytes"},
 			{"the host list, by the delegates, on average", Control, Bytes, "delegates * (nodes + runners) * host_list_bytes / list_seconds / nodes_per_dc"},
-			{"probes and exchanges, without the links' part", Control, Processor, "membership_rest_ns_base / ns_per_second"},
 		},
 	}
 }
--- a/sizing/role_owner.go
+++ b/sizing/role_owner.go
@@ -8,7 +8,6 @@
 			{"endpoints owned", Control, Memory, "owned_endpoints * owner_endpoint_bytes"},
 			{"renewals and their replies", Control, Messages, "renewal_messages"},
 			{"renewals and their replies", Control, Bytes, "models * renewal_bytes / renew_seconds + renewal_messages * message_overhead"},
-			{"ticks", Control, Processor, "pools_per_node / tick_seconds * owner_tick_ns_base / ns_per_second"},
 			{"load reports read from engines, both ways", Control, Bytes, "owned_endpoints / report_seconds * engine_report_bytes_base"},
 			{"load reports read from engines, both ends", Control, Processor, "owned_endpoints / report_seconds * engine_report_ns_base / ns_per_second"},
 			{"grants held, at holder and owner", Request, Memory, "node_streams * grant_both_sides_bytes"},
--- a/sizing/roles.go
+++ b/sizing/roles.go
@@ -13,5 +13,6 @@
 		configurationRole(),
 		coordinatorRole(),
 		linksRole(),
+		nodeRole(),
 	}
 }
