Node: candidates for the coordinators; no request to an engine that lacks the model

The owner of a pool reads what its engines serve every 5 s and leaves out those known to lack the ask's model. Both are off unless Options.Coordinator is set.

--- a/coordinator/candidates.go
+++ b/coordinator/candidates.go
@@ -4,10 +4,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // candidates returns the members that campaign for a group's lease: the first of
@@ -39,11 +38,13 @@
 	return alive
 }
 
-// ranking sorts the members in rendezvous order for the key.
+// ranking sorts the members in rendezvous order for the key. It computes each
+// score once: a fleet has a thousand members, and all groups are ranked when one
+// comes or goes.
 func ranking(key string, members []domain.Member) []domain.Member {
 	scores := make(map[domain.NodeID]uint64, len(members))
 	for _, m := range members {
-		scores[m.Node] = xxhash.Sum64String(key + "\x00" + string(m.Node))
+		scores[m.Node] = rendezvous.Score(key, string(m.Node))
 	}
 	slices.SortFunc(members, func(a, b domain.Member) int {
 		return cmp.Or(cmp.Compare(scores[b.Node], scores[a.Node]), cmp.Compare(a.Node, b.Node))
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -45,6 +45,8 @@
 	view  atomic.Pointer[[]membership.Peer]
 	// observe, if set, is told of each event of a node before it goes on.
 	observe atomic.Pointer[func(event)]
+	// configure, if set, changes the options of each node.
+	configure func(*Options)
 }
 
 type runningNode struct {
@@ -109,12 +111,18 @@
 // newCluster starts nodes in the data centres of a deployment: as many hosts as
 // it has, one engine for each of its engine rows.
 func newCluster(t *testing.T, d *deployment.Deployment, options engine.Options) *cluster {
+	return newClusterWith(t, d, options, func(*Options) {})
+}
+
+// newClusterWith changes the nodes' options first.
+func newClusterWith(t *testing.T, d *deployment.Deployment, options engine.Options, configure func(*Options)) *cluster {
 	c := &cluster{
-		t:       t,
-		network: peertest.NewNetwork(),
-		store:   memstore.New(memstore.Options{}),
-		engines: make(map[domain.EndpointID]*engine.Engine),
-		nodes:   make(map[domain.NodeID]*runningNode),
+		t:         t,
+		network:   peertest.NewNetwork(),
+		store:     memstore.New(memstore.Options{}),
+		engines:   make(map[domain.EndpointID]*engine.Engine),
+		nodes:     make(map[domain.NodeID]*runningNode),
+		configure: configure,
 	}
 	for i := range d.Table.Endpoints {
 		row := &d.Table.Endpoints[i]
@@ -160,7 +168,7 @@
 	note := func(name, key string, offset uint64) { c.emit(event{m.Node, name, "", key, offset}) }
 	g := newGate(note)
 	client := c.store.NewClient()
-	n, err := New(Options{
+	options := Options{
 		Transport:      observedTransport{c.network.Node(m), c},
 		Store:          gatedStore{client, g},
 		Members:        &viewOf{c: c, self: m},
@@ -168,7 +176,9 @@
 		Log:            zerolog.Nop(),
 		Metrics:        metrics.NewSet(),
 		SessionSecrets: [][]byte{[]byte(strings.Repeat("s", 32))},
-	})
+	}
+	c.configure(&options)
+	n, err := New(options)
 	assert.NilError(c.t, err)
 	e := echo.New()
 	n.Callers(e)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/config/agreed"
+	"hawthornrill.example/hawthornrill/coordinator"
 	"hawthornrill.example/hawthornrill/dispatch"
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/domain"
@@ -48,12 +49,15 @@
 	routers    *routing.Factory
 	endpoints  *endpoints
 	reports    *reports
-	answers    *answer.Registry
-	scheduler  *scheduler.Scheduler
-	entry      *entry.Server
-	enrolment  *enrolment
-	started    time.Time
-	draining   atomic.Bool
+	// coordinator and placement are nil if the node gives no orders.
+	coordinator *coordinator.Service
+	placement   *placement
+	answers     *answer.Registry
+	scheduler   *scheduler.Scheduler
+	entry       *entry.Server
+	enrolment   *enrolment
+	started     time.Time
+	draining    atomic.Bool
 	// enrolling ends before the node departs, so that it does not join again; then
 	// enrolled is closed.
 	enrolling context.Context
@@ -71,7 +75,7 @@
 		enrolled: make(chan struct{}),
 	}
 	n.enrolling, n.stopEnrol = context.WithCancel(context.Background())
-	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildLimits, n.buildCapacity, n.buildScheduler, n.buildEntry} {
+	for _, build := range []func() error{n.buildDocuments, n.buildLedger, n.buildLimits, n.buildCapacity, n.buildCoordinator, n.buildScheduler, n.buildEntry} {
 		if err := build(); err != nil {
 			return nil, fmt.Errorf("node: %w", err)
 		}
@@ -146,6 +150,9 @@
 	options.Quarantine = n.quarantine
 	options.Metrics = n.options.Metrics
 	n.routers = routing.NewFactory(options)
+	if n.options.Coordinator != nil {
+		n.placement = &placement{readiness: coordinator.NewReadiness(stateTTL)}
+	}
 	n.capacity = capacity.New(n.capacityOptions())
 	n.endpoints = newEndpoints(n.config, n.options.Adapters)
 	n.reports = newReports(n.capacity, n.endpoints)
@@ -166,9 +173,32 @@
 	if o.NewChooser == nil {
 		o.NewChooser = n.routers.New
 	}
+	if n.placement != nil {
+		inner := o.NewChooser
+		o.NewChooser = func() capacity.Chooser { return readyChooser{inner(), n.placement.readiness} }
+	}
 	return o
 }
 
+func (n *Node) buildCoordinator() error {
+	if n.options.Coordinator == nil {
+		return nil
+	}
+	n.placement.capacity, n.placement.endpoints = n.capacity, n.endpoints
+	o := *n.options.Coordinator
+	o.Transport = n.options.Transport
+	o.Members = n.options.Members
+	o.Config = n.config
+	o.Store = n.options.Store
+	o.Engines = n.endpoints
+	o.Demand = coordinator.PoolsDemand{Dump: n.capacity.Dump}
+	o.Metrics = n.options.Metrics
+	o.Logger = n.options.Log
+	service, err := coordinator.New(o)
+	n.coordinator = service
+	return err
+}
+
 // lengths returns the predictor of answers' lengths.
 func (n *Node) lengths() scheduler.Lengths {
 	if n.options.Lengths != nil {
@@ -220,6 +250,10 @@
 	group.Go(func() error { return n.capacity.Run(ctx) })
 	group.Go(func() error { return n.reports.run(ctx) })
 	group.Go(func() error { return n.housekeep(ctx) })
+	if n.coordinator != nil {
+		group.Go(func() error { return n.coordinator.Run(ctx) })
+		group.Go(func() error { return n.placement.run(ctx) })
+	}
 	context.AfterFunc(ctx, n.stopEnrol)
 	group.Go(func() error {
 		defer close(n.enrolled)
--- a/node/operators.go
+++ b/node/operators.go
@@ -11,6 +11,7 @@
 
 	"hawthornrill.example/hawthornrill/buildinfo"
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/coordinator"
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/ledger"
@@ -33,6 +34,7 @@
 	Capacity      capacity.Dump          `json:"capacity"`
 	Routing       []routing.EndpointDump `json:"routing"`
 	Scheduler     scheduler.State        `json:"scheduler"`
+	Coordinator   *coordinator.Dump      `json:"coordinator,omitempty"`
 	ConfigVersion uint64                 `json:"config_revision"`
 }
 
@@ -57,6 +59,10 @@
 	if err := n.Ready(); err != nil {
 		s.Ready = err.Error()
 	}
+	if n.coordinator != nil {
+		dump := n.coordinator.Dump()
+		s.Coordinator = &dump
+	}
 	if snapshot := n.config.Current(); snapshot != nil {
 		s.ConfigVersion = uint64(snapshot.Revision)
 	}
--- a/node/options.go
+++ b/node/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/coordinator"
 	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/peer"
 	"hawthornrill.example/hawthornrill/routing"
@@ -46,6 +47,10 @@
 	// Capacity holds numbers, and NewChooser if the node is not to use package
 	// routing; the parts are filled in by the node.
 	Capacity capacity.Options
+	// Coordinator makes the node a candidate for giving engines their orders, and
+	// keeps requests from engines that have not loaded the model; nil for neither.
+	// It holds numbers and Weights; the other parts are filled in by the node.
+	Coordinator *coordinator.Options
 	// Lengths predicts the lengths of answers; nil for a routing.LengthPredictor.
 	Lengths scheduler.Lengths
 }
--- /dev/null
+++ b/node/placement.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/coordinator"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+const (
+	// stateEvery is the interval at which an owner reads what its engines serve.
+	stateEvery = 5 * time.Second
+	// stateTTL is for how long an engine's word about what it serves counts.
+	stateTTL = 3 * stateEvery
+)
+
+// Orders implements coordinator.Engines. Not every engine takes orders.
+func (e *endpoints) Orders(id domain.EndpointID) (endpoint.Orders, bool) {
+	engine, ok := e.Engine(id)
+	if !ok {
+		return nil, false
+	}
+	orders, ok := engine.(endpoint.Orders)
+	return orders, ok
+}
+
+// placement reads what the engines of the pools owned by this node serve, so that
+// no request goes to one that has not loaded its model.
+type placement struct {
+	capacity  *capacity.Service
+	endpoints *endpoints
+	readiness *coordinator.Readiness
+}
+
+// run reads until the context ends.
+func (p *placement) run(ctx context.Context) error {
+	ticker := time.NewTicker(stateEvery)
+	defer ticker.Stop()
+	for {
+		p.readAll(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *placement) readAll(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(reportsAtOnce)
+	for _, id := range p.capacity.Owned() {
+		group.Go(func() error {
+			p.read(ctx, id)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// read reads one engine; one that does not answer is soon unknown.
+func (p *placement) read(ctx context.Context, id domain.EndpointID) {
+	orders, ok := p.endpoints.Orders(id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	state, err := orders.State(ctx)
+	if err == nil {
+		p.readiness.Note(time.Now(), id, state)
+	}
+}
+
+// readyChooser leaves out the engines that are known not to have the ask's model.
+type readyChooser struct {
+	capacity.Chooser
+	readiness *coordinator.Readiness
+}
+
+var _ capacity.Reporter = readyChooser{}
+
+// Choose implements capacity.Chooser. While no candidate is ready the ask waits.
+func (c readyChooser) Choose(now time.Time, waiting *capacity.Waiting, candidates []*capacity.EndpointState) (int, bool) {
+	model, isModel := strings.CutPrefix(string(waiting.Ask.Pool), string(domain.ModelPool("")))
+	if !isModel {
+		return c.Chooser.Choose(now, waiting, candidates)
+	}
+	ready := make([]*capacity.EndpointState, 0, len(candidates))
+	indexes := make([]int, 0, len(candidates))
+	for i, candidate := range candidates {
+		if has, known := c.readiness.Ready(now, candidate.ID, model); has || !known {
+			ready, indexes = append(ready, candidate), append(indexes, i)
+		}
+	}
+	if len(ready) == 0 {
+		return 0, false
+	}
+	chosen, ok := c.Chooser.Choose(now, waiting, ready)
+	return indexes[chosen], ok
+}
+
+// Report implements capacity.Reporter.
+func (c readyChooser) Report(now time.Time, state *capacity.EndpointState, report endpoint.LoadReport) {
+	if r, ok := c.Chooser.(capacity.Reporter); ok {
+		r.Report(now, state, report)
+	}
+}
+
+// CacheEvents implements capacity.Reporter.
+func (c readyChooser) CacheEvents(now time.Time, state *capacity.EndpointState, events []endpoint.CacheEvent) {
+	if r, ok := c.Chooser.(capacity.Reporter); ok {
+		r.CacheEvents(now, state, events)
+	}
+}
