config/agreed: the benchmarks' organisations have homes

Cause: an accepted row gets a home data centre since, and the benchmarks edited against rows without one, which is a conflict. They run again.

--- a/config/agreed/bench_test.go
+++ b/config/agreed/bench_test.go
@@ -26,7 +26,7 @@
 	}
 	for i := range organisations {
 		t.Organisations = append(t.Organisations, config.OrganisationRow{
-			ID: domain.OrganisationID(fmt.Sprintf("organisation-%05d", i)), Tier: t.Tiers[i%3].Name, Weight: 1 + i%9,
+			ID: domain.OrganisationID(fmt.Sprintf("organisation-%05d", i)), Tier: t.Tiers[i%3].Name, Weight: 1 + i%9, HomeDataCentre: domain.DataCentre(fmt.Sprintf("dc-%02d", i%21)),
 			InFlight: 100, TokensPerMinute: 1_000_000, KeyHashes: config.FormatKeyHash(config.HashKey(fmt.Sprint(i))),
 		})
 	}
