--- /dev/null
+++ b/coordinator/bench_test.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+)
+
+// BenchmarkSlopePlan measures one call of Plan for a group at rest, by its engines:
+// ten models in 21 data centres, every engine may serve three of them.
+func BenchmarkSlopePlan(b *testing.B) {
+	for _, count := range []int{30, 100, 300, 1000, 2700} {
+		b.Run(fmt.Sprintf("engines=%d", count), func(b *testing.B) {
+			engines := make([]Engine, count)
+			demand := make(map[Place]Load)
+			for i := range engines {
+				dc := fmt.Sprintf("dc%02d", i%21)
+				model := func(offset int) string { return fmt.Sprintf("m%d", (i/21+offset)%10) }
+				engines[i] = machine(fmt.Sprintf("e%04d", i), dc, model(0)+"*", model(1), model(2))
+				for j := range 3 {
+					demand[Place{model(j), domain.DataCentre(dc)}] = Load{Running: 100, Tokens: 1 << 20}
+				}
+			}
+			planner := NewPlanner(PlanOptions{})
+			now := time.Unix(0, 0)
+			for b.Loop() {
+				now = now.Add(simPeriod)
+				if steps := planner.Plan(now, engines, demand, free{}); len(steps) > 0 {
+					b.Fatal("orders at rest")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeCandidates measures the ranking of all groups when a member comes
+// or goes, by the members: 33 groups.
+func BenchmarkSlopeCandidates(b *testing.B) {
+	for _, count := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			var members membership.Snapshot
+			for i := range count {
+				m := domain.Member{Node: domain.NodeID(fmt.Sprintf("n%04d", i)), DataCentre: domain.DataCentre(fmt.Sprintf("dc%02d", i%21))}
+				members.Peers = append(members.Peers, membership.Peer{Member: m})
+			}
+			for b.Loop() {
+				for g := range 33 {
+					candidates(fmt.Sprintf("m%d", g), &members, 3)
+				}
+			}
+		})
+	}
+}
--- a/coordinator/candidates.go
+++ b/coordinator/candidates.go
@@ -38,16 +38,24 @@
 	return alive
 }
 
-// ranking sorts the members in rendezvous order for the key. It computes each
+// ranking returns the members in rendezvous order for the key. It computes each
 // score once: a fleet has a thousand members, and all groups are ranked when one
 // comes or goes.
 func ranking(key string, members []domain.Member) []domain.Member {
-	scores := make(map[domain.NodeID]uint64, len(members))
-	for _, m := range members {
-		scores[m.Node] = rendezvous.Score(key, string(m.Node))
+	type scored struct {
+		score  uint64
+		member *domain.Member
 	}
-	slices.SortFunc(members, func(a, b domain.Member) int {
-		return cmp.Or(cmp.Compare(scores[b.Node], scores[a.Node]), cmp.Compare(a.Node, b.Node))
+	all := make([]scored, len(members))
+	for i := range members {
+		all[i] = scored{rendezvous.Score(key, string(members[i].Node)), &members[i]}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Node, b.member.Node))
 	})
-	return members
+	ranked := make([]domain.Member, len(all))
+	for i, s := range all {
+		ranked[i] = *s.member
+	}
+	return ranked
 }
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 	network *peertest.Network
 	store   *memstore.Store
 	table   *config.StaticView
-	members *membership.Snapshot
+	members atomic.Pointer[membership.Snapshot]
 	engines map[domain.EndpointID]*engine.Engine
 	nodes   []*fleetNode
 }
@@ -71,12 +72,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, network: peertest.NewNetwork(), store: memstore.New(memstore.Options{}), engines: make(map[domain.EndpointID]*engine.Engine)}
 		f.setTable(runners)
-		f.members = &membership.Snapshot{}
+		var peers []membership.Peer
 		for i := range 2 {
 			m := domain.Member{Node: domain.NodeID(fmt.Sprintf("n%d", i+1)), Incarnation: 1, DataCentre: "p"}
-			f.members.Peers = append(f.members.Peers, membership.Peer{Member: m})
+			peers = append(peers, membership.Peer{Member: m})
 		}
-		for _, p := range f.members.Peers {
+		f.members.Store(&membership.Snapshot{Peers: peers})
+		for _, p := range peers {
 			f.start(p.Member)
 		}
 		defer f.close()
@@ -117,7 +119,7 @@
 }
 
 // Current implements membership.View.
-func (f *fleet) Current() *membership.Snapshot { return f.members }
+func (f *fleet) Current() *membership.Snapshot { return f.members.Load() }
 
 func (f *fleet) start(m domain.Member) {
 	n := &fleetNode{fleet: f, client: f.store.NewClient(), done: make(chan struct{})}
--- a/coordinator/planner_test.go
+++ b/coordinator/planner_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
 )
@@ -141,6 +142,7 @@
 
 func TestReloadKeepsTheVersion(t *testing.T) {
 	s := newSim(PlanOptions{}, machine("e1", "p", "a*"))
+	s.run(simPeriod)
 	s.engines[0].State.Models[0].Version = "2"
 	s.run(simPeriod)
 	s.forget(0)
@@ -173,6 +175,34 @@
 	})
 }
 
+// TestRoomIsMadeOnce plans again before an unload is carried out.
+func TestRoomIsMadeOnce(t *testing.T) {
+	s := newSim(PlanOptions{ModelsPerEngine: 2}, machine("e1", "p", "a*", "b*", "c"), machine("e2", "p", "a*"), machine("e3", "p", "b*"))
+	s.need("a", "p", 0, 0).need("b", "p", 0, 0).need("c", "p", 0, 0)
+	s.run(s.planner.options.IdleFor - simPeriod)
+	s.need("c", "p", 9, 0)
+	for range 20 {
+		s.planner.Plan(s.now, s.engines, s.demand, s.weights)
+		s.now = s.now.Add(simPeriod)
+	}
+	assert.DeepEqual(t, s.planner.Target("e1"), []string{"b"})
+}
+
+func TestPoolsDemand(t *testing.T) {
+	group := capacity.GroupDump{
+		Pools:     []domain.PoolName{"model/a", "model/b", "service/s"},
+		Settled:   true,
+		Endpoints: []capacity.EndpointDump{{Requests: 3, ReservedTokens: 300}, {Requests: 1, ReservedTokens: 100}},
+		Holders:   []capacity.HolderDump{{Pool: "model/a", Grants: 3, Waiting: 2}, {Pool: "model/a", Grants: 1, Waiting: 1}, {Pool: "service/s", Waiting: 9}},
+	}
+	dump := capacity.Dump{Owned: []capacity.GroupDump{group}}
+	d := PoolsDemand{Dump: func() capacity.Dump { return dump }}
+	assert.DeepEqual(t, d.Demand(), map[string]Load{"a": {Waiting: 3, Running: 4, Tokens: 400}, "b": {}})
+	// An owner that has just begun does not know yet.
+	dump.Owned[0].Settled = false
+	assert.Equal(t, len(d.Demand()), 0)
+}
+
 func TestReadiness(t *testing.T) {
 	r := NewReadiness(time.Minute)
 	now := time.Unix(0, 0)
--- a/coordinator/service_test.go
+++ b/coordinator/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,11 +189,13 @@
 		{"sound", callFault{}, 1, 2},
 		{"answer lost", callFault{answerLost: true}, 1, 2},
 		{"order lost", callFault{lost: true}, 2, 2},
+		{"order lost after its timeout", callFault{lost: true, hold: 3 * time.Second}, 2, 2},
 	}
 	for _, c := range cases {
 		inFleet(t, []runner{{serves: "a"}}, func(f *fleet) {
 			time.Sleep(takeover)
 			tries := 0
+			var first time.Time
 			for _, n := range f.nodes {
 				n.onCalls(func(made call) callFault {
 					if !isLoad(made) {
@@ -200,8 +203,11 @@
 					}
 					tries++
 					if tries == 1 {
+						first = time.Now()
 						return c.fault
 					}
+					// The lost one may still be on its way for as long again.
+					assert.Check(t, time.Since(first) >= c.fault.hold+3*time.Second, c.name)
 					return callFault{}
 				})
 			}
@@ -246,6 +252,12 @@
 			time.Sleep(takeover)
 			f.serves("e1", "a")
 			assert.Assert(t, f.holder().Dump().Led[0].Fence > uint64(revision))
+			// A greater number is a later holder's word also if nothing is to be done.
+			fence := f.holder().Dump().Led[0].Fence + 1
+			role := endpoint.Order{Fence: fence, Kind: endpoint.OrderSetRole, Role: endpoint.RoleMixed}
+			assert.NilError(t, f.engines["e1"].Order(t.Context(), role))
+			time.Sleep(takeover)
+			assert.Assert(t, f.holder().Dump().Led[0].Fence > fence)
 			before := f.store.Counts()
 			unload(1 << 40)
 			time.Sleep(10 * time.Minute)
@@ -257,6 +269,43 @@
 	}
 }
 
+// TestRefusedHolderStopsAtOnce lets an engine obey a greater number after it was
+// read, before the order.
+func TestRefusedHolderStopsAtOnce(t *testing.T) {
+	inFleet(t, []runner{{serves: "a"}, {serves: "a"}}, func(f *fleet) {
+		time.Sleep(takeover)
+		old := f.holder()
+		raised := make(chan struct{})
+		old.onCalls(once(1, isLoad, func() callFault {
+			role := endpoint.Order{Fence: 1 << 40, Kind: endpoint.OrderSetRole, Role: endpoint.RoleMixed}
+			_ = f.engines["e1"].Order(context.Background(), role)
+			close(raised)
+			return callFault{}
+		}))
+		f.engines["e1"].Crash()
+		<-raised
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, len(old.Dump().Led), 0)
+	})
+}
+
+func TestLeavingNodeGivesTheLeaseUp(t *testing.T) {
+	inFleet(t, []runner{{serves: "a"}}, func(f *fleet) {
+		time.Sleep(takeover)
+		old := f.holder()
+		peers := slices.Clone(f.Current().Peers)
+		for i := range peers {
+			if peers[i].Member == old.options.Transport.Self() {
+				peers[i].Status = membership.StatusLeaving
+			}
+		}
+		f.members.Store(&membership.Snapshot{Peers: peers})
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, f.holder() == f.other(old))
+		assert.Equal(t, len(old.Dump().Campaigns), 0)
+	})
+}
+
 // TestNeedlessOrderIsNotGiven loads an engine by another hand while the holder is
 // busy with the engine before it.
 func TestNeedlessOrderIsNotGiven(t *testing.T) {
