--- a/node/gate_test.go
+++ b/node/gate_test.go
@@ -35,7 +35,12 @@
 func (g *gate) pause() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.awake = make(chan struct{})
+	select {
+	case <-g.awake:
+		g.awake = make(chan struct{})
+	default:
+		// It is paused already.
+	}
 }
 
 func (g *gate) resume() {
--- a/node/matrix_control_test.go
+++ b/node/matrix_control_test.go
@@ -109,7 +109,7 @@
 
 // runJoin has a node die and its next life join while callers are served.
 func (x *trial) runJoin() {
-	member := x.nodes[x.home].self
+	member := x.life(x.home).self
 	x.die(x.home)
 	time.Sleep(detection)
 	x.setStatus(member, membership.StatusGone)
@@ -128,7 +128,7 @@
 // the drain says that nothing is left.
 func (x *trial) runDrain() {
 	var group sync.WaitGroup
-	draining := x.nodes[x.home]
+	draining := x.life(x.home)
 	x.patient = true
 	x.callers("beside", "fitters-west", 3, &group)
 	group.Go(func() { x.run(x.victim(), 1) })
--- a/node/matrix_faults_test.go
+++ b/node/matrix_faults_test.go
@@ -72,7 +72,7 @@
 		name: p.name + " dies",
 		begin: func(x *trial) {
 			node := p.of(x)
-			member := x.nodes[node].self
+			member := x.life(node).self
 			x.die(node)
 			time.AfterFunc(detection, func() { x.setStatus(member, membership.StatusGone) })
 		},
@@ -85,13 +85,13 @@
 		name: p.name + " is paused and wakes late",
 		begin: func(x *trial) {
 			node := p.of(x)
-			member := x.nodes[node].self
+			member := x.life(node).self
 			x.pause(node)
 			time.AfterFunc(detection, func() { x.setStatus(member, membership.StatusUnreachable) })
 		},
 		end: func(x *trial) {
 			x.resume(p.of(x))
-			x.setStatus(x.nodes[p.of(x)].self, membership.StatusAlive)
+			x.setStatus(x.life(p.of(x)).self, membership.StatusAlive)
 		},
 	}
 }
@@ -207,15 +207,15 @@
 		{name: "host list lies: paused entry is called gone, and wakes",
 			begin: func(x *trial) {
 				x.pause(x.entry)
-				x.setStatus(x.nodes[x.entry].self, membership.StatusGone)
+				x.setStatus(x.life(x.entry).self, membership.StatusGone)
 			},
 			end: func(x *trial) {
 				x.resume(x.entry)
-				x.setStatus(x.nodes[x.entry].self, membership.StatusAlive)
+				x.setStatus(x.life(x.entry).self, membership.StatusAlive)
 			}},
 		{name: "host list lies: home is called gone",
-			begin: func(x *trial) { x.setStatus(x.nodes[x.home].self, membership.StatusGone) },
-			end:   func(x *trial) { x.setStatus(x.nodes[x.home].self, membership.StatusAlive) }},
+			begin: func(x *trial) { x.setStatus(x.life(x.home).self, membership.StatusGone) },
+			end:   func(x *trial) { x.setStatus(x.life(x.home).self, membership.StatusAlive) }},
 	}
 }
 
@@ -258,7 +258,7 @@
 // changeWeight edits the weight of an organisation as seen by the node.
 func (x *trial) changeWeight(node domain.NodeID, org domain.OrganisationID, weight int) (document.Edit, uint64, error) {
 	edit := document.Edit{ID: document.NewEditID(), Author: "test"}
-	n := x.nodes[node]
+	n := x.life(node)
 	table, _, err := n.config.Table(context.Background(), 0)
 	if err != nil {
 		return edit, 0, err
--- a/node/matrix_trial_test.go
+++ b/node/matrix_trial_test.go
@@ -222,6 +222,24 @@
 	return nil
 }
 
+// life returns the latest life of a node.
+func (x *trial) life(node domain.NodeID) *runningNode {
+	x.cluster.mu.Lock()
+	defer x.cluster.mu.Unlock()
+	return x.nodes[node]
+}
+
+// pause and resume are the cluster's, while lives begin and end beside them.
+func (x *trial) pause(node domain.NodeID) {
+	x.network.Pause(node)
+	x.life(node).gate.pause()
+}
+
+func (x *trial) resume(node domain.NodeID) {
+	x.life(node).gate.resume()
+	x.network.Resume(node)
+}
+
 // run has a caller send its key until it is answered, or told that it ran, or has
 // no patience left; each attempt goes to another node.
 func (x *trial) run(k *call, first int) {
