--- a/membership/fault_test.go
+++ b/membership/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,7 +180,7 @@
 		far := x.group(1)
 		var cut domain.NodeID
 		for _, node := range x.group(0) {
-			if len(x.nodes[node].delegation.contacted(node)) == 0 {
+			if !slices.Contains(x.nodes[node].State().DataCentres[0].Delegates, node) {
 				cut = node
 			}
 		}
