--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,7 @@
 		NoticePeriod:   s.Shutdown.NoticePeriod.Duration,
 		Entry:          entry.Options{MaxBodyBytes: int64(s.Callers.MaxBodyBytes)},
 		Scheduler:      scheduler.Options{Grace: s.Callers.DisconnectGrace.Duration},
+		Coordinator:    coordinatorOptions(s.Orders),
 	})
 	return err
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -46,6 +46,9 @@
 	c.oneOf("log.format", s.Log.Format, "json", "console")
 	c.duration("shutdown.notice_period", s.Shutdown.NoticePeriod)
 	c.duration("shutdown.limit", s.Shutdown.Limit)
+	if s.Orders.LoadsPerMinute <= 0 {
+		c.add("orders.loads_per_minute", fmt.Sprint(s.Orders.LoadsPerMinute), "must be above 0")
+	}
 	return c.problems
 }
 
--- a/settings/default.go
+++ b/settings/default.go
@@ -17,5 +17,6 @@
 		Retention: Retention{Window: Duration{10 * time.Minute}, MaxKeys: 100_000, AnswerBytes: 64 << 20},
 		Log:       Log{Level: "info", Format: "json"},
 		Shutdown:  Shutdown{NoticePeriod: Duration{5 * time.Second}},
+		Orders:    Orders{LoadsPerMinute: 30},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,16 @@
 	Retention Retention `toml:"retention"`
 	Log       Log       `toml:"log"`
 	Shutdown  Shutdown  `toml:"shutdown"`
+	Orders    Orders    `toml:"orders"`
+}
+
+// Orders tells whether the node may give engines their orders.
+type Orders struct {
+	// Give makes the node a candidate, and keeps requests from engines that have not
+	// loaded their model. Set it alike on all nodes.
+	Give bool `toml:"give"`
+	// LoadsPerMinute bounds the loads that the node orders, for the weight store.
+	LoadsPerMinute float64 `toml:"loads_per_minute"`
 }
 
 // Listen holds the addresses that the process listens on, "IP:port".
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,8 +36,8 @@
 			[]string{"peers.seeds[0].node", "peers.seeds[0].address"}},
 		{"plain beyond loopback", minimal + "listen.peers = \"192.0.2.1:7000\"\n", []string{"peers.plain"}},
 		{"key hash", minimal + "[[operators.keys]]\nname = \"ada\"\nsha256 = \"secret\"\n", []string{"operators.keys[0].sha256"}},
-		{"numbers", minimal + "callers.max_body_bytes = 0\nplatform.calls_per_second = -1.0\n",
-			[]string{"platform.calls_per_second", "callers.max_body_bytes"}},
+		{"numbers", minimal + "callers.max_body_bytes = 0\nplatform.calls_per_second = -1.0\norders.loads_per_minute = 0.0\n",
+			[]string{"platform.calls_per_second", "callers.max_body_bytes", "orders.loads_per_minute"}},
 		{"log", minimal + "log.level = \"loud\"\n", []string{"log.level"}},
 	}
 	for _, test := range cases {
