--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -16,13 +16,14 @@
 )
 
 // oneMember is a view with nobody but the node itself.
-type oneMember domain.Member
+type oneMember struct{ snapshot *membership.Snapshot }
 
-func (m oneMember) Current() *membership.Snapshot {
-	self := domain.Member(m)
-	return &membership.Snapshot{Self: self, Peers: []membership.Peer{{Member: self}}}
+func newOneMember(self domain.Member) oneMember {
+	return oneMember{&membership.Snapshot{Self: self, Peers: []membership.Peer{{Member: self}}}}
 }
 
+func (m oneMember) Current() *membership.Snapshot { return m.snapshot }
+
 // TestLeavingBeforeJoining has a node leave a table that does not exist yet, as one
 // does that stops before it has joined: nothing is written.
 func TestLeavingBeforeJoining(t *testing.T) {
@@ -33,7 +34,7 @@
 		store := memstore.New(memstore.Options{})
 		documents, err := document.New(document.Options{
 			Transport: network.Node(self),
-			Members:   oneMember(self),
+			Members:   newOneMember(self),
 			Store:     store.NewClient(),
 		})
 		assert.NilError(t, err)
