--- a/coordinator/planner_test.go
+++ b/coordinator/planner_test.go
@@ -188,6 +188,14 @@
 	assert.DeepEqual(t, s.planner.Target("e1"), []string{"b"})
 }
 
+// TestLastRunnerIsPassedOver has room for c on e1, which has the last a, and on e2.
+func TestLastRunnerIsPassedOver(t *testing.T) {
+	s := newSim(PlanOptions{}, machine("e1", "p", "a*", "c"), machine("e2", "p", "b*", "c"), machine("e3", "p", "b*"))
+	s.need("a", "p", 0, 0).need("b", "p", 0, 0).need("c", "p", 9, 0)
+	assert.Equal(t, len(s.run(s.planner.options.IdleFor)), 0)
+	assert.DeepEqual(t, s.run(simPeriod), []string{"unload b e2"})
+}
+
 func TestPoolsDemand(t *testing.T) {
 	group := capacity.GroupDump{
 		Pools:     []domain.PoolName{"model/a", "model/b", "service/s"},
