--- a/membership/broadcast.go
+++ b/membership/broadcast.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// retransmitFactor times the logarithm of the data centre's size is how often a
-	// node passes a change on.
-	retransmitFactor = 3
+	// retransmitFactor times the binary logarithm of the data centre's size is how
+	// often a node passes a change on. What still misses a node is repaired by
+	// comparing tables.
+	retransmitFactor = 1
 	// piggybackLimit is how many changes a ping or its answer carries.
 	piggybackLimit = 8
 	// pushLimit is how many changes a push carries.
--- a/membership/delegation.go
+++ b/membership/delegation.go
@@ -16,6 +16,8 @@
 	contacts map[domain.DataCentre][]domain.NodeID
 	// list are the nodes that read the host list.
 	list []domain.NodeID
+	// nodes counts the nodes of the own data centre that answer.
+	nodes int
 	// up are the other data centres that can be reached.
 	up map[domain.DataCentre]bool
 }
@@ -27,6 +29,7 @@
 	d := delegation{
 		contacts: make(map[domain.DataCentre][]domain.NodeID),
 		list:     rendezvous(listKey, nodes, delegates),
+		nodes:    len(nodes),
 		up:       make(map[domain.DataCentre]bool),
 	}
 	for _, dc := range t.dataCentres() {
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/peer"
 	"hawthornrill.example/hawthornrill/peer/peertest"
 )
 
@@ -268,3 +269,15 @@
 	c.counts[key]++
 	return c.counts[key]
 }
+
+// silentTransport goes nowhere.
+type silentTransport struct{ self domain.Member }
+
+func (t silentTransport) Self() domain.Member              { return t.self }
+func (t silentTransport) Handle(peer.Method, peer.Handler) {}
+func (t silentTransport) Call(context.Context, domain.Member, peer.Method, []byte) ([]byte, error) {
+	return nil, peer.ErrNotSent
+}
+func (t silentTransport) Send(context.Context, domain.Member, peer.Method, []byte) error {
+	return peer.ErrNotSent
+}
--- a/membership/news.go
+++ b/membership/news.go
@@ -13,7 +13,7 @@
 	defer s.mu.Unlock()
 	n := s.ownNews()
 	n.Digest = s.table.digest()
-	n.Records, n.Contacts = s.broadcasts.take(piggybackLimit, s.localNodes())
+	n.Records, n.Contacts = s.broadcasts.take(piggybackLimit, s.delegation.nodes)
 	if accusation := s.accusationOf(to); accusation != nil {
 		n.Records = append(n.Records, *accusation)
 	}
@@ -23,9 +23,6 @@
 // ownNews returns this node's own state. The lock is held.
 func (s *Service) ownNews() news { return news{Version: s.own.version, Intent: s.own.intent} }
 
-// localNodes counts the nodes of the data centre. The lock is held.
-func (s *Service) localNodes() int { return len(s.table.answering()) }
-
 // accusationOf returns what a peer must know about itself: that it is held to be
 // unwell, or that a later life has taken its place. Nil means nothing. The lock is
 // held.
@@ -46,9 +43,12 @@
 func (s *Service) absorb(from domain.Member, n news) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	trusted := s.trusts(from)
 	changed := s.learn(newRecord(from, n.Version, n.Intent), true)
 	for _, r := range n.Records {
-		changed = s.learn(r, true) || changed
+		if trusted || r.Health == healthOK {
+			changed = s.learn(r, true) || changed
+		}
 	}
 	for _, c := range n.Contacts {
 		changed = s.learnContact(c, true) || changed
@@ -58,6 +58,13 @@
 	}
 }
 
+// trusts reports whether a peer's accusations count. Those of a peer that is
+// itself unreachable do not: it may be deaf, and find everyone unreachable.
+func (s *Service) trusts(from domain.Member) bool {
+	e := s.table.entries[from.Node]
+	return e == nil || e.Incarnation != from.Incarnation || e.Health < healthUnreachable
+}
+
 // learn merges a record and, if spread is true, passes on what is news. A record
 // about this node itself is answered. The lock is held.
 func (s *Service) learn(r record, spread bool) bool {
--- a/membership/push.go
+++ b/membership/push.go
@@ -54,6 +54,6 @@
 	}
 	targets := s.table.relays("", s.self.Node, pushFanout, nil, s.random)
 	n := s.ownNews()
-	n.Records, n.Contacts = s.broadcasts.take(pushLimit, s.localNodes())
+	n.Records, n.Contacts = s.broadcasts.take(pushLimit, s.delegation.nodes)
 	return pushRequest{n}, targets
 }
