Capacity: an owner whose calls fail at once is not asked again without a pause

Cause: the failure of a call sets the signal that a waiting ask looks at, so that the pause before the next call ended at once; where calls fail without waiting, as on a link whose other end has gone, a node asked in a tight loop. The pause showed that the last call could outlast the ask's deadline (TestOwnerOutOfReach); it now ends with it.

--- a/capacity/acquire.go
+++ b/capacity/acquire.go
@@ -126,6 +126,15 @@
 	h.set(holdRefused)
 }
 
+// settleWake takes out the signal of changes that have been looked at. The state must
+// be read again after it, since it is set before the signal.
+func (a *acquisition) settleWake() {
+	select {
+	case <-a.wake:
+	default:
+	}
+}
+
 // wait returns when the state changes, the context ends or the instant comes.
 func (a *acquisition) wait(ctx context.Context, until time.Time) {
 	timer := time.NewTimer(time.Until(until))
@@ -227,8 +236,13 @@
 			return
 		}
 	}
-	a.wait(ctx, earlier(now.Add(a.s.options.RetryEvery), a.due))
-	if state, _ := a.hold.get(); state != holdFailed || ctx.Err() != nil {
+	// The failure itself has set wake: without taking that out, an owner whose calls
+	// fail at once would be asked again without a pause.
+	a.settleWake()
+	if state, _ := a.hold.get(); state == holdFailed {
+		a.wait(ctx, earlier(now.Add(a.s.options.RetryEvery), a.due))
+	}
+	if state, _ := a.hold.get(); state != holdFailed || ctx.Err() != nil || !time.Now().Before(a.due) {
 		return
 	}
 	a.hold.request(ctx, a.hold.currentMode())
--- a/capacity/calls.go
+++ b/capacity/calls.go
@@ -23,8 +23,10 @@
 }
 
 // request asks the link's owner for a place, and follows its word about another
-// owner. The result is in the hold's state.
+// owner. The result is in the hold's state at the ask's deadline at the latest.
 func (h *hold) request(ctx context.Context, m mode) {
+	ctx, cancel := context.WithDeadline(ctx, h.due)
+	defer cancel()
 	h.setMode(m)
 	for range ownerAttempts {
 		owner, known := h.link.current()
