--- a/node/matrix_faults_test.go
+++ b/node/matrix_faults_test.go
@@ -183,7 +183,7 @@
 		{name: "store is slow", begin: func(x *trial) { x.store.SetDelay(3 * time.Second) }, end: func(x *trial) { x.store.SetDelay(0) }},
 		{name: "store's answer is lost after its effect", begin: func(x *trial) { x.store.SetFunc(loseAnswers) }, end: func(x *trial) { x.store.SetFunc(nil) }},
 		{name: "store gives an old value", begin: func(x *trial) { x.store.SetOldBy(5 * time.Second) }, end: func(x *trial) { x.store.SetOldBy(0) }},
-		{name: "lease lapses unknown to its holder", never: "no node holds a lease: there is no coordinator yet; package store/lease has its own tests"},
+		{name: "lease lapses unknown to its holder", never: "the grid's nodes hold no lease, as they give no orders unless the settings say so; the tests of packages store/lease and coordinator bring it about"},
 	}
 }
 
--- a/node/matrix_page_test.go
+++ b/node/matrix_page_test.go
@@ -15,7 +15,7 @@
 // noLeaseSteps are the steps that no node takes, with the reason.
 var noLeaseSteps = []string{"lease", "order", "read back"}
 
-const noLeaseReason = "no node holds a lease or sends an order: there is no coordinator yet"
+const noLeaseReason = "the grid's nodes give no orders unless the settings say so; the faults at these steps are in the tests of package coordinator"
 
 // grid is what the cells gave.
 type grid map[string]*cell
