--- a/membership/pull.go
+++ b/membership/pull.go
@@ -107,35 +107,40 @@
 func (s *Service) applyPull(reply pullReply, spread bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed := false
 	for _, each := range reply.Tables {
 		for _, r := range each.Records {
-			s.learn(r, spread)
+			changed = s.learn(r, spread) || changed
 		}
 		if reply.Settled {
-			s.giveUpAbsent(each, spread)
+			changed = s.giveUpAbsent(each, spread) || changed
 		}
 	}
 	for _, c := range reply.Contacts {
-		s.learnContact(c, spread)
+		changed = s.learnContact(c, spread) || changed
+	}
+	if changed {
+		s.publish()
 	}
-	s.publish()
 }
 
 // giveUpAbsent ends lives that a settled node no longer knows: it has forgotten
-// them after they were gone. A life of the own data centre that answers is kept.
-// The lock is held.
-func (s *Service) giveUpAbsent(theirs dataCentreTable, spread bool) {
+// them after they were gone. A life of the own data centre that answers is kept. It
+// reports whether there were any. The lock is held.
+func (s *Service) giveUpAbsent(theirs dataCentreTable, spread bool) bool {
 	present := make(map[domain.NodeID]bool, len(theirs.Records))
 	for _, r := range theirs.Records {
 		present[r.Node] = true
 	}
 	oldest := time.Now().Add(-absentAge)
+	changed := false
 	for _, r := range s.table.records(theirs.DataCentre) {
 		answers := r.DataCentre == s.self.DataCentre && r.Health < healthUnreachable
 		if present[r.Node] || answers || r.gone() || s.table.entries[r.Node].since.After(oldest) {
 			continue
 		}
 		r.Health = healthGone
-		s.learn(r, spread)
+		changed = s.learn(r, spread) || changed
 	}
+	return changed
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -27,16 +27,18 @@
 	fresh   chan struct{}
 	running sync.WaitGroup
 
-	mu          sync.Mutex
-	random      *rand.Rand
-	table       *table
-	broadcasts  broadcasts
-	delegation  delegation
-	detector    detector
-	listing     listing
-	sync        syncState
-	own         ownState
-	exchanges   exchanges
+	mu         sync.Mutex
+	random     *rand.Rand
+	table      *table
+	broadcasts broadcasts
+	delegation delegation
+	detector   detector
+	listing    listing
+	sync       syncState
+	own        ownState
+	exchanges  exchanges
+	// expired is when lives that are gone were last looked for.
+	expired     time.Time
 	subscribers map[int]func(*Snapshot)
 	lastID      int
 }
--- a/membership/verdict.go
+++ b/membership/verdict.go
@@ -55,10 +55,17 @@
 	s.publish()
 }
 
+// expireInterval is how often lives that have been gone for long are looked for.
+const expireInterval = 10 * time.Second
+
 // expire forgets lives that have been gone for long.
 func (s *Service) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now.Sub(s.expired) < expireInterval {
+		return
+	}
+	s.expired = now
 	if s.table.forgetGone(now.Add(-s.options.GoneRetention)) {
 		s.publish()
 	}
