--- a/node/matrix_pairs_test.go
+++ b/node/matrix_pairs_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,11 @@
 // are 1 to pairSeeds.
 const pairSeeds = 60
 
+// pairsMended are pairs beyond those that once broke a promise: 338, a leaving
+// endpoint whose word went to an owner that was then paused; 388, an owner asked
+// again without a pause. They are tried under the race detector too.
+var pairsMended = []uint64{338, 388}
+
 var morePairs = flag.Int("pairs", 0, "try so many pairs of faults in addition")
 
 // TestFaultPairs has two faults happen together, drawn by fixed seeds.
@@ -24,15 +30,18 @@
 		}
 	}
 	steps := append(requestSteps(), controlSteps()...)
-	for seed := range uint64(pairSeeds + *morePairs) {
-		if raceEnabled && seed%raceShare != 0 {
-			continue
+	seeds := slices.Clone(pairsMended)
+	for i := range uint64(pairSeeds + *morePairs) {
+		if seed := i + 1; (!raceEnabled || i%raceShare == 0) && !slices.Contains(pairsMended, seed) {
+			seeds = append(seeds, seed)
 		}
-		random := rand.New(rand.NewPCG(seed+1, 0))
+	}
+	for _, seed := range seeds {
+		random := rand.New(rand.NewPCG(seed, 0))
 		f, g := all[random.IntN(len(all))], all[random.IntN(len(all))]
 		pair := both(f, g, time.Duration(random.IntN(4000))*time.Millisecond)
 		s := steps[random.IntN(len(steps))]
-		t.Run(fmt.Sprintf("%d %s", seed+1, cellName(pair, s)), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d %s", seed, cellName(pair, s)), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { new(cell).run(t, pair, s) })
 		})
