--- a/node/reports.go
+++ b/node/reports.go
@@ -14,10 +14,6 @@
 const (
 	// reportEvery is the interval at which an owner reads its endpoints' reports.
 	reportEvery = 2 * time.Second
-	// ownedEvery is the interval at which a node looks for endpoints that it has come
-	// to own: their reports are read at once, since one may have said that it leaves
-	// to an owner that is gone.
-	ownedEvery = 200 * time.Millisecond
 	// reportTimeout bounds the reading of one endpoint's report.
 	reportTimeout = time.Second
 	// reportsAtOnce bounds the reports that are read at a time.
@@ -31,9 +27,6 @@
 	capacity  *capacity.Service
 	endpoints *endpoints
 
-	// owned are the endpoints owned when last looked.
-	owned map[domain.EndpointID]struct{}
-
 	mu sync.Mutex
 	// events is the last cache event seen, by endpoint.
 	events map[domain.EndpointID]uint64
@@ -54,38 +47,20 @@
 func (r *reports) run(ctx context.Context) error {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
-	owned := time.NewTicker(ownedEvery)
-	defer owned.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-owned.C:
-			r.readAll(ctx, r.newlyOwned())
 		case <-ticker.C:
-			r.readAll(ctx, r.capacity.Owned())
+			r.readAll(ctx)
 		}
 	}
 }
 
-// newlyOwned returns the endpoints owned now and not at the last call.
-func (r *reports) newlyOwned() []domain.EndpointID {
-	now := make(map[domain.EndpointID]struct{})
-	var fresh []domain.EndpointID
-	for _, id := range r.capacity.Owned() {
-		now[id] = struct{}{}
-		if _, before := r.owned[id]; !before {
-			fresh = append(fresh, id)
-		}
-	}
-	r.owned = now
-	return fresh
-}
-
-func (r *reports) readAll(ctx context.Context, ids []domain.EndpointID) {
+func (r *reports) readAll(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(reportsAtOnce)
-	for _, id := range ids {
+	for _, id := range r.capacity.Owned() {
 		group.Go(func() error {
 			r.read(ctx, id)
 			return nil
