wslink: dials of an earlier life back off

A call to a life later than the one that listens dialled anew each time: 400 dials in a minute with 600 calls, each leaving a link until it was idle. A successful dial cleared the memory of the failure. Now at most 35 dials and one link. Tests for the parts that none failed without: refusal of strangers by name and address, closing by agreement, peers that do not read.

--- a/peer/wslink/nonsense_test.go
+++ b/peer/wslink/nonsense_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/coder/websocket"
@@ -43,6 +44,7 @@
 func TestNonsenseClosesOnlyItsLink(t *testing.T) {
 	self := life("c", 1)
 	hello := encoded(t, &frame{Kind: kindHello, Member: &self})
+	same := life("b", 1)
 	cases := []struct {
 		name     string
 		status   websocket.StatusCode
@@ -50,6 +52,7 @@
 	}{
 		{"rubbish for a hello", websocket.StatusPolicyViolation, [][]byte{[]byte("rubbish")}},
 		{"request for a hello", websocket.StatusPolicyViolation, [][]byte{encoded(t, &frame{Kind: kindRequest, ID: 1, Method: echoMethod})}},
+		{"hello of this very process", websocket.StatusPolicyViolation, [][]byte{encoded(t, &frame{Kind: kindHello, Member: &same})}},
 		{"rubbish", websocket.StatusPolicyViolation, [][]byte{hello, {0xff, 0x00}}},
 		{"second hello", websocket.StatusPolicyViolation, [][]byte{hello, hello}},
 		{"unknown kind", websocket.StatusPolicyViolation, [][]byte{hello, encoded(t, &frame{Kind: 99})}},
@@ -104,12 +107,53 @@
 	})
 }
 
+func TestClosingNeedsBothEnds(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		b := r.start(life("b", 1), func(o *Options) { o.Credentials = nil })
+		self := life("c", 1)
+		conn := r.connectRaw(b.Self(), encoded(t, &frame{Kind: kindHello, Member: &self}))
+		var buffer bytes.Buffer
+		expect := func(kind frameKind) {
+			f, _, err := readFrame(t.Context(), conn, &buffer)
+			assert.NilError(t, err)
+			assert.Equal(t, f.Kind, kind)
+		}
+		expect(kindHello)
+		expect(kindClose) // The link has been idle for long.
+		// A request that crosses it on the way is still served.
+		request := encoded(t, &frame{Kind: kindRequest, ID: 1, Method: echoMethod, Payload: []byte{0x61, 'x'}})
+		assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, request))
+		expect(kindReply)
+		// This end never says that it closes too: after a while the link is given up.
+		assert.Equal(t, len(b.State().Links), 1)
+		time.Sleep(drainTimeout + 2*housekeepingInterval)
+		assert.Equal(t, len(b.State().Links), 0)
+	})
+}
+
+func TestPeerThatDoesNotReadIsGivenUp(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		b := r.start(life("b", 1), func(o *Options) { o.Credentials = nil })
+		self := life("c", 1)
+		r.connectRaw(b.Self(), encoded(t, &frame{Kind: kindHello, Member: &self}))
+		synctest.Wait()
+		for range 2000 {
+			assert.NilError(t, b.Send(t.Context(), self, echoMethod, []byte("x")))
+		}
+		time.Sleep(DefaultWriteTimeout - time.Second)
+		assert.Equal(t, len(b.State().Links), 1)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(b.State().Links), 0)
+	})
+}
+
 func TestAbandonTellsWhatIsKnown(t *testing.T) {
 	reason := errors.New("broken")
 	queued, written := &pending{}, &pending{}
 	assert.Assert(t, written.markWritten())
 	assert.ErrorIs(t, queued.abandon(reason), peer.ErrNotSent)
 	assert.Assert(t, !queued.markWritten())
+	assert.NilError(t, (&link{}).write(outgoing{message: queued}), "not written any more")
 	assert.ErrorIs(t, queued.abandon(reason), peer.ErrNotSent)
 	assert.ErrorIs(t, written.abandon(reason), peer.ErrUnreachable)
 }
--- a/peer/wslink/remote.go
+++ b/peer/wslink/remote.go
@@ -124,12 +124,27 @@
 	}
 	if err == nil {
 		d.found = l.remote
+		r.drainSpare(l, to)
 	}
 	d.err = err
 	r.dialled(t, d)
 	close(d.done)
 }
 
+// drainSpare closes a link to another life than the one wanted if there was one to
+// that life already.
+func (r *remote) drainSpare(l *link, wanted domain.Member) {
+	if wanted.Incarnation == 0 || l.remote.SameLife(wanted) {
+		return
+	}
+	r.mu.Lock()
+	first := r.find(l.remote)
+	r.mu.Unlock()
+	if first != l {
+		l.drain()
+	}
+}
+
 // dialled notes how a dial ended.
 func (r *remote) dialled(t *Transport, d *dialing) {
 	r.mu.Lock()
@@ -185,7 +200,10 @@
 	r := t.remote(l.remote.Node)
 	r.mu.Lock()
 	r.links = append(r.links, l)
-	r.failed = ""
+	if !l.dialled {
+		// The node reaches us: it may be worth dialling again.
+		r.failed = ""
+	}
 	r.mu.Unlock()
 	started := !t.isClosing() && t.start(l.writeLoop) && t.start(l.readLoop)
 	if !started {
--- a/peer/wslink/transport_test.go
+++ b/peer/wslink/transport_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -100,6 +102,13 @@
 		_, err := echo(t.Context(), a, b.Self(), "x")
 		assert.NilError(t, err)
 		assert.Equal(t, r.log.count("not encrypted"), 2)
+		_, err = echo(t.Context(), a, domain.Member{Node: "x", Address: b.Self().Address}, "x")
+		assert.ErrorIs(t, err, ErrIdentity)
+		stranger := httptest.NewRequest(http.MethodGet, Path, nil)
+		stranger.RemoteAddr = "192.0.2.1:5000"
+		refused := httptest.NewRecorder()
+		a.Handler().ServeHTTP(refused, stranger)
+		assert.Equal(t, refused.Code, http.StatusForbidden)
 		far := life("b", 1)
 		far.Node, far.Address = "far", "192.0.2.1:80"
 		_, err = echo(t.Context(), a, far, "x")
@@ -165,8 +174,10 @@
 		closed := make(chan error, 1)
 		go func() { closed <- a.Close(context.Background()) }()
 		synctest.Wait()
+		dials := r.net.dials.Load()
 		_, err := echo(t.Context(), a, b.Self(), "x")
 		assert.ErrorIs(t, err, ErrClosed)
+		assert.Equal(t, r.net.dials.Load(), dials, "a closing transport does not dial")
 		_, err = echo(t.Context(), b, a.Self(), "x")
 		assert.ErrorIs(t, err, peer.ErrNotSent)
 		close(r.release)
@@ -205,20 +216,44 @@
 }
 
 func TestDialsBackOff(t *testing.T) {
-	inBubble(t, func(t *testing.T, r *rig) {
-		a := r.start(life("a", 1), nil)
-		for range 600 {
-			_, err := echo(t.Context(), a, life("b", 1), "x")
-			assert.ErrorIs(t, err, peer.ErrNotSent)
-			time.Sleep(100 * time.Millisecond)
-		}
-		// A minute at 2.5 to 7.5 s each, after some quick ones.
-		assert.Assert(t, r.net.dials.Load() <= 35, "%d dials", r.net.dials.Load())
-		r.start(life("b", 1), nil)
-		time.Sleep(2 * DefaultMaxBackoff)
-		_, err := echo(t.Context(), a, life("b", 1), "x")
-		assert.NilError(t, err)
-	})
+	cases := []struct {
+		name string
+		// called is the life called; one of incarnation 1 starts later, or is there.
+		called domain.Member
+		there  bool
+	}{
+		{"nobody listens", life("b", 1), false},
+		{"an earlier life listens", life("b", 2), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *rig) {
+				a := r.start(life("a", 1), nil)
+				if c.there {
+					r.start(life("b", 1), nil)
+					var other *OtherLifeError
+					_, err := echo(t.Context(), a, c.called, "x")
+					assert.Assert(t, errors.As(err, &other))
+				}
+				for range 600 {
+					_, err := echo(t.Context(), a, c.called, "x")
+					assert.ErrorIs(t, err, peer.ErrNotSent)
+					time.Sleep(100 * time.Millisecond)
+				}
+				// A minute at 2.5 to 7.5 s each, after some quick ones.
+				assert.Assert(t, r.net.dials.Load() <= 35, "%d dials", r.net.dials.Load())
+				assert.Assert(t, len(a.State().Links) <= 1)
+				time.Sleep(2 * DefaultMaxBackoff)
+				if !c.there {
+					r.start(life("b", 1), nil)
+				}
+				_, err := echo(t.Context(), a, life("b", 1), "x")
+				assert.NilError(t, err)
+				time.Sleep(2 * (DefaultIdleTimeout + forgetAfter))
+				assert.Equal(t, len(a.allRemotes()), 0)
+			})
+		})
+	}
 }
 
 func TestDeadlineTravels(t *testing.T) {
