--- a/peer/wslink/nonsense_test.go
+++ b/peer/wslink/nonsense_test.go
@@ -147,6 +147,25 @@
 	})
 }
 
+func TestPeerThatHangsUpAtOnceIsNotDialledForEver(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		self := life("b", 1)
+		hello := encoded(t, &frame{Kind: kindHello, Member: &self})
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			conn, err := websocket.Accept(w, q, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
+			assert.NilError(t, err)
+			_ = conn.Write(context.Background(), websocket.MessageBinary, hello)
+			_ = conn.CloseNow()
+		})}
+		go func() { _ = server.Serve(r.net.listen(self.Address)) }()
+		defer server.Close()
+		a := r.start(life("a", 1), func(o *Options) { o.Credentials = nil })
+		_, err := echo(t.Context(), a, self, "x")
+		assert.Assert(t, errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrUnreachable), "%v", err)
+		assert.Assert(t, r.net.dials.Load() <= maxLinkAttempts*maxLinkAttempts)
+	})
+}
+
 func TestAbandonTellsWhatIsKnown(t *testing.T) {
 	reason := errors.New("broken")
 	queued, written := &pending{}, &pending{}
--- a/peer/wslink/remote.go
+++ b/peer/wslink/remote.go
@@ -58,10 +58,14 @@
 	return b
 }
 
+// maxLinkAttempts bounds how often a link is sought for one message, where the
+// other end closes each as soon as it is open.
+const maxLinkAttempts = 3
+
 // linkTo returns an open link to the life, dialling if there is none. Errors wrap
 // peer.ErrNotSent.
 func (t *Transport) linkTo(ctx context.Context, to domain.Member) (*link, error) {
-	for {
+	for range maxLinkAttempts {
 		l, d, err := t.linkOrDial(to)
 		if l != nil || err != nil {
 			return l, err
@@ -81,6 +85,7 @@
 			return nil, &OtherLifeError{Called: to, Found: d.found}
 		}
 	}
+	return nil, fmt.Errorf("%w: %s: %w", peer.ErrNotSent, to, errDraining)
 }
 
 // linkOrDial returns a link, or a dial to wait for, or why there will be neither.
--- a/peer/wslink/transport.go
+++ b/peer/wslink/transport.go
@@ -82,7 +82,7 @@
 	if t.isSelf(to) {
 		return t.callSelf(ctx, method, payload)
 	}
-	for {
+	for range maxLinkAttempts {
 		l, err := t.linkTo(ctx, to)
 		if err != nil {
 			return nil, err
@@ -92,6 +92,7 @@
 			return reply, err
 		}
 	}
+	return nil, fmt.Errorf("%w: %s: %w", peer.ErrNotSent, to, errDraining)
 }
 
 // Send implements peer.Transport. It waits for a link, not for delivery.
@@ -99,7 +100,7 @@
 	if t.isSelf(to) {
 		return t.sendSelf(method, payload)
 	}
-	for {
+	for range maxLinkAttempts {
 		l, err := t.linkTo(ctx, to)
 		if err != nil {
 			return err
@@ -109,6 +110,7 @@
 			return err
 		}
 	}
+	return fmt.Errorf("%w: %s: %w", peer.ErrNotSent, to, errDraining)
 }
 
 func (t *Transport) isSelf(to domain.Member) bool {
