--- a/membership/slope_test.go
+++ b/membership/slope_test.go
@@ -43,39 +43,47 @@
 	}
 }
 
-// BenchmarkSlopeRestart measures what one restart costs each node of its data
-// centre beyond the traffic at rest, and the time until all know the new life.
+// BenchmarkSlopeRestart measures what one restart costs each node of the fleet
+// beyond the traffic at rest, and the time until all know the new life.
 func BenchmarkSlopeRestart(b *testing.B) {
 	for _, size := range slopeSizes {
 		b.Run(fmt.Sprintf("dcs=%d/nodes=%d", size[0], size[1]), func(b *testing.B) {
 			inBenchmark(b, size[0], size[1], func(x *fleet) {
-				const window = 20 * time.Second
-				x.network.ResetCounts()
-				time.Sleep(window)
-				rest := x.network.Total("")
-				x.network.ResetCounts()
-				node := x.order[0]
-				x.crash(node)
-				start := time.Now()
-				x.start(lifeOf(dcID(0), 0, 2))
-				known := func() bool {
-					for _, viewer := range x.order {
-						if p, _ := x.nodes[viewer].Current().Peer(node); p.Incarnation != 2 || p.Status != StatusAlive {
-							return false
-						}
+				const restarts, window = 5, 30 * time.Second
+				rest := x.spend(restarts*window, func() {})
+				var known time.Duration
+				changed := x.spend(restarts*window, func() {
+					for i := range restarts {
+						time.Sleep(time.Until(time.Now().Truncate(window).Add(window)))
+						known += x.restart(x.group(i % size[0])[i])
 					}
-					return true
-				}
-				b.ReportMetric(x.within(window, "known", known).Seconds(), "s-known")
-				time.Sleep(window - time.Since(start))
-				after := x.network.Total("")
-				extra := after.Bytes - rest.Bytes + linkOverheadBytes*(after.Messages-rest.Messages)
-				b.ReportMetric(float64(extra)/float64(len(x.order)), "B/change/node")
+				})
+				b.ReportMetric(known.Seconds()/restarts, "s-known")
+				b.ReportMetric(float64(changed-rest)/float64(restarts*len(x.order)), "B/change/node")
 			})
 		})
 	}
 }
 
+// restart replaces a life by a later one and returns how long it took until all
+// knew.
+func (x *fleet) restart(node domain.NodeID) time.Duration {
+	later := x.nodes[node].self
+	later.Incarnation++
+	x.crash(node)
+	start := time.Now()
+	x.start(later)
+	x.within(time.Minute, "known", func() bool {
+		for _, viewer := range x.order {
+			if p, _ := x.nodes[viewer].Current().Peer(node); !p.SameLife(later) || p.Status != StatusAlive {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(start)
+}
+
 // BenchmarkSlopeDetection measures when a crash is noticed: by the first and the
 // last node of the data centre, and of the others.
 func BenchmarkSlopeDetection(b *testing.B) {
@@ -110,6 +118,44 @@
 	}
 }
 
+// BenchmarkSlopePartition measures what it costs each node that half of the fleet
+// is cut off from the other half, and that they meet again after a minute: between
+// data centres, and, for comparison, as if all were one.
+func BenchmarkSlopePartition(b *testing.B) {
+	for _, size := range [][2]int{{2, 24}, {4, 24}, {8, 24}, {1, 48}, {1, 96}, {1, 192}} {
+		b.Run(fmt.Sprintf("dcs=%d/nodes=%d", size[0], size[1]), func(b *testing.B) {
+			inBenchmark(b, size[0], size[1], func(x *fleet) {
+				const window = 60 * time.Second
+				rest := x.spend(window, func() {})
+				one, other := x.order[:len(x.order)/2], x.order[len(x.order)/2:]
+				parting := x.spend(window, func() {
+					x.network.Partition(one, other)
+					start := time.Now()
+					parted := func() bool { return x.all(one, other, StatusUnreachable) && x.all(other, one, StatusUnreachable) }
+					x.within(window, "parted", parted)
+					b.ReportMetric(time.Since(start).Seconds(), "s-parted")
+				})
+				meeting := x.spend(window, func() {
+					x.network.HealAll()
+					b.ReportMetric(x.within(window, "met", func() bool { return x.all(x.order, x.order, StatusAlive) }).Seconds(), "s-met")
+				})
+				b.ReportMetric(float64(parting-rest)/float64(len(x.order)), "parting-B/node")
+				b.ReportMetric(float64(meeting-rest)/float64(len(x.order)), "meeting-B/node")
+			})
+		})
+	}
+}
+
+// spend returns the bytes on the socket while f runs and the window lasts.
+func (x *fleet) spend(window time.Duration, f func()) int {
+	x.network.ResetCounts()
+	start := time.Now()
+	f()
+	time.Sleep(window - time.Since(start))
+	total := x.network.Total("")
+	return total.Bytes + linkOverheadBytes*total.Messages
+}
+
 // BenchmarkSlopeMemory measures what a node holds of its peers.
 func BenchmarkSlopeMemory(b *testing.B) {
 	for _, peers := range []int{48, 336, 1008} {
