membership: a delegate keeps its contact while it answers

Delegates met a random node of the other data centre each time and so held, or opened again, links to most of them. The nodes' own copy of rendezvous hashing goes in favour of the package.

--- a/membership/delegation.go
+++ b/membership/delegation.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // listKey is the rendezvous key of the nodes that read the host list.
@@ -28,7 +29,7 @@
 	nodes := t.answering()
 	d := delegation{
 		contacts: make(map[domain.DataCentre][]domain.NodeID),
-		list:     rendezvous(listKey, nodes, delegates),
+		list:     first(listKey, nodes, delegates),
 		nodes:    len(nodes),
 		up:       make(map[domain.DataCentre]bool),
 	}
@@ -36,13 +37,19 @@
 		if dc == t.home {
 			continue
 		}
-		chosen := rendezvous(string(dc), nodes, delegates)
+		chosen := first(string(dc), nodes, delegates)
 		d.contacts[dc] = chosen
 		d.up[dc] = t.isUp(dc, chosen, previous[dc])
 	}
 	return d
 }
 
+// first returns the first count nodes in rendezvous order for the key.
+func first(key string, nodes []domain.NodeID, count int) []domain.NodeID {
+	ranked := rendezvous.Order(key, nodes, func(node domain.NodeID) string { return string(node) })
+	return ranked[:min(count, len(ranked))]
+}
+
 // answering returns the nodes of the own data centre that are alive or leaving.
 func (t *table) answering() []domain.NodeID {
 	var nodes []domain.NodeID
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
 // exchangeAttempts is how many nodes of a data centre are tried before it counts
@@ -68,7 +69,8 @@
 }
 
 // contactsIn returns the nodes of a data centre to try, those that its own nodes
-// hold to be well first.
+// hold to be well first, in an order that stays the same: a delegate keeps its
+// contact, and the link to it, while it answers.
 func (s *Service) contactsIn(dc domain.DataCentre) []domain.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,7 +84,8 @@
 			unwell = append(unwell, r.member())
 		}
 	}
-	shuffle(well, s.random)
+	name := func(m domain.Member) string { return string(m.Node) }
+	well = rendezvous.Order(string(s.self.Node), well, name)
 	shuffle(unwell, s.random)
 	return append(well, unwell...)
 }
--- a/membership/slope_test.go
+++ b/membership/slope_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -11,11 +12,13 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/peer"
+	"hawthornrill.example/hawthornrill/peer/peertest"
 )
 
 const (
 	// slopeTime is how long a fleet is watched, in virtual time.
-	slopeTime = 60 * time.Second
+	slopeTime = 60 * time.Second // long enough for 20 exchanges
 	// linkOverheadBytes is what a message costs on the socket beyond its payload,
 	// with TLS, WebSocket and the frame: the mean of a request with a method of 15
 	// letters and of a reply, from the benchmarks of package wslink.
@@ -31,11 +34,13 @@
 	for _, size := range slopeSizes {
 		b.Run(fmt.Sprintf("dcs=%d/nodes=%d", size[0], size[1]), func(b *testing.B) {
 			inBenchmark(b, size[0], size[1], func(x *fleet) {
+				pairs := x.countPairs(methodPull)
 				x.network.ResetCounts()
 				cpu := processorTime()
 				time.Sleep(slopeTime)
 				cpu = processorTime() - cpu
 				x.reportTraffic(b, "")
+				b.ReportMetric(float64(pairs())/float64(len(x.order)), "exchange-links/node")
 				perNode := float64(len(x.order)) * slopeTime.Seconds()
 				b.ReportMetric(float64(cpu.Nanoseconds())/perNode, "cpu-ns/s/node")
 			})
@@ -231,6 +236,24 @@
 	assert.Assert(b, ok)
 }
 
+// countPairs returns a function that tells how many pairs of nodes have used the
+// method since.
+func (x *fleet) countPairs(method peer.Method) func() int {
+	type pair struct{ from, to domain.NodeID }
+	var pairs sync.Map
+	x.network.Intercept(func(from, to domain.NodeID, m peer.Method, reply bool) peertest.Action {
+		if m == method && !reply {
+			pairs.Store(pair{from, to}, true)
+		}
+		return peertest.Action{}
+	})
+	return func() int {
+		n := 0
+		pairs.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+}
+
 // quiet reports whether nobody passes on the news of the start any more.
 func (x *fleet) quiet() bool {
 	for _, n := range x.nodes {
