--- a/capacity/accounts.go
+++ b/capacity/accounts.go
@@ -96,13 +96,20 @@
 }
 
 // register takes asks and grants that another owner, or an earlier life of this
-// one, knew. It returns the rulings on the asks.
+// one, knew. It returns the rulings on the asks. Anything that a settled owner did
+// not know shows that another one has been at work: all holders must be asked
+// again before it grants.
 func (o *owner) register(now time.Time, from domain.Member, p *pool, records []record) []ruling {
+	h := p.holder(from, now)
+	if o.settled && !h.knows(records) {
+		o.unsettle()
+		o.collectAgain = true
+	}
 	var rulings []ruling
 	for i := range records {
 		r := &records[i]
 		if r.Endpoint != "" {
-			o.adopt(now, from, p, r)
+			o.adopt(now, h, p, r)
 			continue
 		}
 		request := askRequest{ID: r.ID, Ask: r.Ask, Mode: r.Mode}
@@ -113,8 +120,7 @@
 
 // adopt takes a grant into the accounts, whatever the limits say: it is being
 // used.
-func (o *owner) adopt(now time.Time, from domain.Member, p *pool, r *record) {
-	h := p.holder(from, now)
+func (o *owner) adopt(now time.Time, h *holder, p *pool, r *record) {
 	if _, ok := h.grants[r.ID]; ok {
 		return
 	}
--- a/capacity/acquire.go
+++ b/capacity/acquire.go
@@ -47,8 +47,11 @@
 	return grant, nil
 }
 
-// home reports whether the ask waits in this node's own data centre.
-func (a *acquisition) home() bool { return a.hold.link.key.dc == a.s.self.DataCentre }
+// home reports whether the ask waits in this node's own data centre, or where it
+// is served in place of it.
+func (a *acquisition) home() bool {
+	return a.hold.link.key.dc == a.s.self.DataCentre || a.hold.currentMode() == modeHomeless
+}
 
 // run leads the ask to a place or a refusal.
 func (a *acquisition) run(ctx context.Context) (Grant, error) {
@@ -150,7 +153,10 @@
 	if a.moves < a.s.options.MaxMoves && a.visit(ctx, true) {
 		return nil
 	}
-	if a.moves < 2*a.s.options.MaxMoves && a.visitLast(ctx) {
+	if r.Reason == reasonNoEndpoint && a.settleElsewhere(ctx) {
+		return nil
+	}
+	if a.moves < 2*a.s.options.MaxMoves && a.visitLast(ctx, true) {
 		return nil
 	}
 	return refusal
@@ -178,7 +184,7 @@
 	if a.moves < a.s.options.MaxMoves && a.visit(ctx, r.Late) {
 		return
 	}
-	if !r.Lower && a.visitLast(ctx) {
+	if !r.Lower && a.visitLast(ctx, r.Late) {
 		return
 	}
 	if state, _ := a.hold.get(); state == holdSeek {
@@ -217,7 +223,7 @@
 	long := now.Sub(a.failedSince) >= a.s.options.OwnerPatience
 	if long && now.Sub(a.soughtAt) >= a.s.options.OwnerPatience {
 		a.soughtAt = now
-		if a.visit(ctx, true) || a.visitLast(ctx) {
+		if a.visit(ctx, true) || a.visitLast(ctx, true) {
 			return
 		}
 	}
--- a/capacity/calls.go
+++ b/capacity/calls.go
@@ -88,7 +88,9 @@
 func (s *Service) noticed(from domain.Member, n notice) {
 	l := s.links.find(linkKey{from.DataCentre, n.Pool})
 	for _, r := range n.Rulings {
-		giveBack := r.Verdict == verdictGranted
+		// A place that is not known here is given back once more: the owner has not
+		// heard of its release.
+		giveBack := r.Verdict == verdictGranted || r.Verdict == verdictRevoked
 		if l != nil {
 			if h := l.hold(r.ID); h != nil {
 				giveBack = h.apply(from, r, time.Now())
--- a/capacity/collect.go
+++ b/capacity/collect.go
@@ -93,7 +93,7 @@
 
 // take puts a neighbour's account into the owner's.
 func (s *Service) take(c *cell, from domain.Member, r *registerRequest) {
-	out, _ := c.do(r.Pool, func(now time.Time, o *owner, p *pool) {
+	out, _, _ := c.do(r.Pool, func(now time.Time, o *owner, p *pool) {
 		h := p.holder(from, now)
 		for _, ruling := range o.register(now, from, p, r.Records) {
 			if ruling.Verdict != verdictQueued {
--- /dev/null
+++ b/capacity/failures_test.go
@@ -0,0 +1,334 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/membership"
+	"hawthornrill.example/hawthornrill/peer"
+	"hawthornrill.example/hawthornrill/peer/peertest"
+)
+
+var threeNodes = []domain.NodeID{"a1", "a2", "a3"}
+
+// roles returns the owner of the pool and the other nodes.
+func (c *cluster) roles() (owner domain.NodeID, others []domain.NodeID) {
+	owner = c.ownerOf("a1", "a", quotePool)
+	for _, name := range threeNodes {
+		if name != owner {
+			others = append(others, name)
+		}
+	}
+	return owner, others
+}
+
+// The owner goes, in one way or another: no ask and no grant is lost, and the new
+// owner grants no more than the old one had left.
+func TestOwnerGoes(t *testing.T) {
+	tests := []struct {
+		name string
+		goes func(c *cluster, owner domain.NodeID)
+		// within is the time in which a freed place reaches a waiting ask again.
+		within time.Duration
+	}{
+		{"crashes", func(c *cluster, owner domain.NodeID) {
+			c.crash(owner)
+			c.publish()
+		}, 100 * time.Millisecond},
+		{"leaves", func(c *cluster, owner domain.NodeID) {
+			c.status[owner] = membership.StatusLeaving
+			c.publish()
+		}, 100 * time.Millisecond},
+		{"restarts", func(c *cluster, owner domain.NodeID) {
+			c.crash(owner)
+			c.add(owner, 2)
+			c.publish()
+		}, 100 * time.Millisecond},
+		{"is unreachable", func(c *cluster, owner domain.NodeID) {
+			c.network.Partition([]domain.NodeID{owner}, without(threeNodes, owner))
+			c.status[owner] = membership.StatusUnreachable
+			c.publish(without(threeNodes, owner)...)
+		}, 100 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rows := []config.EndpointRow{engine("e1", "a", 2, "quote")}
+			inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+				owner, others := c.roles()
+				held := c.begin(others[0], ask(2)).granted(t, 2*time.Millisecond)
+				second := c.begin(others[1], ask(2)).granted(t, 2*time.Millisecond)
+				low := c.begin(others[0], ask(2))
+				high := c.begin(others[1], ask(1))
+				high.waits(t, 10*time.Millisecond)
+				test.goes(c, owner)
+				time.Sleep(test.within)
+				next := c.ownerOf(others[0], "a", quotePool)
+				account := c.dump(next)
+				assert.Assert(t, account.Settled)
+				assert.Equal(t, account.Endpoints[0].Requests, 2)
+				assert.DeepEqual(t, account.Waiting, map[domain.Tier]int{1: 1, 2: 1})
+				high.waits(t, 0)
+				held.Release(used)
+				grant := high.granted(t, 2*time.Millisecond)
+				low.waits(t, 0)
+				grant.Release(used)
+				second.Release(used)
+				low.granted(t, 2*time.Millisecond).Release(used)
+				time.Sleep(time.Millisecond)
+				assert.Equal(t, c.dump(next).Endpoints[0].Requests, 0)
+			})
+		})
+	}
+}
+
+func without(names []domain.NodeID, name domain.NodeID) []domain.NodeID {
+	return slices.DeleteFunc(slices.Clone(names), func(n domain.NodeID) bool { return n == name })
+}
+
+// Each message is lost once, in each direction: a high ask is served by revocation,
+// a waiting one after it, and in the end the account is empty.
+func TestLostMessages(t *testing.T) {
+	methods := []struct {
+		method peer.Method
+		reply  bool
+		// within bounds the time until the ask that waits longest is served.
+		within time.Duration
+	}{
+		{methodAsk, false, 2 * time.Second},
+		{methodAsk, true, 2 * time.Second},
+		{methodNotice, false, 10 * time.Second},
+		{methodRelease, false, 10 * time.Second},
+		{methodRenew, false, 2 * time.Second},
+		{methodRenew, true, 2 * time.Second},
+		{methodList, false, 10 * time.Second},
+		{methodRegister, false, 10 * time.Second},
+	}
+	for _, test := range methods {
+		for nth := range 3 {
+			t.Run(fmt.Sprintf("%s reply=%v %d", test.method, test.reply, nth), func(t *testing.T) {
+				losing(t, test.method, test.reply, nth, test.within)
+			})
+		}
+	}
+}
+
+func losing(t *testing.T, method peer.Method, reply bool, nth int, within time.Duration) {
+	rows := []config.EndpointRow{engine("e1", "a", 1, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		var seen atomic.Int32
+		c.network.Intercept(func(_, _ domain.NodeID, m peer.Method, r bool) peertest.Action {
+			drop := m == method && r == reply && seen.Add(1) == int32(nth+1)
+			return peertest.Action{Drop: drop}
+		})
+		grant := c.begin(others[0], ask(2)).granted(t, within)
+		high := c.begin(others[1], urgent(0))
+		go func() {
+			<-grant.Revoked()
+			grant.Release(used)
+		}()
+		held := high.granted(t, within)
+		waiting := c.begin(others[0], ask(2))
+		waiting.waits(t, 5*time.Second)
+		held.Release(used)
+		waiting.granted(t, within).Release(used)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 0)
+		assert.Equal(t, c.nodes[others[0]].Dump().Links[0].Grants, 0)
+	})
+}
+
+// A holder dies: its asks go when that is known, its places when nothing was heard
+// of it for GrantTTL, since an engine may still be busy with them.
+func TestHolderDies(t *testing.T) {
+	rows := []config.EndpointRow{engine("e1", "a", 1, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		c.begin(others[0], ask(0)).granted(t, 2*time.Millisecond)
+		c.begin(others[0], ask(0)).waits(t, 2*time.Millisecond)
+		low := c.begin(others[1], ask(2))
+		low.waits(t, 0)
+		c.crash(others[0])
+		c.publish()
+		low.waits(t, DefaultGrantTTL-DefaultRenewEvery-time.Second)
+		assert.DeepEqual(t, c.dump(owner).Waiting, map[domain.Tier]int{2: 1})
+		low.granted(t, DefaultRenewEvery+2*time.Second)
+	})
+}
+
+// A caller gives up: its ask leaves the queue.
+func TestCallerGivesUp(t *testing.T) {
+	rows := []config.EndpointRow{engine("e1", "a", 1, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		c.begin(others[0], ask(0)).granted(t, 2*time.Millisecond)
+		w := c.begin(others[1], ask(0))
+		w.waits(t, 2*time.Millisecond)
+		w.cancel()
+		time.Sleep(2 * time.Millisecond)
+		_, err, done := w.result()
+		assert.Assert(t, done && err != nil)
+		assert.Equal(t, len(c.dump(owner).Waiting), 0)
+	})
+}
+
+// An owner is paused, replaced, and wakes with its old account: nobody takes a
+// grant from it, and the one that it gave before counts on.
+func TestPausedOwnerWakesLate(t *testing.T) {
+	rows := []config.EndpointRow{engine("e1", "a", 2, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		held := c.begin(others[0], ask(1)).granted(t, 2*time.Millisecond)
+		second := c.begin(others[1], ask(1)).granted(t, 2*time.Millisecond)
+		waiting := []*waitingAsk{c.begin(others[0], ask(1)), c.begin(others[1], ask(1)), c.begin(others[0], ask(1))}
+		waiting[0].waits(t, 5*time.Millisecond)
+		c.network.Pause(owner)
+		c.status[owner] = membership.StatusUnreachable
+		c.publish(others...)
+		held.Release(used)
+		time.Sleep(2 * DefaultGrantTTL)
+		inHand := 1 + countGranted(waiting)
+		assert.Equal(t, inHand, 2, "the new owner has granted the place that was freed")
+		c.network.Resume(owner)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 1+countGranted(waiting), 2, "the old one has granted nothing")
+		c.status[owner] = membership.StatusAlive
+		c.publish()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 2)
+		second.Release(used)
+		time.Sleep(5 * time.Millisecond)
+		assert.Equal(t, countGranted(waiting), 2)
+		assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 2)
+	})
+}
+
+func countGranted(asks []*waitingAsk) int {
+	n := 0
+	for _, w := range asks {
+		if grant, _, _ := w.result(); grant != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// A data centre is torn in two: each side has an owner, which knows the grants of
+// its side alone, so an endpoint gets at most twice its limit. Healed, the one owner
+// counts them all, cuts none, and grants no more until they are below the limit.
+func TestTwoOwners(t *testing.T) {
+	rows := []config.EndpointRow{engine("e1", "a", 2, "quote")}
+	inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+		owner, others := c.roles()
+		c.network.Partition([]domain.NodeID{owner}, others)
+		c.status[owner] = membership.StatusUnreachable
+		c.publish(others...)
+		c.status[owner] = membership.StatusAlive
+		for _, name := range others {
+			c.status[name] = membership.StatusUnreachable
+		}
+		c.publish(owner)
+		time.Sleep(2 * time.Second)
+		var asks []*waitingAsk
+		for _, name := range []domain.NodeID{owner, owner, owner, others[0], others[1], others[1]} {
+			asks = append(asks, c.begin(name, ask(1)))
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, countGranted(asks), 4)
+		c.network.HealAll()
+		for _, name := range others {
+			c.status[name] = membership.StatusAlive
+		}
+		c.publish()
+		time.Sleep(time.Second)
+		assert.Equal(t, c.dump(owner).Endpoints[0].Requests, 4)
+		var held []Grant
+		for _, a := range asks {
+			if grant, _, _ := a.result(); grant != nil {
+				assert.Assert(t, !isRevoked(grant))
+				held = append(held, grant)
+			}
+		}
+		held[0].Release(used)
+		held[1].Release(used)
+		time.Sleep(time.Second)
+		assert.Equal(t, countGranted(asks), 4, "at the limit, none more")
+		held[2].Release(used)
+		time.Sleep(time.Second)
+		assert.Equal(t, countGranted(asks), 5)
+	})
+}
+
+func isRevoked(g Grant) bool {
+	select {
+	case <-g.Revoked():
+		return true
+	default:
+		return false
+	}
+}
+
+// An endpoint that is leaving gets no new grant, whoever says so, and keeps what
+// it has.
+func TestLeavingEndpoint(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(c *cluster, speaker domain.NodeID)
+		back  func(c *cluster, speaker domain.NodeID)
+	}{
+		{"the operator drains it", func(c *cluster, _ domain.NodeID) {
+			rows := slices.Clone(c.rows)
+			rows[0].Drain = true
+			c.configure(rows)
+		}, func(c *cluster, _ domain.NodeID) { c.configure(c.rows) }},
+		{"the operator gives it no weight", func(c *cluster, _ domain.NodeID) {
+			rows := slices.Clone(c.rows)
+			rows[0].Weight = 0
+			c.configure(rows)
+		}, func(c *cluster, _ domain.NodeID) { c.configure(c.rows) }},
+		{"a node says so, then takes it back", func(c *cluster, speaker domain.NodeID) {
+			c.nodes[speaker].SetEndpointLeaving("e1", true)
+		}, func(c *cluster, speaker domain.NodeID) { c.nodes[speaker].SetEndpointLeaving("e1", false) }},
+		{"a node says so, then dies", func(c *cluster, speaker domain.NodeID) {
+			c.nodes[speaker].SetEndpointLeaving("e1", true)
+		}, func(c *cluster, speaker domain.NodeID) {
+			c.crash(speaker)
+			time.Sleep(DefaultGrantTTL)
+		}},
+		{"a node says so, and the owner changes", func(c *cluster, speaker domain.NodeID) {
+			c.nodes[speaker].SetEndpointLeaving("e1", true)
+			owner, _ := c.roles()
+			c.crash(owner)
+			c.publish()
+			time.Sleep(DefaultRenewEvery)
+		}, func(c *cluster, speaker domain.NodeID) { c.nodes[speaker].SetEndpointLeaving("e1", false) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rows := []config.EndpointRow{engine("e1", "a", 2, "quote"), engine("e2", "a", 2, "quote")}
+			inCluster(t, rows, Options{}, threeNodes, func(t *testing.T, c *cluster) {
+				_, others := c.roles()
+				holder, speaker := others[0], others[1]
+				grant := c.begin(holder, ask(0)).granted(t, 2*time.Millisecond)
+				assert.Equal(t, grant.Endpoint(), domain.EndpointID("e1"))
+				test.leave(c, speaker)
+				time.Sleep(100 * time.Millisecond)
+				for range 2 {
+					assert.Equal(t, c.begin(holder, ask(0)).granted(t, 2*time.Millisecond).Endpoint(), domain.EndpointID("e2"))
+				}
+				last := c.begin(holder, ask(0))
+				last.waits(t, 30*time.Second)
+				assert.Assert(t, !isRevoked(grant))
+				test.back(c, speaker)
+				assert.Equal(t, last.granted(t, time.Second).Endpoint(), domain.EndpointID("e1"))
+			})
+		})
+	}
+}
--- a/capacity/hold.go
+++ b/capacity/hold.go
@@ -27,7 +27,8 @@
 	service *Service
 	link    *link
 	id      askID
-	ask     Ask
+	// ask does not change.
+	ask Ask
 	// firstTokenDue is zero if there is no aim.
 	firstTokenDue time.Time
 	due           time.Time
@@ -119,7 +120,6 @@
 	}
 	h.link.asks.remove(h.id)
 	h.link.grants.add(h.id)
-	h.ask.Blocks, h.ask.Session = nil, ""
 	h.ruling, h.grantedAt = r, now
 	h.set(holdGranted)
 	return false
@@ -210,6 +210,7 @@
 		r.Endpoint = h.ruling.Endpoint
 		r.Progress = progressCode(h.progress.Load())
 		r.Held = now.Sub(h.grantedAt)
+		r.Ask.Blocks, r.Ask.Session = nil, ""
 	}
 	return r
 }
--- a/capacity/holder.go
+++ b/capacity/holder.go
@@ -45,4 +45,14 @@
 	h.grantsDigest.remove(g.id)
 }
 
-func (h *holder) empty() bool { return len(h.entries) == 0 && len(h.grants) == 0 }
+// knows reports whether all the records are in the account.
+func (h *holder) knows(records []record) bool {
+	for i := range records {
+		_, granted := h.grants[records[i].ID]
+		_, waiting := h.entries[records[i].ID]
+		if !granted && !waiting {
+			return false
+		}
+	}
+	return true
+}
--- a/capacity/lateness.go
+++ b/capacity/lateness.go
@@ -17,7 +17,7 @@
 
 // seekAgain is how long after a search in other data centres another one is made
 // for the same ask.
-const seekAgain = 2 * time.Second
+const seekAgain = 500 * time.Millisecond
 
 // marginPart is the greatest part of an aim or a deadline that its margin takes.
 const marginPart = 4
@@ -26,35 +26,45 @@
 func (o *owner) lateness(now time.Time, e *entry, ahead int) lateness {
 	wait := e.pool.wait(ahead)
 	left := e.waiting.Due.Sub(now)
-	if o.certain(wait)+o.certain(e.forecast.Total) > left || left <= 0 {
+	if o.certain(wait)+o.certain(e.forecast.Total) > left {
 		return deadlineMissed
 	}
-	margin := min(o.options.DeadlineMargin, e.ask.Deadline/marginPart)
+	margin := o.margin(o.options.DeadlineMargin, e.ask.Deadline)
 	if wait+e.forecast.Total+margin > left {
 		return deadlineAtRisk
 	}
 	if !e.aims() {
 		return onTime
 	}
-	margin = min(o.options.AimMargin, e.ask.FirstToken/marginPart)
+	margin = o.margin(o.options.AimMargin, e.ask.FirstToken)
 	if wait+e.forecast.FirstToken+margin > e.waiting.FirstTokenDue.Sub(now) {
 		return aimAtRisk
 	}
 	return onTime
 }
 
+// margin returns how long before an instant something must be done for it: no
+// more than a part of the time there was, but long enough to catch the next tick.
+func (o *owner) margin(most, given time.Duration) time.Duration {
+	return max(min(most, given/marginPart), o.options.Tick)
+}
+
 // consider does what can be done for a waiting ask that would be late, in this
 // order: a place that the Chooser held back; the other data centres; the grant of
 // a lower tier. An ask that can't be on time then is refused; one that only misses
-// its aim waits on. The ruling is returned, and sent unless the ask is being
+// its aim waits on, unless it comes from another data centre: its own may have a
+// lower tier to revoke by now. The ruling is returned, and sent unless the ask is being
 // answered.
 func (o *owner) consider(now time.Time, e *entry, ahead int) ruling {
+	if !e.waiting.Due.After(now) {
+		return o.refuse(now, e, reasonDeadline)
+	}
 	if o.seekingStill(now, e) {
 		return o.seekRuling(now, e)
 	}
 	late := o.lateness(now, e, ahead)
 	queued := ruling{ID: e.id, Verdict: verdictQueued}
-	if late == onTime || (!o.settled && e.waiting.Due.After(now)) {
+	if late == onTime || !o.settled {
 		return queued
 	}
 	if o.press(now, e) {
@@ -69,6 +79,9 @@
 	if o.revokeFor(now, e) {
 		return queued
 	}
+	if e.visiting {
+		return o.refuse(now, e, reasonShed)
+	}
 	if late == deadlineMissed {
 		return o.refuse(now, e, reasonDeadline)
 	}
--- a/capacity/link.go
+++ b/capacity/link.go
@@ -32,6 +32,10 @@
 	holds    map[askID]*hold
 	asks     digest
 	grants   digest
+	// changes counts asks that came and went.
+	changes uint64
+	// quiet is true once the owner has agreed that the account is empty.
+	quiet bool
 }
 
 // linkTable holds the links of a node.
@@ -129,12 +133,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holds[h.id] = h
+	l.changes++
+	l.quiet = false
 	l.asks.add(h.id)
 }
 
 // remove takes an ask or grant out of the account. The lock is held.
 func (l *link) remove(h *hold) {
 	delete(l.holds, h.id)
+	l.changes++
 	if h.state == holdGranted {
 		l.grants.remove(h.id)
 		return
@@ -142,13 +149,22 @@
 	l.asks.remove(h.id)
 }
 
+// linkRenewal is a renewal of one link.
+type linkRenewal struct {
+	link    *link
+	owner   domain.Member
+	message poolRenewal
+	// changes is the link's count at the time.
+	changes uint64
+}
+
 // renewal sums the account up and notes that its progress has been reported. It
 // returns false if there is nothing to renew.
-func (l *link) renewal() (domain.Member, poolRenewal, bool) {
+func (l *link) renewal() (linkRenewal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.known || len(l.holds) == 0 {
-		return domain.Member{}, poolRenewal{}, false
+	if !l.known || l.quiet {
+		return linkRenewal{}, false
 	}
 	var changes []progressChange
 	for id, h := range l.holds {
@@ -157,7 +173,23 @@
 		}
 	}
 	r := poolRenewal{Pool: l.key.pool, Grants: l.grants, Asks: l.asks, Progress: encodeProgress(changes)}
-	return l.owner, r, true
+	return linkRenewal{link: l, owner: l.owner, message: r, changes: l.changes}, true
+}
+
+// unreported forgets what progress has been reported.
+func (l *link) unreported() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.holds {
+		h.reported = progressNone
+	}
+}
+
+// agreed notes that the owner's account was the same as that of a renewal.
+func (l *link) agreed(changes uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quiet = len(l.holds) == 0 && l.changes == changes
 }
 
 // names returns the identifiers of all grants and asks.
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -36,6 +36,9 @@
 	modeVisit
 	// modeLast: the others have been asked; it is this owner or nobody.
 	modeLast
+	// modeHomeless: the ask's own data centre does not serve the pool; it is served
+	// like an ask of this one.
+	modeHomeless
 )
 
 // verdict is an owner's word about an ask.
@@ -201,6 +204,8 @@
 	Lower bool `cbor:"4,keyasint,omitempty"`
 	// Refused is set if the owner would not take it at all.
 	Refused reason `cbor:"5,keyasint,omitempty"`
+	// Unknown is true if the ask would wait and nothing tells how long.
+	Unknown bool `cbor:"6,keyasint,omitempty"`
 }
 
 // leavingMessage marks an endpoint, or removes the mark, in the sender's name.
--- a/capacity/owner.go
+++ b/capacity/owner.go
@@ -22,9 +22,11 @@
 	// revoking holds the grants that are revoked and not released.
 	revoking map[*grant]struct{}
 	// settled is true once the holders have registered what they hold.
-	settled  bool
-	lastTick time.Time
-	out      []outgoing
+	settled bool
+	// collectAgain asks for another collection.
+	collectAgain bool
+	lastTick     time.Time
+	out          []outgoing
 	// answering is the ask whose ruling is returned and not put into out.
 	answering *entry
 	// round numbers the searches for asks to place.
--- a/capacity/ownerask.go
+++ b/capacity/ownerask.go
@@ -52,7 +52,7 @@
 		holder:   h,
 		pool:     p,
 		ask:      request.Ask,
-		visiting: request.Mode == modeVisit || h.member.DataCentre != o.dc,
+		visiting: request.Mode != modeHomeless && h.member.DataCentre != o.dc,
 	}
 	e.waiting = Waiting{Ask: &e.ask, Arrived: now, Due: now.Add(e.ask.Deadline)}
 	if e.ask.FirstToken != 0 {
@@ -88,10 +88,11 @@
 	}
 	e.forecast = o.forecast(now, e)
 	o.counts.Queued++
-	if m == modeVisit && o.lateness(now, e, o.queue.Ahead(&e.item)) != onTime {
+	ahead := o.queue.Ahead(&e.item)
+	if m == modeVisit && o.lateness(now, e, ahead) != onTime {
 		return o.refuse(now, e, reasonShed)
 	}
-	return o.consider(now, e, o.queue.Ahead(&e.item))
+	return o.consider(now, e, ahead)
 }
 
 // askAgain rules on an ask that waits already.
@@ -144,10 +145,10 @@
 // refuse ends a waiting ask. The ruling is returned, and sent unless the ask is
 // being answered.
 func (o *owner) refuse(now time.Time, e *entry, why reason) ruling {
-	r := ruling{ID: e.id, Verdict: verdictRefused, Reason: why, RetryAfter: o.retryAfter(e.pool)}
 	e.refused = why
 	o.dropEntry(e)
 	o.countRefusal(why)
+	r := ruling{ID: e.id, Verdict: verdictRefused, Reason: why, RetryAfter: o.retryAfter(e.pool)}
 	if e != o.answering {
 		o.send(e.holder, e.pool, r)
 	}
--- a/capacity/ownerquote.go
+++ b/capacity/ownerquote.go
@@ -13,6 +13,7 @@
 	ahead := o.queue.AheadOf(ask.Tier, ask.Organisation, o.weight(ask.Organisation))
 	if ahead > 0 || !p.hasRoom(e.tokens()) {
 		q.Wait = p.wait(ahead)
+		q.Unknown = p.held == 0
 	}
 	return q
 }
--- a/capacity/ownertick.go
+++ b/capacity/ownertick.go
@@ -6,12 +6,6 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// judged is a waiting ask with the number of asks ahead of it.
-type judged struct {
-	entry *entry
-	ahead int
-}
-
 // tick does what time demands: expires silent holders and marks of leaving
 // endpoints, serves the queue, looks after asks that would be late, and repeats
 // revocations. It must be called every Options.Tick.
@@ -70,17 +64,18 @@
 	}
 }
 
-// considerAll looks after the asks that would be late, in order.
+// considerAll looks after the asks that would be late, in order; refusing one
+// brings those behind it forward.
 func (o *owner) considerAll(now time.Time) {
-	var late []judged
+	var late []*entry
 	for item, ahead := range o.queue.Positions() {
 		if o.lateness(now, item.Value, ahead) != onTime {
-			late = append(late, judged{item.Value, ahead})
+			late = append(late, item.Value)
 		}
 	}
-	for _, j := range late {
-		if j.entry.item.Waiting() {
-			o.consider(now, j.entry, j.ahead)
+	for _, e := range late {
+		if e.item.Waiting() {
+			o.consider(now, e, o.queue.Ahead(&e.item))
 		}
 	}
 }
--- a/capacity/renewals.go
+++ b/capacity/renewals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
@@ -25,8 +26,23 @@
 // ownerRenewal is the renewal for one owner.
 type ownerRenewal struct {
 	owner domain.Member
-	links []*link
-	pools []poolRenewal
+	links []linkRenewal
+}
+
+// message returns what is sent.
+func (r *ownerRenewal) message() renewal {
+	m := renewal{Pools: make([]poolRenewal, len(r.links))}
+	for i := range r.links {
+		m.Pools[i] = r.links[i].message
+	}
+	return m
+}
+
+// unreported has the progress sent again, since the message may be lost.
+func (r *ownerRenewal) unreported() {
+	for i := range r.links {
+		r.links[i].link.unreported()
+	}
 }
 
 // renewals gathers the renewals by owner, in the order of the links.
@@ -34,45 +50,53 @@
 	var all []*ownerRenewal
 	byOwner := make(map[lifeOf]*ownerRenewal)
 	for _, l := range s.links.all() {
-		owner, r, ok := l.renewal()
+		r, ok := l.renewal()
 		if !ok {
 			continue
 		}
-		found, ok := byOwner[lifeOfMember(owner)]
+		found, ok := byOwner[lifeOfMember(r.owner)]
 		if !ok {
-			found = &ownerRenewal{owner: owner}
-			byOwner[lifeOfMember(owner)] = found
+			found = &ownerRenewal{owner: r.owner}
+			byOwner[lifeOfMember(r.owner)] = found
 			all = append(all, found)
 		}
-		found.links = append(found.links, l)
-		found.pools = append(found.pools, r)
+		found.links = append(found.links, r)
 	}
 	return all
 }
 
 func (s *Service) renewWith(ctx context.Context, r *ownerRenewal) {
-	reply, err := call(ctx, s, r.owner, s.options.CallTimeout, methodRenew, renewal{Pools: r.pools}, s.serveRenew)
+	reply, err := call(ctx, s, r.owner, s.options.CallTimeout, methodRenew, r.message(), s.serveRenew)
 	if err != nil {
 		s.counts.unreachable.Inc()
+		r.unreported()
 		return
 	}
-	for _, l := range r.links {
-		s.reconcile(ctx, l, r.owner, &reply)
+	for i := range r.links {
+		s.reconcile(ctx, &r.links[i], &reply)
 	}
 }
 
 // reconcile settles what a renewal's reply says of one pool.
-func (s *Service) reconcile(ctx context.Context, l *link, owner domain.Member, reply *renewalReply) {
-	for _, name := range reply.Differ {
-		if name == l.key.pool {
-			s.list(ctx, l, owner)
-		}
+func (s *Service) reconcile(ctx context.Context, r *linkRenewal, reply *renewalReply) {
+	pool := r.link.key.pool
+	if slices.Contains(reply.Differ, pool) {
+		s.list(ctx, r.link, r.owner)
+		return
 	}
 	for i := range reply.Moved {
-		if reply.Moved[i].Pool == l.key.pool && l.follow(reply.Moved[i].Owner, time.Now()) {
-			s.registerAll(ctx, l)
+		if reply.Moved[i].Pool == pool {
+			s.moved(ctx, r.link, reply.Moved[i].Owner)
+			return
 		}
 	}
+	r.link.agreed(r.changes)
+}
+
+func (s *Service) moved(ctx context.Context, l *link, owner domain.Member) {
+	if l.follow(owner, time.Now()) {
+		s.registerAll(ctx, l)
+	}
 }
 
 // list names all that this node holds to the owner, and registers what the owner
--- a/capacity/service.go
+++ b/capacity/service.go
@@ -233,20 +233,27 @@
 	if c == nil {
 		return false
 	}
-	out, ok := c.do(name, f)
+	out, ok, again := c.do(name, f)
 	s.deliver(out)
+	if again {
+		s.collect(c)
+	}
 	return ok
 }
 
-func (c *cell) do(name domain.PoolName, f func(now time.Time, o *owner, p *pool)) ([]outgoing, bool) {
+// do calls f under the lock. It returns what was put out, whether this node owns
+// the pool, and whether the holders are to be asked again.
+func (c *cell) do(name domain.PoolName, f func(now time.Time, o *owner, p *pool)) (out []outgoing, owned, again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.owner.pools[name]
 	if !ok || c.lost {
-		return nil, false
+		return nil, false, false
 	}
 	f(time.Now(), c.owner, p)
-	return c.owner.takeOut(), true
+	again = c.owner.collectAgain
+	c.owner.collectAgain = false
+	return c.owner.takeOut(), true, again
 }
 
 // deliver sends rulings to their holders. A lost one is noticed by the next
--- a/capacity/visit.go
+++ b/capacity/visit.go
@@ -12,8 +12,12 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// quoteParallel bounds the owners asked at once.
-const quoteParallel = 8
+const (
+	// quoteParallel bounds the owners asked at once.
+	quoteParallel = 8
+	// quotePatience is the least time that their answers are waited for.
+	quotePatience = 20 * time.Millisecond
+)
 
 // offer is a quote with what this node adds to it.
 type offer struct {
@@ -62,7 +66,7 @@
 // a grant. With late, the deadline counts and not only the aim for the first
 // token. It reports whether the ask has moved, or been granted meanwhile.
 func (a *acquisition) visit(ctx context.Context, late bool) bool {
-	offers := a.s.offers(ctx, &a.ask, a.firstTokenDue, a.due)
+	offers := a.offers(ctx, late)
 	now := time.Now()
 	offers = slices.DeleteFunc(slices.Clone(offers), func(o offer) bool { return !a.useful(&o, now, late) })
 	slices.SortStableFunc(offers, func(x, y offer) int { return cmp.Compare(x.firstToken(), y.firstToken()) })
@@ -76,7 +80,7 @@
 
 // useful reports whether an offer would keep the ask in time.
 func (a *acquisition) useful(o *offer, now time.Time, late bool) bool {
-	if o.quote.Refused != 0 {
+	if o.quote.Refused != 0 || o.quote.Unknown {
 		return false
 	}
 	if o.total() > a.due.Sub(now) {
@@ -88,11 +92,11 @@
 // visitLast moves the ask to a data centre that serves a lower tier, so that this
 // is revoked for it. It reports whether the ask has moved, or been granted
 // meanwhile.
-func (a *acquisition) visitLast(ctx context.Context) bool {
+func (a *acquisition) visitLast(ctx context.Context, late bool) bool {
 	if a.ask.Tier >= a.s.current().lowest {
 		return false
 	}
-	offers := a.s.offers(ctx, &a.ask, a.firstTokenDue, a.due)
+	offers := a.offers(ctx, late)
 	for i := range offers {
 		if offers[i].quote.Lower && a.move(ctx, offers[i].dc, modeLast) {
 			return true
@@ -101,6 +105,20 @@
 	return false
 }
 
+// settleElsewhere moves an ask whose own data centre does not serve it to any
+// other that does. It reports whether the ask has moved.
+func (a *acquisition) settleElsewhere(ctx context.Context) bool {
+	if a.moves >= a.s.options.MaxMoves {
+		return false
+	}
+	for _, o := range a.offers(ctx, true) {
+		if o.quote.Refused == 0 && a.move(ctx, o.dc, modeHomeless) {
+			return true
+		}
+	}
+	return false
+}
+
 // move asks another data centre's owner, and gives up the place in the present
 // queue if that takes the ask. It reports whether the ask has moved, or been
 // granted meanwhile.
@@ -111,7 +129,7 @@
 	before := a.hold
 	a.open(ctx, dc, m)
 	state, _ := a.hold.get()
-	if state == holdGranted || state == holdQueued {
+	if state == holdGranted || state == holdQueued || (state == holdSeek && m == modeHomeless) {
 		before.withdraw()
 		a.moves++
 		a.s.counts.visits.Inc()
@@ -129,34 +147,45 @@
 
 // offers asks the owners of the ask's pool in all other data centres. For the
 // lowest tier, recent answers are used again.
-func (s *Service) offers(ctx context.Context, ask *Ask, firstTokenDue, due time.Time) []offer {
-	now := time.Now()
-	view := s.current()
-	key := quoteKey{ask.Pool, ask.Tier}
-	if ask.Tier >= view.lowest {
-		if offers, ok := s.quotes.get(key, now, s.options.QuoteAge); ok {
+func (a *acquisition) offers(ctx context.Context, late bool) []offer {
+	view := a.s.current()
+	key := quoteKey{a.ask.Pool, a.ask.Tier}
+	if a.ask.Tier >= view.lowest {
+		if offers, ok := a.s.quotes.get(key, time.Now(), a.s.options.QuoteAge); ok {
 			return offers
 		}
 	}
-	offers := s.askOffers(ctx, view, ask, firstTokenDue, due)
-	s.quotes.put(key, time.Now(), offers)
+	ctx, cancel := context.WithTimeout(ctx, a.patience(late))
+	defer cancel()
+	offers := a.askOffers(ctx, view)
+	a.s.quotes.put(key, time.Now(), offers)
 	return offers
 }
 
-func (s *Service) askOffers(ctx context.Context, view *layout, ask *Ask, firstTokenDue, due time.Time) []offer {
+// patience is how long the answers may take: while only the aim is at risk, a
+// part of the time that is left for it.
+func (a *acquisition) patience(late bool) time.Duration {
+	most := a.s.options.QuoteTimeout
+	if late || a.firstTokenDue.IsZero() {
+		return most
+	}
+	return min(max(time.Until(a.firstTokenDue)/marginPart, quotePatience), most)
+}
+
+func (a *acquisition) askOffers(ctx context.Context, view *layout) []offer {
 	var (
 		group  errgroup.Group
 		mu     sync.Mutex
 		offers []offer
 	)
 	group.SetLimit(quoteParallel)
-	for _, dc := range view.elsewhere[ask.Pool] {
-		owner, ok := view.owner(dc, ask.Pool)
-		if dc == s.self.DataCentre || !ok {
+	for _, dc := range view.elsewhere[a.ask.Pool] {
+		owner, ok := view.owner(dc, a.ask.Pool)
+		if dc == a.s.self.DataCentre || !ok {
 			continue
 		}
 		group.Go(func() error {
-			if o, ok := s.offer(ctx, owner, ask, firstTokenDue, due); ok {
+			if o, ok := a.offer(ctx, owner); ok {
 				mu.Lock()
 				defer mu.Unlock()
 				offers = append(offers, o)
@@ -170,14 +199,11 @@
 }
 
 // offer asks one owner.
-func (s *Service) offer(ctx context.Context, owner domain.Member, ask *Ask, firstTokenDue, due time.Time) (offer, bool) {
+func (a *acquisition) offer(ctx context.Context, owner domain.Member) (offer, bool) {
+	s := a.s
 	began := time.Now()
-	request := quoteRequest{Ask: *ask}
-	request.Ask.Name = ""
-	request.Ask.Deadline = due.Sub(began)
-	if !firstTokenDue.IsZero() {
-		request.Ask.FirstToken = max(firstTokenDue.Sub(began), 1)
-	}
+	request := quoteRequest{Ask: a.hold.outstanding(began)}
+	request.Ask.Blocks = nil
 	local := func(_ domain.Member, r *quoteRequest) quote { return s.serveQuote(r) }
 	q, err := call(ctx, s, owner, s.options.QuoteTimeout, methodQuote, request, local)
 	if err != nil {
