--- /dev/null
+++ b/endpoint/exchange/client.go
@@ -0,0 +1,306 @@
+// Package exchange sends HTTP/1.1 requests to endpoints, each at most once, over kept connections.
+//
+// The library's own transport is not used, because it repeats requests by itself, does not keep to the idle time that
+// an endpoint states, and can't tell an answer to an earlier request from the one that is waited for. Requests and
+// answers are written and parsed by net/http.
+//
+// Guarantees. An error that wraps endpoint.ErrNotDispatched means that not one byte was sent. Any other error means
+// that the request may have run. An answer that names another request is skipped. A connection is used again only if
+// its last answer was read to its end, nothing else has come in since, and it has been idle for less than the endpoint
+// allows.
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint"
+)
+
+const (
+	// dialTimeout bounds a new connection. Data centres are a few milliseconds apart; an endpoint that is gone answers
+	// nothing, and another one can be tried as long as nothing was sent.
+	dialTimeout = 250 * time.Millisecond
+	// silentTimeout is how long sent bytes may stay unacknowledged before the connection is taken for dead.
+	silentTimeout = 1500 * time.Millisecond
+	// keepAliveEvery finds dead connections on which an answer is awaited.
+	keepAliveEvery = 1 * time.Second
+	// keepAliveProbes is the number of probes without an answer after which a connection is dead.
+	keepAliveProbes = 2
+	// defaultIdle is how long a connection may be idle if the endpoint states nothing.
+	defaultIdle = 4 * time.Second
+	// idleMargin is what is left of the stated time for the request to arrive.
+	idleMargin = 500 * time.Millisecond
+	// maxIdle bounds the idle connections kept to one endpoint.
+	maxIdle = 32
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	// maxStale is the number of answers to other requests that are skipped.
+	maxStale = 2
+)
+
+// Request is a request to an endpoint.
+type Request struct {
+	// Endpoint and Address name the life and where it is reached, "IP:port".
+	Endpoint domain.EndpointID
+	Address  string
+	Method   string
+	// Target is the path and query exactly as they are to be sent.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Answers reports whether the head of an answer belongs to this request; nil takes any.
+	Answers func(http.Header) bool
+}
+
+// Client keeps connections to endpoints. It is safe for concurrent use.
+type Client struct {
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[domain.EndpointID][]*conn
+
+	dials, reused, stale *metrics.Counter
+}
+
+// New returns a client without connections.
+func New(set *metrics.Set) *Client {
+	c := &Client{
+		idle:   make(map[domain.EndpointID][]*conn),
+		dials:  set.NewCounter("hawthornrill_endpoint_dials_total"),
+		reused: set.NewCounter("hawthornrill_endpoint_connections_reused_total"),
+		stale:  set.NewCounter("hawthornrill_endpoint_stale_answers_total"),
+	}
+	c.dialer = net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+	}
+	return c
+}
+
+func setUserTimeout(raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
+	})
+	return errors.Join(err, set)
+}
+
+// Send sends the request and returns the answer, whose Close must be called. The context bounds the answer's body too:
+// when it ends, the connection is closed, which tells the endpoint to stop.
+func (c *Client) Send(ctx context.Context, r *Request) (*Answer, error) {
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, context.Cause(ctx))
+	}
+	conn, err := c.connection(ctx, r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, err)
+	}
+	stop := context.AfterFunc(ctx, func() { conn.close() })
+	if err := conn.write(r); err != nil {
+		stop()
+		conn.close()
+		return nil, err
+	}
+	response, err := c.read(conn, r)
+	if err != nil {
+		stop()
+		conn.close()
+		return nil, fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
+	}
+	return &Answer{Response: response, client: c, conn: conn, endpoint: r.Endpoint, stop: stop}, nil
+}
+
+// connection takes an idle one or dials.
+func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
+	for {
+		conn := c.take(r.Endpoint)
+		if conn == nil {
+			break
+		}
+		if time.Now().Before(conn.idleUntil) && conn.quiet() {
+			c.reused.Inc()
+			return conn, nil
+		}
+		conn.close()
+	}
+	c.dials.Inc()
+	raw, err := c.dialer.DialContext(ctx, "tcp4", r.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+func (c *Client) take(id domain.EndpointID) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	c.idle[id] = list[:len(list)-1]
+	return last
+}
+
+func (c *Client) keep(id domain.EndpointID, conn *conn, idle time.Duration) {
+	conn.idleUntil = time.Now().Add(idle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[id]) >= maxIdle {
+		conn.close()
+		return
+	}
+	c.idle[id] = append(c.idle[id], conn)
+}
+
+// Forget closes the idle connections to an endpoint that is gone, and those that have been idle too long.
+func (c *Client) Forget(listed func(domain.EndpointID) bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, list := range c.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if listed(id) && now.Before(conn.idleUntil) {
+				kept = append(kept, conn)
+				continue
+			}
+			conn.close()
+		}
+		clear(list[len(kept):])
+		c.idle[id] = kept
+		if len(kept) == 0 {
+			delete(c.idle, id)
+		}
+	}
+}
+
+// errStale means that only answers to other requests came.
+var errStale = errors.New("exchange: the answers belong to other requests")
+
+// read reads the head of the request's answer, and skips interim answers and those to other requests.
+func (c *Client) read(conn *conn, r *Request) (*http.Response, error) {
+	for skipped := 0; skipped <= maxStale; {
+		conn.limit = maxHeadBytes
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
+		conn.limit = math.MaxInt64
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Answers == nil || r.Answers(response.Header) {
+			return response, nil
+		}
+		skipped++
+		c.stale.Inc()
+		if err := discard(response); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errStale
+}
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	idleUntil time.Time
+	// limit is the number of bytes that may still be read.
+	limit int64
+	once  sync.Once
+}
+
+// readBuffer is the size of a connection's buffer, enough for an answer's head and an event.
+const readBuffer = 4 << 10
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+var errTooLong = errors.New("exchange: the head of the answer is too long")
+
+// Read counts against the limit.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.limit <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p)
+	c.limit -= int64(n)
+	return n, err
+}
+
+func (c *conn) close() { c.once.Do(func() { _ = c.Conn.Close() }) }
+
+// quiet reports whether the idle connection is open and nothing has come in.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = e == unix.EAGAIN //nolint:errorlint // a system call's own error
+	})
+	return err == nil && quiet
+}
+
+// write sends the whole request. Its error wraps endpoint.ErrNotDispatched if no byte was taken.
+func (c *conn) write(r *Request) error {
+	n, err := c.Conn.Write(r.bytes())
+	switch {
+	case err == nil:
+		return nil
+	case n == 0:
+		return fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, err)
+	default:
+		return fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
+	}
+}
+
+// bytes encodes the request. Its body always has a length, whatever the caller used, so that nothing in it can be
+// taken for another request.
+func (r *Request) bytes() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&b) // a bytes.Buffer does not fail
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
--- /dev/null
+++ b/entrynode/node.go
@@ -0,0 +1,259 @@
+package entrynode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/follow"
+	"hawthornrill.example/hawthornrill/gateway"
+	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/retrybudget"
+	"hawthornrill.example/hawthornrill/tokenlimit"
+)
+
+// Adapters are what the program chooses.
+type Adapters struct {
+	Protocol gateway.Protocol
+	Source   follow.Source
+	Registry follow.Registry
+}
+
+// Node is a node's parts.
+type Node struct {
+	settings  Settings
+	log       zerolog.Logger
+	metrics   *metrics.Set
+	directory *directory.Directory
+	follower  *follow.Follower
+	announcer *follow.Announcer
+	mesh      *gossip.Mesh
+	socket    *gossip.UDP
+	limits    *tokenlimit.Limiter
+	desk      *places.Desk
+	endpoints *exchange.Client
+	gateway   *gateway.Gateway
+	idle      *idleConns
+	callers   *http.Server
+	ready     *http.Server
+	operators *http.Server
+	leaving   atomic.Bool
+	wasReady  atomic.Bool
+}
+
+// New puts a node together and opens its sockets.
+func New(s Settings, adapters Adapters, log zerolog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, metrics: metrics.NewSet(), directory: directory.New()}
+	limitMemory(s.Host)
+	n.follower = follow.New(follow.Parts{
+		Source: adapters.Source, Directory: n.directory, Clock: boottime.Now, Log: log, Metrics: n.metrics,
+	})
+	self := follow.Peer{Node: s.Node, DataCentre: s.DataCentre, Address: s.Listen.Peers}
+	n.announcer = &follow.Announcer{Registry: adapters.Registry, Self: self, Log: log}
+	if err := n.openMesh(); err != nil {
+		return nil, err
+	}
+	n.limits = tokenlimit.New(boottime.Now, n.mesh.Fleet, n.metrics)
+	n.desk = places.New(places.Options{DataCentre: s.DataCentre}, n.directory, n.nodes, n.metrics)
+	n.endpoints = exchange.New(n.metrics)
+	n.gateway = gateway.New(gateway.Parts{
+		Protocol:  adapters.Protocol,
+		Knowledge: n.follower,
+		Directory: n.directory,
+		Limits:    n.limits,
+		Retries: retrybudget.New(retrybudget.Options{
+			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: seconds(s.Retry.WindowS),
+		}, boottime.Now, n.nodes),
+		Places:    n.desk,
+		Endpoints: n.endpoints,
+		Clock:     boottime.Now,
+		Log:       log,
+		Metrics:   n.metrics,
+	}, gateway.Options{KeyAge: n.keyAge(keyAgeMargin), BodyBytes: int64(bodyPart * float64(s.Host.MemoryMB) * (1 << 20))})
+	n.idle = newIdleConns(n.idleTimeout)
+	n.openServers()
+	return n, nil
+}
+
+// limitMemory keeps the runtime within the host's memory.
+func limitMemory(h Host) {
+	if h.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(h.MemoryMB) * (1 << 20)))
+	}
+}
+
+// keyAge is the bound on the age of the keys, less a margin; zero for none.
+func (n *Node) keyAge(margin time.Duration) time.Duration {
+	if !n.settings.Keys.Strict {
+		return 0
+	}
+	return max(seconds(n.settings.Keys.MaxAgeMS/1000)-margin, 1)
+}
+
+func (n *Node) nodes() int { return n.mesh.Fleet().Known }
+
+func (n *Node) idleTimeout() time.Duration {
+	if table := n.follower.Table(); table != nil {
+		return table.Limits.IdleTimeout
+	}
+	return 0
+}
+
+func (n *Node) openMesh() error {
+	socket, err := gossip.ListenUDP(n.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	n.socket = socket
+	n.mesh = gossip.New(gossip.Parts{
+		Self:      n.settings.Node,
+		Life:      uint64(time.Now().UnixNano()),
+		Transport: socket,
+		Clock:     boottime.Now,
+		Peers:     n.peers,
+		Fill:      n.fill,
+		Heard:     n.heard,
+		Log:       n.log,
+		Metrics:   n.metrics,
+	})
+	return nil
+}
+
+func (n *Node) peers() []gossip.Address {
+	listed := n.follower.Peers()
+	addresses := make([]gossip.Address, 0, len(listed))
+	for _, p := range listed {
+		addresses = append(addresses, gossip.Address{Node: p.Node, HostPort: p.Address})
+	}
+	return addresses
+}
+
+// fill completes a report to the other nodes.
+func (n *Node) fill(report *gossip.Report) {
+	report.Leaving = n.leaving.Load()
+	if table := n.follower.Table(); table != nil {
+		report.Version = table.Version
+		report.Age = n.follower.Age(boottime.Now())
+	}
+	n.desk.Fill(report)
+	n.limits.Fill(report)
+}
+
+// heard takes another node's report.
+func (n *Node) heard(report *gossip.Report, sent boottime.Instant) {
+	n.desk.Heard(report)
+	n.limits.Heard(report)
+	if sent > 0 && report.Version > 0 {
+		n.follower.Relay(report.Version, sent.Add(-report.Age))
+	}
+}
+
+// Ready reports whether the node takes requests, and why not.
+func (n *Node) Ready() (bool, string) {
+	switch {
+	case n.leaving.Load():
+		return false, "leaving"
+	case n.follower.Table() == nil:
+		return false, "no configuration yet"
+	case n.directory.Current().Len() == 0:
+		return false, "no endpoints yet"
+	case n.settings.Keys.Strict && n.follower.Age(boottime.Now()) > n.keyAge(readyMargin):
+		return false, "the store has been out of reach for too long"
+	}
+	return true, ""
+}
+
+func (n *Node) openServers() {
+	n.callers = &http.Server{
+		Addr:              n.settings.Listen.Callers,
+		Handler:           n.gateway,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
+		ConnState:         n.idle.observe,
+		ErrorLog:          quiet(n.log),
+	}
+	n.ready = &http.Server{Addr: n.settings.Listen.Ready, Handler: http.HandlerFunc(n.serveReady), ErrorLog: quiet(n.log)}
+	n.operators = &http.Server{Addr: n.settings.Listen.Operators, Handler: n.operatorsHandler(), ErrorLog: quiet(n.log)}
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := n.Ready()
+	if n.wasReady.Swap(ready) != ready {
+		n.log.Info().Bool("ready", ready).Str("reason", reason).Msg("readiness changed")
+	}
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Run serves until the context ends, and then leaves gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.callers.Addr)
+	if err != nil {
+		return fmt.Errorf("entrynode: callers: %w", err)
+	}
+	var group run.Group
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.add(&group, background, stop)
+	group.Add(func() error { return n.serveCallers(ctx, listener) }, func(error) { _ = n.callers.Close() })
+	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callers.Addr).Msg("node started")
+	err = group.Run()
+	n.log.Info().AnErr("cause", err).Msg("node stopped")
+	if errors.Is(err, errLeft) {
+		return nil
+	}
+	return err
+}
+
+// add adds what runs in the background.
+func (n *Node) add(group *run.Group, ctx context.Context, stop func()) {
+	background := []func(context.Context) error{
+		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.desk.Run, n.idle.run, n.tidy,
+	}
+	for _, execute := range background {
+		group.Add(func() error { return execute(ctx) }, func(error) {
+			stop()
+			_ = n.socket.Close() // ends Listen; closed twice, it fails
+		})
+	}
+	servers := []*http.Server{n.ready}
+	if n.operators.Addr != "" {
+		servers = append(servers, n.operators)
+	}
+	for _, server := range servers {
+		group.Add(server.ListenAndServe, func(error) { _ = server.Close() })
+	}
+}
+
+// tidyEvery is how often connections to endpoints that are gone are closed.
+const tidyEvery = time.Second
+
+func (n *Node) tidy(ctx context.Context) error {
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			snapshot := n.directory.Current()
+			n.endpoints.Forget(func(id endpointID) bool { return snapshot.Endpoint(id) != nil })
+		}
+	}
+}
--- /dev/null
+++ b/entrynode/operators.go
@@ -0,0 +1,69 @@
+package entrynode
+
+import (
+	stdlog "log"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/buildinfo"
+	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/logging"
+)
+
+// State is the dump of a node.
+type State struct {
+	Node      string       `json:"node"`
+	Build     string       `json:"build"`
+	Ready     bool         `json:"ready"`
+	Reason    string       `json:"reason,omitempty"`
+	Version   uint64       `json:"configuration_version"`
+	AgeMS     float64      `json:"knowledge_age_ms"`
+	Revision  uint64       `json:"store_revision"`
+	Active    int          `json:"requests_active"`
+	Waiting   int          `json:"requests_waiting"`
+	Fleet     gossip.Fleet `json:"fleet"`
+	Endpoints int          `json:"endpoints"`
+	// Report is what the node tells the others of itself.
+	Report gossip.Report `json:"report"`
+}
+
+// State returns the dump.
+func (n *Node) State() State {
+	ready, reason := n.Ready()
+	s := State{
+		Node:      string(n.settings.Node),
+		Build:     buildinfo.String(),
+		Ready:     ready,
+		Reason:    reason,
+		AgeMS:     float64(n.follower.Age(boottime.Now()).Microseconds()) / 1000,
+		Revision:  uint64(n.follower.Revision()),
+		Active:    n.gateway.Active(),
+		Waiting:   n.desk.Waiting(),
+		Fleet:     n.mesh.Fleet(),
+		Endpoints: n.directory.Current().Len(),
+	}
+	if table := n.follower.Table(); table != nil {
+		s.Version = table.Version
+	}
+	n.fill(&s.Report)
+	return s
+}
+
+func (n *Node) operatorsHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/metrics", func(c echo.Context) error {
+		n.metrics.WritePrometheus(c.Response())
+		return nil
+	})
+	e.GET("/debug/state", func(c echo.Context) error { return c.JSON(http.StatusOK, n.State()) })
+	return e
+}
+
+// quiet logs what the library says of single connections at the lowest level.
+func quiet(log zerolog.Logger) *stdlog.Logger {
+	return stdlog.New(logging.Writer{Logger: log, Level: zerolog.DebugLevel}, "", 0)
+}
--- /dev/null
+++ b/gateway/protocol.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// Call is what the head of a caller's request says.
+type Call struct {
+	// ID names this attempt of the caller.
+	ID string
+	// Key is the organisation's key, empty if there is none.
+	Key string
+	// Patience is how long the caller waits for the whole answer; zero if it does not say.
+	Patience time.Duration
+	// PromptTokens and MaxAnswerTokens describe a model's request, LikelyAnswerTokens is the caller's guess; zero if
+	// it does not say.
+	PromptTokens       int
+	MaxAnswerTokens    int
+	LikelyAnswerTokens int
+	// Prompt identifies the parts of the prompt, the first one first.
+	Prompt []uint64
+	// LastEvent is the id of the last event that the caller has, empty at the beginning.
+	LastEvent string
+}
+
+// Tokens is what the call counts under a limit on tokens.
+func (c *Call) Tokens() int { return c.PromptTokens + c.MaxAnswerTokens }
+
+// AnswerTokens is the length of the answer to expect.
+func (c *Call) AnswerTokens() int {
+	if c.LikelyAnswerTokens > 0 {
+		return min(c.LikelyAnswerTokens, max(c.MaxAnswerTokens, 1))
+	}
+	return c.MaxAnswerTokens
+}
+
+// Dispatch is what the system tells an endpoint beside the caller's request.
+type Dispatch struct {
+	Endpoint     domain.EndpointID
+	Organisation domain.OrganisationID
+	// TimeLeft is what is left of the time that the request may take.
+	TimeLeft time.Duration
+	// LastEvent is the id of the last event passed on, empty at the beginning.
+	LastEvent string
+}
+
+// AnswerHead is what the head of an endpoint's answer says.
+type AnswerHead struct {
+	// ID is the request that it answers, empty if it does not say.
+	ID string
+	// NotRun is the endpoint's promise that it did not and will not run the request.
+	NotRun bool
+	// Signed is true if the answer is the endpoint's own, rather than something on the way.
+	Signed bool
+}
+
+// Protocol translates heads. Implementations decide nothing.
+type Protocol interface {
+	// ReadCall decodes a caller's head; its error tells the caller what is wrong.
+	ReadCall(head http.Header) (Call, error)
+	// WriteDispatch makes a caller's head, without what concerns one connection, that of a dispatch.
+	WriteDispatch(head http.Header, d Dispatch)
+	// ReadAnswer decodes the head of an answer.
+	ReadAnswer(status int, head http.Header) AnswerHead
+}
--- /dev/null
+++ b/gateway/task.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/routetable"
+)
+
+var (
+	errTimeout    = errors.New("gateway: the request's time is over")
+	errStalled    = errors.New("gateway: the endpoint does not answer")
+	errCallerGone = errors.New("gateway: the caller is gone")
+)
+
+// task is one request in progress, run by one goroutine.
+type task struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived boottime.Instant
+	started time.Time
+
+	call         Call
+	version      uint64
+	route        *routetable.Route
+	organisation *routetable.Organisation
+	keyed        bool
+	allowed      time.Duration
+	body         []byte
+	cost         float64
+	counted      bool
+
+	ctx     context.Context
+	service string
+	tried   []domain.EndpointID
+	// sends counts dispatches, mayHaveRun is true once one of them may have run.
+	sends      int
+	mayHaveRun bool
+	// headSent is true once the head of an answer was passed on, lastEvent is the last event's id.
+	headSent  bool
+	lastEvent string
+
+	// For the log.
+	waited   time.Duration
+	first    time.Duration
+	endpoint domain.EndpointID
+	events   int
+}
+
+func newTask(g *Gateway, w http.ResponseWriter, r *http.Request) *task {
+	return &task{gateway: g, writer: w, request: r, arrived: g.parts.Clock(), started: time.Now()}
+}
+
+func (t *task) close() { t.gateway.bodies.Add(-int64(len(t.body))) }
+
+// left is what is left of the request's time, suspensions of the machine counted.
+func (t *task) left() time.Duration { return t.allowed - t.gateway.parts.Clock().Sub(t.arrived) }
+
+// run dispatches the request until there is a final answer.
+func (t *task) run() {
+	ctx, cancel := context.WithTimeoutCause(t.request.Context(), t.left(), errTimeout)
+	defer cancel()
+	t.ctx = ctx
+	t.lastEvent = t.call.LastEvent
+	t.service = t.route.Service(xxhash.Sum64String(t.call.ID))
+	t.gateway.parts.Retries.Request(t.service)
+	for tries := 0; ; tries++ {
+		next := t.attempt()
+		if next.done {
+			t.finish(next)
+			return
+		}
+		if tries >= maxPlaceTries {
+			t.finish(t.giveUp(next.err))
+			return
+		}
+	}
+}
+
+// step is what an attempt came to: a final answer that was passed on, one of the node's own, or another attempt.
+type step struct {
+	done bool
+	// refusal is the node's own answer, nil if an endpoint's was passed on.
+	refusal *problem
+	// abort breaks the connection off, because part of an answer was passed on.
+	abort  bool
+	status int
+	err    error
+}
+
+// attempt gets a place and dispatches once.
+func (t *task) attempt() step {
+	place, err := t.gateway.parts.Places.Acquire(t.ctx, t.ask())
+	if err != nil {
+		return t.noPlace(err)
+	}
+	t.waited += place.Waited
+	if refusal := t.stillAllowed(); refusal != nil {
+		place.Release(notUsed)
+		return step{done: true, refusal: refusal}
+	}
+	if e := t.gateway.parts.Directory.Current().Endpoint(place.Endpoint.ID); e == nil || e.Leaving {
+		// It left while the request waited.
+		place.Release(notUsed)
+		return step{}
+	}
+	return t.dispatch(place)
+}
+
+func (t *task) ask() *places.Ask {
+	tier := t.route.Tier
+	ask := &places.Ask{
+		Name:         t.call.ID,
+		Service:      t.service,
+		PromptTokens: t.call.PromptTokens,
+		AnswerTokens: t.call.AnswerTokens(),
+		Blocks:       t.call.Prompt,
+		Fingerprint:  xxhash.Sum64String(t.call.ID),
+		FirstByteDue: t.started.Add(t.route.FirstByte),
+		Due:          t.started.Add(t.allowed),
+		Excluded:     t.tried,
+		Urgent:       t.headSent || t.mayHaveRun,
+	}
+	if t.organisation != nil {
+		ask.Organisation = t.organisation.ID
+		if t.organisation.HasTier {
+			tier = t.organisation.Tier
+		}
+	}
+	ask.Tier = tier
+	return ask
+}
+
+// stillAllowed checks again, immediately before a dispatch, what may have changed while the request waited or the
+// process was suspended.
+func (t *task) stillAllowed() *problem {
+	if t.left() < leastTimeLeft {
+		return t.outOfTime()
+	}
+	if !t.keyed {
+		return nil
+	}
+	if t.keysTooOld() {
+		return t.honest(notReady("the keys in force are not known"))
+	}
+	if t.gateway.parts.Knowledge.Table().Organisation(t.call.Key) == nil {
+		return t.honest(&problem{Status: http.StatusUnauthorized, Title: "the key is no longer in force"})
+	}
+	return nil
+}
+
+// honest makes the answer one that promises nothing if the request may have run.
+func (t *task) honest(p *problem) *problem {
+	if !t.mayHaveRun {
+		return p
+	}
+	return &problem{Status: http.StatusBadGateway, Title: p.Title, Outcome: outcomeUnknown, Cause: p.Cause}
+}
+
+func (t *task) outOfTime() *problem {
+	if t.mayHaveRun {
+		return &problem{Status: http.StatusGatewayTimeout, Title: "the request's time is over", Outcome: outcomeUnknown}
+	}
+	return &problem{
+		Status: http.StatusServiceUnavailable, Title: "no endpoint was free in time", Outcome: outcomeNotRun, RetryAfter: soonRetry,
+	}
+}
+
+// noPlace is the end of a request that gets no place.
+func (t *task) noPlace(err error) step {
+	var refusal *places.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		p := &problem{
+			Status: http.StatusServiceUnavailable, Title: "no endpoint can take the request", Outcome: outcomeNotRun,
+			RetryAfter: refusal.RetryAfter,
+			Cause:      fmt.Errorf("%w (wait %v, ahead %d, free %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free),
+		}
+		return step{done: true, refusal: t.honest(p), abort: t.headSent, err: err}
+	case errors.Is(err, errTimeout):
+		return step{done: true, refusal: t.outOfTime(), abort: t.headSent, err: err}
+	default:
+		return step{done: true, err: errCallerGone, abort: true}
+	}
+}
+
+// giveUp is the end after an attempt that can't be repeated.
+func (t *task) giveUp(err error) step {
+	s := step{done: true, err: err, abort: t.headSent}
+	switch {
+	case errors.Is(err, errTimeout):
+		s.refusal = t.outOfTime()
+	case t.mayHaveRun:
+		s.refusal = &problem{Status: http.StatusBadGateway, Title: "the endpoint's answer was lost", Outcome: outcomeUnknown, Cause: err}
+	default:
+		s.refusal = &problem{
+			Status: http.StatusServiceUnavailable, Title: "no endpoint took the request", Outcome: outcomeNotRun,
+			RetryAfter: soonRetry, Cause: err,
+		}
+	}
+	return s
+}
+
+// finish tells the caller, unless an endpoint's answer was passed on, and logs the end.
+func (t *task) finish(s step) {
+	if t.counted && !t.mayHaveRun {
+		t.gateway.parts.Limits.Return(t.organisation, t.cost)
+	}
+	t.logEnd(s)
+	switch {
+	case s.abort:
+		// The library ends the connection without an end mark.
+		panic(http.ErrAbortHandler)
+	case s.refusal != nil:
+		s.refusal.write(t.writer)
+	}
+}
+
+// refuse answers a request that was not admitted.
+func (t *task) refuse(p *problem) {
+	t.close()
+	t.logEnd(step{refusal: p, err: p.Cause})
+	p.write(t.writer)
+}
--- /dev/null
+++ b/gossip/report.go
@@ -0,0 +1,45 @@
+package gossip
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// Report is what a node tells another of itself. A later one replaces an earlier one.
+type Report struct {
+	From domain.NodeID `cbor:"1,keyasint"`
+	// Life differs between two lives of a node's process.
+	Life uint64 `cbor:"2,keyasint"`
+	// SentAt is the sender's clock, Echo the greatest SentAt that it has had from the receiver's life EchoLife.
+	SentAt   boottime.Instant `cbor:"3,keyasint"`
+	Echo     boottime.Instant `cbor:"4,keyasint,omitempty"`
+	EchoLife uint64           `cbor:"5,keyasint,omitempty"`
+	// Version is the sender's configuration, Age how old its knowledge of it was when the report was sent.
+	Version uint64        `cbor:"6,keyasint,omitempty"`
+	Age     time.Duration `cbor:"7,keyasint,omitempty"`
+	// Loads are the endpoints at which the sender has requests.
+	Loads []Load `cbor:"8,keyasint,omitempty"`
+	// Spent are the organisations' limits as the sender sees them.
+	Spent []Spent `cbor:"9,keyasint,omitempty"`
+	// Leaving is true once the sender takes no more requests.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Load is what the sender has outstanding at an endpoint.
+type Load struct {
+	Endpoint domain.EndpointID `cbor:"1,keyasint"`
+	Requests int               `cbor:"2,keyasint"`
+	// PrefillTokens are of prompts without a first event yet, PromptTokens of all, AnswerTokens are expected still.
+	PrefillTokens int `cbor:"3,keyasint,omitempty"`
+	PromptTokens  int `cbor:"4,keyasint,omitempty"`
+	AnswerTokens  int `cbor:"5,keyasint,omitempty"`
+}
+
+// Spent is what the sender has let through of an organisation's limit in its life, and what it thinks is left.
+type Spent struct {
+	Organisation domain.OrganisationID `cbor:"1,keyasint"`
+	Total        float64               `cbor:"2,keyasint"`
+	Level        float64               `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/gossip/udp.go
@@ -0,0 +1,62 @@
+package gossip
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// UDP is the Transport over a socket.
+type UDP struct {
+	conn *net.UDPConn
+
+	mu        sync.Mutex
+	addresses map[string]netip.AddrPort
+}
+
+// ListenUDP opens a socket at "IP:port".
+func ListenUDP(address string) (*UDP, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("gossip: address %q: %w", address, err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("gossip: listen: %w", err)
+	}
+	return &UDP{conn: conn, addresses: make(map[string]netip.AddrPort)}, nil
+}
+
+// Send implements Transport.
+func (u *UDP) Send(to string, datagram []byte) error {
+	at, err := u.address(to)
+	if err != nil {
+		return err
+	}
+	_, err = u.conn.WriteToUDPAddrPort(datagram, at)
+	return err
+}
+
+// Receive implements Transport.
+func (u *UDP) Receive(buffer []byte) (int, string, error) {
+	n, from, err := u.conn.ReadFromUDPAddrPort(buffer)
+	return n, from.String(), err
+}
+
+// Close ends Receive.
+func (u *UDP) Close() error { return u.conn.Close() }
+
+func (u *UDP) address(to string) (netip.AddrPort, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if at, ok := u.addresses[to]; ok {
+		return at, nil
+	}
+	at, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return at, fmt.Errorf("gossip: address %q: %w", to, err)
+	}
+	u.addresses[to] = at
+	return at, nil
+}
--- /dev/null
+++ b/places/account.go
@@ -0,0 +1,61 @@
+package places
+
+import (
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/config"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// account is what a node counts of one endpoint: its own requests exactly, the others' as they last reported.
+type account struct {
+	endpoint *directory.Endpoint
+	state    capacity.EndpointState
+	own      load
+	others   load
+}
+
+func newAccount(e *directory.Endpoint) *account {
+	a := &account{}
+	a.describe(e)
+	return a
+}
+
+// describe takes over what the directory says.
+func (a *account) describe(e *directory.Endpoint) {
+	if a.endpoint == e {
+		return
+	}
+	a.endpoint = e
+	a.state.ID = e.ID
+	a.state.Row = &config.EndpointRow{
+		ID: e.ID, DataCentre: e.DataCentre, Address: e.Address, Generation: e.Service, Weight: fullWeight, Limit: e.Slots,
+	}
+	a.state.Limit = e.Slots
+	a.state.Leaving = e.Leaving
+}
+
+// fullWeight is the weight of an endpoint that takes all the work it can.
+const fullWeight = 100
+
+// refresh brings the router's view up to date.
+func (a *account) refresh() {
+	s := &a.state
+	s.Requests = a.own.requests + a.others.requests
+	s.PrefillTokens = a.own.prefillTokens + a.others.prefillTokens
+	s.PromptTokens = a.own.promptTokens + a.others.promptTokens
+	s.AnswerTokens = a.own.answerTokens + a.others.answerTokens
+	s.ReservedTokens = s.PromptTokens + s.AnswerTokens
+}
+
+// free returns the number of places that nobody holds.
+func (a *account) free() int { return max(a.endpoint.Slots-a.own.requests-a.others.requests, 0) }
+
+// hasRoom reports whether this node may send one request more: if a place is free, or if it has less than an equal
+// part of them. The latter keeps a node that has just started from being shut out by the others.
+func (a *account) hasRoom(nodes int) bool {
+	return a.free() > 0 || a.own.requests < max(a.endpoint.Slots/max(nodes, 1), 1)
+}
+
+// id returns the endpoint's name.
+func (a *account) id() domain.EndpointID { return a.endpoint.ID }
--- /dev/null
+++ b/places/ask.go
@@ -0,0 +1,53 @@
+package places
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// Ask is a request for a place at an endpoint of a service.
+type Ask struct {
+	// Name is the request's id, for the log.
+	Name         string
+	Service      string
+	Organisation domain.OrganisationID
+	Tier         domain.Tier
+	// PromptTokens and AnswerTokens are estimates of the work; zero for a plain call.
+	PromptTokens int
+	AnswerTokens int
+	// Blocks identify the parts of the prompt, the first one first.
+	Blocks []uint64
+	// Fingerprint identifies the attempt.
+	Fingerprint uint64
+	// FirstByteDue is the instant of the latency objective, Due that at which the caller gives up.
+	FirstByteDue time.Time
+	Due          time.Time
+	// Excluded endpoints are not wanted.
+	Excluded []domain.EndpointID
+	// Urgent asks continue an answer that has begun: they are not refused for a long queue.
+	Urgent bool
+}
+
+func (a *Ask) excludes(id domain.EndpointID) bool {
+	for _, e := range a.Excluded {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Ask) forRouter() *capacity.Ask {
+	return &capacity.Ask{
+		Name:         a.Name,
+		Pool:         domain.PoolName(a.Service),
+		Organisation: a.Organisation,
+		Tier:         a.Tier,
+		PromptTokens: a.PromptTokens,
+		AnswerTokens: a.AnswerTokens,
+		Blocks:       a.Blocks,
+		Fingerprint:  a.Fingerprint,
+	}
+}
--- /dev/null
+++ b/places/desk.go
@@ -0,0 +1,343 @@
+// Package places gives out the endpoints' places at one node, without a message before a dispatch.
+//
+// The node knows its own requests exactly and the others' from their last reports. A request gets a place where one is
+// free by that count; else it waits in tier order, or is refused at once if it would start too late. Which endpoint it
+// gets is package routing's choice, the order of waiting package queue's.
+//
+// Guarantees under failure. A peer that falls silent no longer counts after gossip.FreshFor. Two nodes that do not hear
+// each other may together exceed an endpoint's places, by at most as many as it has; the endpoint then queues. A node
+// always has an equal part of the places, whatever the others report.
+package places
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
+)
+
+// Desk gives out places. It is safe for concurrent use.
+type Desk struct {
+	options   Options
+	directory *directory.Directory
+	nodes     func() int
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	// seen is the directory's snapshot that the pools follow.
+	seen *directory.Snapshot
+	// peers are the nodes' last reports.
+	peers map[domain.NodeID]*peerLoads
+
+	granted, refused, queued *metrics.Counter
+}
+
+// peerLoads is what a peer has outstanding.
+type peerLoads struct {
+	heard time.Time
+	loads map[domain.EndpointID]load
+}
+
+// New returns a desk. Nodes returns the number of nodes that may be alive.
+func New(options Options, d *directory.Directory, nodes func() int, set *metrics.Set) *Desk {
+	options.Routing = defaultRouting(options.Routing)
+	desk := &Desk{
+		options:   options,
+		directory: d,
+		nodes:     nodes,
+		pools:     make(map[string]*pool),
+		peers:     make(map[domain.NodeID]*peerLoads),
+		granted:   set.NewCounter("hawthornrill_places_granted_total"),
+		refused:   set.NewCounter("hawthornrill_places_refused_total"),
+		queued:    set.NewCounter("hawthornrill_places_queued_total"),
+	}
+	set.NewGauge("hawthornrill_places_waiting", func() float64 { return float64(desk.Waiting()) })
+	return desk
+}
+
+// Acquire waits for a place. It returns a *Refusal when there will be none in time, at once if that is foreseen, or
+// the context's cause.
+func (d *Desk) Acquire(ctx context.Context, ask *Ask) (*Place, error) {
+	place, w, err := d.enter(ask)
+	if place != nil || err != nil {
+		return place, err
+	}
+	select {
+	case place, ok := <-w.granted:
+		return d.received(w, place, ok)
+	case <-ctx.Done():
+	}
+	if d.leave(w) {
+		return nil, context.Cause(ctx)
+	}
+	// The place was granted meanwhile.
+	if place, ok := <-w.granted; ok {
+		place.Release(capacity.Result{})
+	}
+	return nil, context.Cause(ctx)
+}
+
+func (d *Desk) received(w *waiter, place *Place, ok bool) (*Place, error) {
+	if !ok {
+		d.refused.Inc()
+		return nil, &Refusal{Err: ErrOverloaded, RetryAfter: retryLeast}
+	}
+	place.Waited = time.Since(w.since)
+	return place, nil
+}
+
+// enter grants a place, refuses, or queues the ask.
+func (d *Desk) enter(ask *Ask) (*Place, *waiter, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	now := time.Now()
+	p := d.pool(ask.Service)
+	usable, free := p.endpoints(ask)
+	if usable == 0 {
+		d.refused.Inc()
+		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: retryLeast}
+	}
+	ahead := p.waiting.AheadOf(ask.Tier, ask.Organisation, 1)
+	if ahead == 0 || ask.Urgent {
+		if a := p.choose(now, ask, d.nodes(), d.options.DataCentre); a != nil {
+			d.granted.Inc()
+			return p.grant(d, now, ask, a), nil, nil
+		}
+	}
+	if refusal := p.refuse(now, ask, ahead, free); refusal != nil {
+		d.refused.Inc()
+		return nil, nil, refusal
+	}
+	d.queued.Inc()
+	return nil, d.enqueue(p, now, ask), nil
+}
+
+// refuse decides at arrival whether the ask would start too late.
+func (p *pool) refuse(now time.Time, ask *Ask, ahead, free int) *Refusal {
+	if ask.Urgent {
+		return nil
+	}
+	wait := p.predictedWait(ahead)
+	objective := ask.FirstByteDue.Sub(now)
+	if wait <= objective+time.Duration(lateSlack*float64(objective)) {
+		return nil
+	}
+	// A third of what is left is the longest that callers wait when told to come back.
+	retry := min(max(2*wait, retryLeast), retryMost, max(ask.Due.Sub(now)/3, retryLeast))
+	return &Refusal{Err: ErrOverloaded, RetryAfter: retry, Wait: wait, Ahead: ahead, Free: free}
+}
+
+func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
+	w := &waiter{ask: ask, since: now, granted: make(chan *Place, 1)}
+	w.item = queueItem(w, ask)
+	if evicted := p.waiting.Push(&w.item); evicted != nil {
+		close(evicted.Value.granted)
+	}
+	return w
+}
+
+// leave takes the waiter out of the queue and reports whether it was there.
+func (d *Desk) leave(w *waiter) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(w.ask.Service).waiting.Remove(&w.item)
+}
+
+// release gives a place back and hands out what has become free.
+func (d *Desk) release(place *Place, result capacity.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	a, p := place.account, place.pool
+	a.own.subtract(place.load)
+	a.refresh()
+	p.router.Observe(now, &a.state, place.ask, result)
+	if result.Dispatched {
+		p.held.add(now.Sub(place.granted).Seconds())
+	}
+	d.hand(p, now)
+}
+
+// hand grants places to waiters in their order, as far as there is room.
+func (d *Desk) hand(p *pool, now time.Time) {
+	for {
+		w := p.next()
+		if w == nil {
+			return
+		}
+		a := p.choose(now, w.ask, d.nodes(), d.options.DataCentre)
+		if a == nil {
+			return
+		}
+		p.waiting.Take(&w.item)
+		p.turns++
+		d.granted.Inc()
+		w.granted <- p.grant(d, now, w.ask, a)
+	}
+}
+
+// handAll serves all queues.
+func (d *Desk) handAll(now time.Time) {
+	for _, p := range d.pools {
+		d.hand(p, now)
+	}
+}
+
+// Waiting returns the number of asks that wait.
+func (d *Desk) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, p := range d.pools {
+		n += p.waiting.Len()
+	}
+	return n
+}
+
+func (d *Desk) pool(service string) *pool {
+	p, ok := d.pools[service]
+	if !ok {
+		p = newPool(service, d.options.Routing)
+		d.pools[service] = p
+	}
+	return p
+}
+
+// follow brings the pools up to the directory.
+func (d *Desk) follow() {
+	snapshot := d.directory.Current()
+	if snapshot == d.seen {
+		return
+	}
+	d.seen = snapshot
+	for _, p := range d.pools {
+		for id, a := range p.accounts {
+			if snapshot.Endpoint(id) == nil {
+				delete(p.accounts, id)
+				// Requests still there are released on the account, which nobody chooses any more.
+				a.state.Leaving = true
+			}
+		}
+	}
+	snapshot.Each(func(e *directory.Endpoint) {
+		p := d.pool(e.Service)
+		a, ok := p.accounts[e.ID]
+		if !ok {
+			a = newAccount(e)
+			a.others = d.othersAt(e.ID)
+			p.accounts[e.ID] = a
+		}
+		a.describe(e)
+	})
+}
+
+func (d *Desk) othersAt(id domain.EndpointID) load {
+	var sum load
+	for _, p := range d.peers {
+		sum.add(p.loads[id])
+	}
+	return sum
+}
+
+// Fill adds this node's outstanding requests to a report.
+func (d *Desk) Fill(report *gossip.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		for id, a := range p.accounts {
+			if a.own.requests == 0 {
+				continue
+			}
+			report.Loads = append(report.Loads, gossip.Load{
+				Endpoint:      id,
+				Requests:      a.own.requests,
+				PrefillTokens: a.own.prefillTokens,
+				PromptTokens:  a.own.promptTokens,
+				AnswerTokens:  a.own.answerTokens,
+			})
+		}
+	}
+}
+
+// Heard takes a peer's outstanding requests.
+func (d *Desk) Heard(report *gossip.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.follow()
+	d.expire(now)
+	next := &peerLoads{heard: now, loads: make(map[domain.EndpointID]load, len(report.Loads))}
+	for _, l := range report.Loads {
+		next.loads[l.Endpoint] = loadOf(l)
+	}
+	d.replace(report.From, next)
+	d.handAll(now)
+}
+
+// expire drops the reports of silent peers.
+func (d *Desk) expire(now time.Time) {
+	for id, p := range d.peers {
+		if now.Sub(p.heard) > gossip.FreshFor {
+			d.replace(id, nil)
+		}
+	}
+}
+
+func (d *Desk) replace(id domain.NodeID, next *peerLoads) {
+	if old, ok := d.peers[id]; ok {
+		for endpoint, l := range old.loads {
+			d.adjust(endpoint, func(a *account) { a.others.subtract(l) })
+		}
+		delete(d.peers, id)
+	}
+	if next == nil {
+		return
+	}
+	for endpoint, l := range next.loads {
+		d.adjust(endpoint, func(a *account) { a.others.add(l) })
+	}
+	d.peers[id] = next
+}
+
+func (d *Desk) adjust(id domain.EndpointID, edit func(*account)) {
+	for _, p := range d.pools {
+		if a, ok := p.accounts[id]; ok {
+			edit(a)
+			return
+		}
+	}
+}
+
+// Run serves the queues when the directory changes, and now and then, until the context ends.
+func (d *Desk) Run(ctx context.Context) error {
+	ticker := time.NewTicker(serveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.directory.Changed():
+		case <-ticker.C:
+		}
+		d.serve()
+	}
+}
+
+// serveEvery bounds how long a place that became free unnoticed stays unused.
+const serveEvery = 100 * time.Millisecond
+
+func (d *Desk) serve() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.follow()
+	d.expire(now)
+	d.handAll(now)
+}
--- /dev/null
+++ b/places/place.go
@@ -0,0 +1,63 @@
+package places
+
+import (
+	"sync"
+	"time"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/directory"
+)
+
+// Place is a right to have one request at an endpoint. It must be released.
+type Place struct {
+	// Endpoint is where to send. It may have left since: ask the directory before sending.
+	Endpoint *directory.Endpoint
+	// Waited is how long the ask waited for the place.
+	Waited time.Duration
+
+	desk    *Desk
+	pool    *pool
+	account *account
+	ask     *capacity.Ask
+	granted time.Time
+	load    load
+	once    sync.Once
+}
+
+func newPlace(d *Desk, p *pool, a *account, ask *Ask, now time.Time) *Place {
+	return &Place{
+		Endpoint: a.endpoint,
+		desk:     d,
+		pool:     p,
+		account:  a,
+		ask:      ask.forRouter(),
+		granted:  now,
+		load: load{
+			requests:      1,
+			prefillTokens: ask.PromptTokens,
+			promptTokens:  ask.PromptTokens,
+			answerTokens:  ask.AnswerTokens,
+		},
+	}
+}
+
+// FirstEvent tells that the prompt has been read.
+func (p *Place) FirstEvent() { p.change(func(l *load) { l.prefillTokens = 0 }) }
+
+// Produced tells that so many more answer tokens have come.
+func (p *Place) Produced(tokens int) {
+	p.change(func(l *load) { l.answerTokens = max(l.answerTokens-tokens, 0) })
+}
+
+func (p *Place) change(edit func(*load)) {
+	p.desk.mu.Lock()
+	defer p.desk.mu.Unlock()
+	p.account.own.subtract(p.load)
+	edit(&p.load)
+	p.account.own.add(p.load)
+}
+
+// Release gives the place back and tells how it was used. Only the first call counts.
+func (p *Place) Release(result capacity.Result) {
+	p.once.Do(func() { p.desk.release(p, result) })
+}
