Gateway: a stream that can't go on ends visibly incomplete

Cause: after part of a stream was passed on, a check before its continuation (keys too old) answered with a document of the node's own, which ended the stream as if complete; an endpoint's failure to a continuation was passed on into the stream too. Now one place decides: nothing but events may follow events. A request that has begun to run may also go on when the keys are old, since it was allowed when it was sent. Without the change the new tests fail.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -54,10 +54,17 @@
 		return d.rejected(answer.StatusCode)
 	}
 	t.mayHaveRun = true
-	if t.route.Kind == routetable.Stream && answer.StatusCode == http.StatusOK {
+	switch streamed := t.route.Kind == routetable.Stream && answer.StatusCode == http.StatusOK; {
+	case streamed && head.Signed:
 		return d.passStream(answer)
+	case streamed:
+		return d.broken(errUnsigned)
+	case t.headSent:
+		// Nothing but events can go on from those passed on.
+		return d.broken(errEndpointFailed)
+	default:
+		return d.passWhole(answer, head)
 	}
-	return d.passWhole(answer, head)
 }
 
 // errNoBudget means that too many requests have been sent twice already.
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/retrybudget"
+	"hawthornrill.example/hawthornrill/routetable"
+	"hawthornrill.example/hawthornrill/tokenlimit"
+)
+
+// testProtocol has heads of its own.
+type testProtocol struct{}
+
+func (testProtocol) ReadCall(h http.Header) (Call, error) {
+	tokens, _ := strconv.Atoi(h.Get("X-Tokens"))
+	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEvent: h.Get("X-Last"), PromptTokens: tokens}, nil
+}
+
+func (testProtocol) WriteDispatch(h http.Header, d Dispatch) {
+	h.Del("X-Key")
+	h.Set("X-Endpoint", string(d.Endpoint))
+	h.Set("X-Organisation", string(d.Organisation))
+	h.Set("X-Last", d.LastEvent)
+}
+
+func (testProtocol) ReadAnswer(_ int, h http.Header) AnswerHead {
+	return AnswerHead{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != ""}
+}
+
+// testKnowledge is a table with an age.
+type testKnowledge struct {
+	table *routetable.Table
+	age   atomic.Int64
+	// asked is called when the age is asked for.
+	asked func()
+}
+
+func (k *testKnowledge) Table() *routetable.Table { return k.table }
+
+func (k *testKnowledge) Age(boottime.Instant) time.Duration {
+	if k.asked != nil {
+		k.asked()
+	}
+	return time.Duration(k.age.Load())
+}
+
+// fixture is a gateway before scripted endpoints.
+type fixture struct {
+	t         *testing.T
+	knowledge *testKnowledge
+	directory *directory.Directory
+	clock     atomic.Int64
+	url       string
+	sends     atomic.Int64
+}
+
+const testKeyAge = 5 * time.Second
+
+func newFixture(t *testing.T, edit func(*routetable.Route), endpoints ...http.HandlerFunc) *fixture {
+	f := &fixture{t: t, knowledge: &testKnowledge{}, directory: directory.New()}
+	f.clock.Store(int64(time.Hour))
+	route := routetable.Route{
+		Name: "r", Host: "h.example", Prefix: "/r/", Kind: routetable.Stream, Resumable: true, Timeout: time.Minute,
+		FirstByte: time.Minute, EventGap: time.Minute, MaxEndpoints: 2,
+		Splits: []routetable.Split{{Service: "s", Weight: 1}},
+	}
+	if edit != nil {
+		edit(&route)
+	}
+	organisation := routetable.Organisation{ID: "o", Keys: []string{"key"}, CountTokens: true, PlainTokens: 10, Rate: 1000, Burst: 1000}
+	table, err := routetable.New(1, []routetable.Route{route}, []routetable.Service{{Name: "s", Engine: true}},
+		[]routetable.Organisation{organisation}, routetable.Limits{MaxBodyBytes: 1 << 10})
+	assert.NilError(t, err)
+	f.knowledge.table = table
+	for i, handler := range endpoints {
+		f.addEndpoint(fmt.Sprintf("e%d", i), handler)
+	}
+	f.start()
+	return f
+}
+
+func (f *fixture) addEndpoint(id string, handler http.HandlerFunc) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.sends.Add(1)
+		handler(w, r)
+	}))
+	f.t.Cleanup(server.Close)
+	f.directory.Apply(0, []*directory.Endpoint{{
+		ID: domain.EndpointID(id), Service: "s", Address: server.Listener.Addr().String(), Slots: 4,
+	}}, nil, 0)
+}
+
+func (f *fixture) now() boottime.Instant { return boottime.Instant(f.clock.Load()) }
+
+func (f *fixture) start() {
+	set := metrics.NewSet()
+	alone := func() gossip.Fleet { return gossip.Fleet{Known: 1, Heard: 1} }
+	one := func() int { return 1 }
+
+	limits := tokenlimit.New(f.now, alone, set)
+	g := New(Parts{
+		Protocol:  testProtocol{},
+		Knowledge: f.knowledge,
+		Directory: f.directory,
+		Limits:    limits,
+		Retries:   retrybudget.New(retrybudget.Options{Ratio: 1, Slack: 100, Window: time.Minute}, f.now, one),
+		Places:    places.New(places.Options{}, f.directory, one, set),
+		Endpoints: exchange.New(set),
+		Clock:     f.now,
+		Log:       zerolog.Nop(),
+		Metrics:   set,
+	}, Options{KeyAge: testKeyAge})
+	f.clock.Add(int64(time.Hour)) // the limit's bucket is full
+	server := httptest.NewServer(g)
+	f.t.Cleanup(server.Close)
+	f.url = server.URL
+}
+
+// result is what a caller got. Err is how the body ended, nil for its proper end.
+type result struct {
+	Status int
+	Header http.Header
+	Body   string
+	Err    error
+}
+
+func (f *fixture) call(edit func(*http.Request)) result {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, f.url+"/r/x?q=1", http.NoBody)
+	assert.NilError(f.t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Id", "1")
+	request.Header.Set("X-Key", "key")
+	if edit != nil {
+		edit(request)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return result{Err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err}
+}
+
+// events writes events and flushes.
+func events(w http.ResponseWriter, from, to int) {
+	w.Header().Set("X-Signed", "yes")
+	w.WriteHeader(http.StatusOK)
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// broken ends the connection in the middle of an answer.
+func broken() { panic(http.ErrAbortHandler) }
+
+type directoryEndpoint = directory.Endpoint
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/routetable"
+)
+
+const threeEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+
+func TestStreamGoesOnAtAnotherEndpoint(t *testing.T) {
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Last") == "2" {
+			events(w, 3, 3)
+			return
+		}
+		events(w, 1, 2)
+		_, _ = io.WriteString(w, "id: 3\nda") // torn
+		_ = http.NewResponseController(w).Flush()
+		broken()
+	}
+	f := newFixture(t, nil, serve, serve)
+	got := f.call(nil)
+	assert.NilError(t, got.Err)
+	assert.Equal(t, got.Body, threeEvents)
+	assert.Equal(t, f.sends.Load(), int64(2))
+}
+
+func TestStreamThatCantGoOnEndsIncomplete(t *testing.T) {
+	tests := []struct {
+		name   string
+		edit   func(*routetable.Route)
+		second http.HandlerFunc
+	}{
+		{"not resumable", func(r *routetable.Route) { r.Resumable = false }, nil},
+		{"the second endpoint fails", nil, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "yes")
+			w.WriteHeader(http.StatusInternalServerError)
+		}},
+		{"the second endpoint refuses", nil, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{"the second endpoint's answer has no signature", nil, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "id: 3\ndata: 3\n\n")
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Last") != "" {
+					test.second(w, r)
+					return
+				}
+				events(w, 1, 2)
+				broken()
+			}
+			f := newFixture(t, test.edit, serve, serve)
+			got := f.call(nil)
+			assert.ErrorIs(t, got.Err, io.ErrUnexpectedEOF)
+			assert.Assert(t, strings.HasPrefix(threeEvents, got.Body), "%q", got.Body)
+		})
+	}
+}
+
+func TestStreamGoesOnThoughKeysAreOld(t *testing.T) {
+	var f *fixture
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Last") == "2" {
+			events(w, 3, 3)
+			return
+		}
+		events(w, 1, 2)
+		f.knowledge.age.Store(int64(testKeyAge + time.Second))
+		broken()
+	}
+	f = newFixture(t, nil, serve, serve)
+	got := f.call(nil)
+	assert.NilError(t, got.Err)
+	assert.Equal(t, got.Body, threeEvents)
+}
+
+func TestOldKeysAreRefusedAsNotRun(t *testing.T) {
+	f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+	f.knowledge.age.Store(int64(testKeyAge + 1))
+	got := f.call(nil)
+	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.Header.Get("Retry-After") != "")
+	assert.Equal(t, f.sends.Load(), int64(0))
+}
+
+func TestSuspensionBeforeTheDispatchIsCounted(t *testing.T) {
+	f := newFixture(t, func(r *routetable.Route) { r.Timeout = time.Minute }, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+	// The machine is suspended while the request is being checked.
+	f.knowledge.asked = func() { f.clock.Add(int64(2 * time.Minute)) }
+	got := f.call(nil)
+	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.sends.Load(), int64(0))
+}
+
+func TestPlainCalls(t *testing.T) {
+	ok := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "whole")
+	}
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+		broken()
+	}
+	refused := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "rubbish") }
+	foreign := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Id", "another")
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "another's")
+	}
+	tests := []struct {
+		name      string
+		kind      routetable.Kind
+		attempts  int
+		endpoints []http.HandlerFunc
+		status    int
+		sends     int64
+	}{
+		{"answered", routetable.NonIdempotent, 1, []http.HandlerFunc{ok}, 200, 1},
+		{"idempotent, answer lost, repeated up to the bound", routetable.Idempotent, 2, []http.HandlerFunc{cut, cut, cut}, 502, 2},
+		{"non-idempotent, answer lost, never repeated", routetable.NonIdempotent, 2, []http.HandlerFunc{cut, ok}, 0, 0},
+		{"non-idempotent, refused by all", routetable.NonIdempotent, 2, []http.HandlerFunc{refused, refused}, 503, 2},
+		{"an answer without a signature is not passed on", routetable.NonIdempotent, 1, []http.HandlerFunc{unsigned}, 502, 1},
+		{"another request's answer is not passed on", routetable.NonIdempotent, 1, []http.HandlerFunc{foreign}, 504, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, func(r *routetable.Route) {
+				r.Kind, r.Resumable, r.MaxEndpoints = test.kind, false, test.attempts
+				r.Timeout, r.FirstByte = time.Second, time.Minute
+			}, test.endpoints...)
+			got := f.call(nil)
+			if test.status == 0 {
+				// Which endpoint is chosen is not part of the case: it has run once, whatever was answered.
+				assert.Assert(t, got.Status == 200 || got.Status == 502)
+				assert.Equal(t, f.sends.Load(), int64(1))
+				return
+			}
+			assert.Equal(t, got.Status, test.status)
+			assert.Equal(t, f.sends.Load(), test.sends)
+		})
+	}
+}
+
+func TestHeadsAreTheSystemsOwn(t *testing.T) {
+	var seen http.Header
+	var target string
+	f := newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		seen, target = r.Header.Clone(), r.RequestURI
+		events(w, 1, 1)
+	})
+	got := f.call(func(r *http.Request) {
+		r.Header.Set("X-Organisation", "forged")
+		r.Header.Set("Connection", "X-Private")
+		r.Header.Set("X-Private", "1")
+		r.Header.Set("X-Kept", "1")
+	})
+	assert.NilError(t, got.Err)
+	assert.Equal(t, seen.Get("X-Organisation"), "o")
+	assert.Equal(t, seen.Get("X-Key"), "")
+	assert.Equal(t, seen.Get("X-Private"), "")
+	assert.Equal(t, seen.Get("X-Kept"), "1")
+	assert.Equal(t, target, "/r/x?q=1")
+}
+
+func TestBadInput(t *testing.T) {
+	tests := []struct {
+		name   string
+		edit   func(*http.Request)
+		status int
+	}{
+		{"no route", func(r *http.Request) { r.URL.Path = "/none/" }, 404},
+		{"another host", func(r *http.Request) { r.Host = "other.example" }, 404},
+		{"no key", func(r *http.Request) { r.Header.Del("X-Key") }, 401},
+		{"unknown key", func(r *http.Request) { r.Header.Set("X-Key", "no") }, 401},
+		{"body too long", func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<10)))
+			r.ContentLength = 2 << 10
+		}, 413},
+		{"over the limit", func(r *http.Request) { r.Header.Set("X-Tokens", "900") }, 200},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+			assert.Equal(t, f.call(test.edit).Status, test.status)
+			if test.status == 200 {
+				got := f.call(test.edit)
+				assert.Equal(t, got.Status, http.StatusTooManyRequests)
+				assert.Assert(t, got.Header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+func TestEndpointThatLeavesGetsNothingNew(t *testing.T) {
+	f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+	e := *f.directory.Current().Endpoint("e0")
+	e.Leaving = true
+	f.directory.Apply(0, []*directoryEndpoint{&e}, nil, 0)
+	assert.Equal(t, f.call(nil).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.sends.Load(), int64(0))
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -146,7 +146,8 @@
 	if t.left() < leastTimeLeft {
 		return t.outOfTime()
 	}
-	if !t.keyed {
+	if !t.keyed || t.mayHaveRun {
+		// A request that has begun to run was allowed when it was sent, and may go on.
 		return nil
 	}
 	if t.keysTooOld() {
@@ -185,9 +186,9 @@
 			RetryAfter: refusal.RetryAfter,
 			Cause:      fmt.Errorf("%w (wait %v, ahead %d, free %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free),
 		}
-		return step{done: true, refusal: t.honest(p), abort: t.headSent, err: err}
+		return step{done: true, refusal: t.honest(p), err: err}
 	case errors.Is(err, errTimeout):
-		return step{done: true, refusal: t.outOfTime(), abort: t.headSent, err: err}
+		return step{done: true, refusal: t.outOfTime(), err: err}
 	default:
 		return step{done: true, err: errCallerGone, abort: true}
 	}
@@ -195,7 +196,7 @@
 
 // giveUp is the end after an attempt that can't be repeated.
 func (t *task) giveUp(err error) step {
-	s := step{done: true, err: err, abort: t.headSent}
+	s := step{done: true, err: err}
 	switch {
 	case errors.Is(err, errTimeout):
 		s.refusal = t.outOfTime()
@@ -215,6 +216,10 @@
 	if t.counted && !t.mayHaveRun {
 		t.gateway.parts.Limits.Return(t.organisation, t.cost)
 	}
+	if t.headSent && s.refusal != nil {
+		// An answer of the node's own can't follow a part of an endpoint's: it would end as if it were complete.
+		s.abort = true
+	}
 	t.logEnd(s)
 	switch {
 	case s.abort:
