--- a/cmd/hawthornrill-entry/main.go
+++ b/cmd/hawthornrill-entry/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -25,6 +26,13 @@
 	exitBadInput = 2
 )
 
+const (
+	// storeDial bounds a new connection to the store, which answers in milliseconds.
+	storeDial = 500 * time.Millisecond
+	// storeSilence finds a connection to the store that has gone silent while a watch waits on it.
+	storeSilence = time.Second
+)
+
 func main() { os.Exit(start()) }
 
 func start() int {
@@ -59,7 +67,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go reload(ctx, path, level, log)
-	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{}))
+	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{DialTimeout: storeDial, SilentTimeout: storeSilence}))
 	node, err := entrynode.New(settings, entrynode.Adapters{Protocol: platform.Heads{}, Source: client, Registry: client}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("node can't start")
--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -21,7 +21,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +28,7 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/netdial"
 )
 
 const (
@@ -37,10 +37,6 @@
 	dialTimeout = 250 * time.Millisecond
 	// silentTimeout is how long sent bytes may stay unacknowledged before the connection is taken for dead.
 	silentTimeout = 1500 * time.Millisecond
-	// keepAliveEvery finds dead connections on which an answer is awaited.
-	keepAliveEvery = 1 * time.Second
-	// keepAliveProbes is the number of probes without an answer after which a connection is dead.
-	keepAliveProbes = 2
 	// defaultIdle is how long a connection may be idle if the endpoint states nothing.
 	defaultIdle = 4 * time.Second
 	// idleMargin is what is left of the stated time for the request to arrive.
@@ -70,7 +66,7 @@
 
 // Client keeps connections to endpoints. It is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu   sync.Mutex
 	idle map[domain.EndpointID][]*conn
@@ -81,29 +77,15 @@
 // New returns a client without connections.
 func New(set *metrics.Set) *Client {
 	c := &Client{
+		dialer: netdial.New(dialTimeout, silentTimeout),
 		idle:   make(map[domain.EndpointID][]*conn),
 		dials:  set.NewCounter("hawthornrill_endpoint_dials_total"),
 		reused: set.NewCounter("hawthornrill_endpoint_connections_reused_total"),
 		stale:  set.NewCounter("hawthornrill_endpoint_stale_answers_total"),
 	}
-	c.dialer = net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
-	}
 	return c
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
-	})
-	return errors.Join(err, set)
-}
-
 // Send sends the request and returns the answer, whose Close must be called. The context bounds the answer's body too:
 // when it ends, the connection is closed, which tells the endpoint to stop.
 func (c *Client) Send(ctx context.Context, r *Request) (*Answer, error) {
--- a/endpoint/onesend/options.go
+++ b/endpoint/onesend/options.go
@@ -2,7 +2,10 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
+
+	"hawthornrill.example/hawthornrill/netdial"
 )
 
 // Options are the settings of a Transport. New fills in the defaults.
@@ -14,6 +17,9 @@
 	IdleTimeout time.Duration
 	// IdlePerHost is the number of unused connections kept to one endpoint. Default 64.
 	IdlePerHost int
+	// SilentTimeout is how long a connection may be silent at the level of TCP before it is taken for dead. Zero leaves it
+	// to the kernel.
+	SilentTimeout time.Duration
 	// TLS is used for https addresses; nil for the defaults.
 	TLS *tls.Config
 }
@@ -25,6 +31,14 @@
 	keepAlivePeriod    = 15 * time.Second
 )
 
+// dialer returns the dialer of the options.
+func (o Options) dialer() *dialer {
+	if o.SilentTimeout > 0 {
+		return &dialer{Dialer: *netdial.New(o.DialTimeout, o.SilentTimeout)}
+	}
+	return &dialer{Dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlivePeriod}}
+}
+
 func (o Options) withDefaults() Options {
 	if o.DialTimeout == 0 {
 		o.DialTimeout = defaultDialTimeout
--- a/endpoint/onesend/transport.go
+++ b/endpoint/onesend/transport.go
@@ -20,7 +20,7 @@
 // New returns a Transport.
 func New(options Options) *Transport {
 	options = options.withDefaults()
-	d := &dialer{Dialer: net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAlivePeriod}}
+	d := options.dialer()
 	t := &Transport{}
 	t.pool.DialContext = d.dial
 	t.pool.TLSClientConfig = options.TLS
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -58,16 +58,23 @@
 func New(s Settings, adapters Adapters, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log, metrics: metrics.NewSet(), directory: directory.New()}
 	limitMemory(s.Host)
+	self := follow.Peer{Node: s.Node, DataCentre: s.DataCentre, Address: s.Listen.Peers}
+	n.announcer = &follow.Announcer{Registry: adapters.Registry, Self: self, Log: log, Listed: make(chan struct{})}
 	n.follower = follow.New(follow.Parts{
-		Source: adapters.Source, Directory: n.directory, Clock: boottime.Now, Log: log, Metrics: n.metrics,
+		Source:    adapters.Source,
+		Directory: n.directory,
+		Clock:     boottime.Now,
+		Confirms:  func() bool { return n.mesh.Confirms() },
+		Fleet:     n.fleet,
+		Listed:    n.announcer.Listed,
+		Log:       log,
+		Metrics:   n.metrics,
 	})
-	self := follow.Peer{Node: s.Node, DataCentre: s.DataCentre, Address: s.Listen.Peers}
-	n.announcer = &follow.Announcer{Registry: adapters.Registry, Self: self, Log: log}
 	if err := n.openMesh(); err != nil {
 		return nil, err
 	}
 	n.limits = tokenlimit.New(boottime.Now, n.mesh.Fleet, n.metrics)
-	n.desk = places.New(places.Options{DataCentre: s.DataCentre}, n.directory, n.nodes, n.metrics)
+	n.desk = places.New(places.Options{Node: s.Node, DataCentre: s.DataCentre}, n.directory, n.mesh.Fleet, n.metrics)
 	n.endpoints = exchange.New(n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
 		Protocol:  adapters.Protocol,
@@ -105,6 +112,12 @@
 
 func (n *Node) nodes() int { return n.mesh.Fleet().Known }
 
+// fleet returns the number of nodes, and whether one of them is silent.
+func (n *Node) fleet() (nodes int, silent bool) {
+	fleet := n.mesh.Fleet()
+	return fleet.Known, fleet.Heard < fleet.Known
+}
+
 func (n *Node) idleTimeout() time.Duration {
 	if table := n.follower.Table(); table != nil {
 		return table.Limits.IdleTimeout
@@ -119,24 +132,25 @@
 	}
 	n.socket = socket
 	n.mesh = gossip.New(gossip.Parts{
-		Self:      n.settings.Node,
-		Life:      uint64(time.Now().UnixNano()),
-		Transport: socket,
-		Clock:     boottime.Now,
-		Peers:     n.peers,
-		Fill:      n.fill,
-		Heard:     n.heard,
-		Log:       n.log,
-		Metrics:   n.metrics,
+		Self:       n.settings.Node,
+		DataCentre: n.settings.DataCentre,
+		Life:       uint64(time.Now().UnixNano()),
+		Transport:  socket,
+		Clock:      boottime.Now,
+		Peers:      n.peers,
+		Fill:       n.fill,
+		Heard:      n.heard,
+		Log:        n.log,
+		Metrics:    n.metrics,
 	})
 	return nil
 }
 
 func (n *Node) peers() []gossip.Address {
-	listed := n.follower.Peers()
+	listed := n.follower.Nodes()
 	addresses := make([]gossip.Address, 0, len(listed))
 	for _, p := range listed {
-		addresses = append(addresses, gossip.Address{Node: p.Node, HostPort: p.Address})
+		addresses = append(addresses, gossip.Address{Node: p.Node, DataCentre: p.DataCentre, HostPort: p.Address})
 	}
 	return addresses
 }
@@ -148,6 +162,8 @@
 		report.Version = table.Version
 		report.Age = n.follower.Age(boottime.Now())
 	}
+	_, last := n.follower.Revision(follow.Endpoints)
+	report.Endpoints = uint64(last)
 	n.desk.Fill(report)
 	n.limits.Fill(report)
 }
@@ -156,9 +172,11 @@
 func (n *Node) heard(report *gossip.Report, sent boottime.Instant) {
 	n.desk.Heard(report)
 	n.limits.Heard(report)
-	if sent > 0 && report.Version > 0 {
-		n.follower.Relay(report.Version, sent.Add(-report.Age))
+	word := follow.Word{Version: report.Version, Endpoints: follow.Revision(report.Endpoints)}
+	if sent > 0 {
+		word.Confirmed = sent.Add(-report.Age)
 	}
+	n.follower.Relay(word)
 }
 
 // Ready reports whether the node takes requests, and why not.
--- a/entrynode/operators.go
+++ b/entrynode/operators.go
@@ -9,6 +9,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/buildinfo"
+	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/logging"
 )
@@ -39,7 +40,6 @@
 		Ready:     ready,
 		Reason:    reason,
 		AgeMS:     float64(n.follower.Age(boottime.Now()).Microseconds()) / 1000,
-		Revision:  uint64(n.follower.Revision()),
 		Active:    n.gateway.Active(),
 		Waiting:   n.desk.Waiting(),
 		Fleet:     n.mesh.Fleet(),
@@ -48,6 +48,8 @@
 	if table := n.follower.Table(); table != nil {
 		s.Version = table.Version
 	}
+	known, _ := n.follower.Revision(follow.Configuration)
+	s.Revision = uint64(known)
 	n.fill(&s.Report)
 	return s
 }
--- /dev/null
+++ b/follow/feed.go
@@ -0,0 +1,173 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"hawthornrill.example/hawthornrill/boottime"
+)
+
+// feed follows one topic. One goroutine runs it; the atomics may be read by others.
+type feed struct {
+	follower *Follower
+	topic    Topic
+	// revision is the store's, up to which the topic is known, last that of its last change.
+	revision atomic.Uint64
+	last     atomic.Uint64
+	// interrupt ends the watch in progress, nil if there is none; urgent makes the next one a probe.
+	interrupt atomic.Pointer[context.CancelFunc]
+	urgent    atomic.Bool
+
+	// failing is true between the first failed call and the next good one, returned is when that was.
+	failing  bool
+	failures int
+	returned boottime.Instant
+}
+
+// run follows the topic until the context ends.
+func (d *feed) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if d.load(ctx) {
+			d.watch(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// load reads everything and reports success.
+func (d *feed) load(ctx context.Context) bool {
+	f := d.follower
+	f.reloads.Inc()
+	sent := f.parts.Clock()
+	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	f.calls.Inc()
+	change, err := f.parts.Source.Load(callCtx, d.topic)
+	if err != nil {
+		d.fail(ctx, "full read", err)
+		return false
+	}
+	d.succeed()
+	f.replace(d, change)
+	d.note(change, sent)
+	f.parts.Log.Info().Stringer("topic", d.topic).Uint64("revision", uint64(change.Revision)).
+		Int("endpoints", len(change.Endpoints)).Dur("took_ms", f.parts.Clock().Sub(sent)).Msg("store read in full")
+	return true
+}
+
+// watch follows changes until the topic has to be loaded again.
+func (d *feed) watch(ctx context.Context) {
+	f := d.follower
+	for ctx.Err() == nil {
+		sent := f.parts.Clock()
+		change, err := d.watchOnce(ctx)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			f.parts.Log.Warn().Stringer("topic", d.topic).Uint64("revision", d.revision.Load()).
+				Msg("store history is gone, reading in full")
+			return
+		case err != nil && d.urgent.Load():
+			// Interrupted to ask at once.
+			continue
+		case err != nil:
+			d.fail(ctx, "watch", err)
+			continue
+		}
+		d.succeed()
+		f.apply(d, change)
+		d.note(change, sent)
+		if change.Last > 0 {
+			pause(ctx, f.batchPause())
+		}
+	}
+}
+
+// note keeps how far the topic is known.
+func (d *feed) note(change Change, sent boottime.Instant) {
+	d.revision.Store(max(uint64(change.Revision), d.revision.Load()))
+	d.last.Store(max(uint64(change.Last), d.last.Load()))
+	if d.topic == Configuration {
+		d.follower.confirm(sent)
+	}
+}
+
+func (d *feed) watchOnce(ctx context.Context) (Change, error) {
+	wait, timeout := d.wait()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	d.interrupt.Store(&cancel)
+	defer d.interrupt.Store(nil)
+	d.follower.calls.Inc()
+	return d.follower.parts.Source.Watch(ctx, d.topic, Revision(d.revision.Load()), wait)
+}
+
+// wait chooses how long the next watch waits and how long its answer may take.
+func (d *feed) wait() (wait, timeout time.Duration) {
+	if d.urgent.Swap(false) || d.failing {
+		return probeWait, probeTimeout
+	}
+	wait = longWait
+	if d.topic == Configuration && d.follower.mustConfirm() {
+		wait = confirmWait
+	}
+	return wait, wait + watchSlack
+}
+
+// hurry ends the watch in progress and makes the next one ask at once.
+func (d *feed) hurry() {
+	d.urgent.Store(true)
+	if cancel := d.interrupt.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+func (d *feed) succeed() {
+	d.failures = 0
+	if !d.failing {
+		return
+	}
+	d.failing = false
+	f := d.follower
+	d.returned = f.parts.Clock()
+	f.parts.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(d.returned)).Msg("store reached again")
+}
+
+// fail notes a failed call and pauses.
+func (d *feed) fail(ctx context.Context, call string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f := d.follower
+	f.failed.Inc()
+	d.failures++
+	if !d.failing {
+		d.failing = true
+		f.parts.Log.Warn().Err(err).Stringer("topic", d.topic).Str("call", call).
+			Dur("age_ms", f.Age(f.parts.Clock())).Msg("store lost")
+	}
+	most := min(retryFirst<<min(d.failures-1, 8), retryMost)
+	pause(ctx, most/2+rand.N(most))
+}
+
+// keepUntil is until when entries that are missing now are kept.
+func (d *feed) keepUntil() boottime.Instant {
+	if d.returned == 0 {
+		return 0
+	}
+	return d.returned.Add(returnGrace)
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -3,17 +3,20 @@
 // Guarantees. A configuration never goes back to a lower version within one life of the process. Age says how old the
 // knowledge may be: it counts from the sending of the last call that confirmed it, never from the arrival of an
 // answer, and goes on while the process is suspended. Lost history is read anew in full.
+//
+// Calls to the store cost and a whole fleet makes them, so that only some nodes of each data centre confirm the
+// configuration every two seconds. The others take their word (Relay), wait long for changes, and ask the store
+// themselves as soon as that word stops or tells of something that their own watch does not.
 package follow
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
@@ -25,43 +28,42 @@
 	Source    Source
 	Directory *directory.Directory
 	Clock     boottime.Clock
-	Log       zerolog.Logger
-	Metrics   *metrics.Set
+	// Confirms tells whether this node is one of those that confirm the configuration for the others.
+	Confirms func() bool
+	// Fleet returns the number of nodes, and whether a listed one is silent.
+	Fleet func() (nodes int, silent bool)
+	// Listed is closed once this node is listed. The list is read after that, so that of two nodes that start at a time
+	// one at least finds the other.
+	Listed  <-chan struct{}
+	Log     zerolog.Logger
+	Metrics *metrics.Set
 }
 
 // Follower follows the store. Its readers are safe for concurrent use.
 type Follower struct {
 	parts     Parts
+	feeds     [topics]*feed
 	table     atomic.Pointer[routetable.Table]
-	peers     roster
+	nodes     atomic.Pointer[[]Peer]
 	confirmed atomic.Int64
-	revision  atomic.Uint64
-	// reload asks for a full read, because a peer knows of something newer.
-	reload  chan struct{}
-	relayed relayed
-
-	// failing is true between the first failed call and the next good one, returned is when that was.
-	failing  bool
-	failures int
-	returned boottime.Instant
+	relayed   relayed
 
-	calls    *metrics.Counter
-	failed   *metrics.Counter
-	reloads  *metrics.Counter
-	rejected *metrics.Counter
+	calls, failed, reloads, rejected *metrics.Counter
 }
 
 // New returns a follower that knows nothing. Run must run.
 func New(parts Parts) *Follower {
 	f := &Follower{
 		parts:    parts,
-		reload:   make(chan struct{}, 1),
 		calls:    parts.Metrics.NewCounter("hawthornrill_store_calls_total"),
 		failed:   parts.Metrics.NewCounter("hawthornrill_store_call_failures_total"),
 		reloads:  parts.Metrics.NewCounter("hawthornrill_store_full_reads_total"),
 		rejected: parts.Metrics.NewCounter("hawthornrill_store_entries_rejected_total"),
 	}
-	f.peers.store(nil)
+	for topic := range topics {
+		f.feeds[topic] = &feed{follower: f, topic: topic}
+	}
+	f.nodes.Store(new([]Peer))
 	parts.Metrics.NewGauge("hawthornrill_store_knowledge_age_seconds", func() float64 {
 		return f.Age(parts.Clock()).Seconds()
 	})
@@ -71,11 +73,14 @@
 // Table returns the configuration in force, nil before the first.
 func (f *Follower) Table() *routetable.Table { return f.table.Load() }
 
-// Peers returns the other nodes and this one as the store lists them.
-func (f *Follower) Peers() []Peer { return f.peers.load() }
+// Nodes returns the nodes as last listed, this one included.
+func (f *Follower) Nodes() []Peer { return *f.nodes.Load() }
 
-// Revision returns the store's revision up to which everything is known.
-func (f *Follower) Revision() Revision { return Revision(f.revision.Load()) }
+// Revision returns the revision up to which a topic is known, and that of its last change.
+func (f *Follower) Revision(topic Topic) (known, last Revision) {
+	d := f.feeds[topic]
+	return Revision(d.revision.Load()), Revision(d.last.Load())
+}
 
 // never is the age of knowledge that there is none of.
 const never = time.Duration(1<<63 - 1)
@@ -91,86 +96,44 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	go f.sweep(ctx)
-	for ctx.Err() == nil {
-		if f.load(ctx) {
-			f.watch(ctx)
-		}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, d := range f.feeds {
+		group.Go(func() error { return d.run(ctx) })
 	}
-	return ctx.Err()
+	group.Go(func() error { return f.look(ctx) })
+	group.Go(func() error { return f.listNodes(ctx) })
+	return group.Wait()
 }
 
-// load reads everything and reports success.
-func (f *Follower) load(ctx context.Context) bool {
-	f.reloads.Inc()
-	sent := f.parts.Clock()
-	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	f.calls.Inc()
-	state, err := f.parts.Source.Load(callCtx)
-	if err != nil {
-		f.fail(ctx, "full read", err)
-		return false
-	}
-	f.succeed()
-	f.reject(state.Rejected)
-	now := f.parts.Clock()
-	f.parts.Directory.Replace(now, state.Endpoints, f.keepUntil())
-	f.peers.store(state.Peers)
-	f.accept(state.Table)
-	f.revision.Store(uint64(state.Revision))
-	f.confirm(sent)
-	f.parts.Log.Info().Uint64("revision", uint64(state.Revision)).Int("endpoints", len(state.Endpoints)).
-		Int("peers", len(state.Peers)).Dur("took_ms", now.Sub(sent)).Msg("store read in full")
-	return true
+// mustConfirm reports whether this node can't rely on its peers' confirmations.
+func (f *Follower) mustConfirm() bool {
+	return f.parts.Confirms() || f.Age(f.parts.Clock()) > relayFresh
 }
 
-// watch follows changes until the state has to be loaded again.
-func (f *Follower) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		sent := f.parts.Clock()
-		change, err := f.watchOnce(ctx)
-		switch {
-		case errors.Is(err, ErrCompacted):
-			f.parts.Log.Warn().Uint64("revision", f.revision.Load()).Msg("store history is gone, reading in full")
-			return
-		case err != nil && f.behind():
-			f.parts.Log.Warn().Uint64("revision", f.revision.Load()).Msg("a peer has a later configuration, reading in full")
-			return
-		case err != nil:
-			f.fail(ctx, "watch", err)
-			continue
-		}
-		f.succeed()
-		f.apply(change)
-		f.confirm(sent)
-		if len(change.Endpoints)+len(change.Removed)+len(change.Peers) > 0 {
-			pause(ctx, batchPause)
-		}
-	}
+// batchPause is how long changes are collected before the store is asked for more.
+func (f *Follower) batchPause() time.Duration {
+	nodes, _ := f.parts.Fleet()
+	return min(batchPause+time.Duration(nodes)*batchPauseNode, batchPauseMost)
 }
 
-// behind reports whether the watch was interrupted for a full read.
-func (f *Follower) behind() bool {
-	select {
-	case <-f.reload:
-		return true
-	default:
-		return false
+// replace makes what was loaded the whole truth.
+func (f *Follower) replace(d *feed, change Change) {
+	f.reject(change.Rejected)
+	if d.topic == Configuration {
+		f.accept(change.Table)
+		return
 	}
+	f.parts.Directory.Replace(f.parts.Clock(), change.Endpoints, d.keepUntil())
 }
 
-func (f *Follower) watchOnce(ctx context.Context) (Change, error) {
-	wait, timeout := watchWait, watchWait+watchSlack
-	if f.failing {
-		wait, timeout = probeWait, probeTimeout
+// apply brings a change in.
+func (f *Follower) apply(d *feed, change Change) {
+	f.reject(change.Rejected)
+	f.accept(change.Table)
+	if len(change.Endpoints)+len(change.Removed) > 0 {
+		f.parts.Directory.Apply(f.parts.Clock(), change.Endpoints, change.Removed, d.keepUntil())
+		f.logEndpoints(change)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	f.setInterrupt(cancel)
-	defer f.setInterrupt(nil)
-	f.calls.Inc()
-	return f.parts.Source.Watch(ctx, Revision(f.revision.Load()), wait)
 }
 
 // reject logs entries that can't be read. The last good ones stay in force.
@@ -181,18 +144,6 @@
 	}
 }
 
-func (f *Follower) apply(change Change) {
-	f.reject(change.Rejected)
-	now := f.parts.Clock()
-	if len(change.Endpoints)+len(change.Removed) > 0 {
-		f.parts.Directory.Apply(now, change.Endpoints, change.Removed, f.keepUntil())
-		f.logEndpoints(change)
-	}
-	f.peers.apply(change.Peers, change.RemovedPeers)
-	f.accept(change.Table)
-	f.revision.Store(max(uint64(change.Revision), f.revision.Load()))
-}
-
 func (f *Follower) logEndpoints(change Change) {
 	for _, e := range change.Endpoints {
 		f.parts.Log.Info().Str("endpoint", string(e.ID)).Str("service", e.Service).Bool("leaving", e.Leaving).
@@ -217,7 +168,7 @@
 		Int("organisations", len(table.Organisations)).Msg("configuration in force")
 }
 
-// confirm notes that the knowledge was complete at the instant.
+// confirm notes that the knowledge of the configuration was complete at the instant.
 func (f *Follower) confirm(at boottime.Instant) {
 	if f.table.Load() == nil {
 		return
@@ -230,56 +181,55 @@
 	}
 }
 
-// keepUntil is until when entries that are missing now are kept.
-func (f *Follower) keepUntil() boottime.Instant {
-	if f.returned == 0 {
-		return 0
-	}
-	return f.returned.Add(returnGrace)
-}
-
-func (f *Follower) succeed() {
-	f.failures = 0
-	if !f.failing {
-		return
+// look drops kept entries when their time is over, and asks the store when the peers' confirmations have stopped.
+func (f *Follower) look(ctx context.Context) error {
+	configuration := f.feeds[Configuration]
+	var hurried boottime.Instant
+	for pause(ctx, lookEvery) {
+		now := f.parts.Clock()
+		for _, id := range f.parts.Directory.Sweep(now) {
+			f.parts.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again after an outage, removed")
+		}
+		age := f.Age(now)
+		if age != never && age > relayLost && now.Sub(hurried) > probeTimeout {
+			hurried = now
+			configuration.hurry()
+		}
 	}
-	f.failing = false
-	f.returned = f.parts.Clock()
-	f.parts.Log.Info().Dur("age_ms", f.Age(f.returned)).Msg("store reached again")
+	return ctx.Err()
 }
 
-// fail notes a failed call and pauses.
-func (f *Follower) fail(ctx context.Context, call string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	f.failed.Inc()
-	f.failures++
-	if !f.failing {
-		f.failing = true
-		f.parts.Log.Warn().Err(err).Str("call", call).Dur("age_ms", f.Age(f.parts.Clock())).Msg("store lost")
+// listNodes reads the list of nodes at the start, and again while a listed one is silent, since it may be gone.
+func (f *Follower) listNodes(ctx context.Context) error {
+	select {
+	case <-f.parts.Listed:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	d := min(retryFirst<<min(f.failures-1, 8), retryMost)
-	pause(ctx, d/2+rand.N(d))
-}
-
-// sweep drops kept entries when their time is over.
-func (f *Follower) sweep(ctx context.Context) {
-	for pause(ctx, sweepEvery) {
-		for _, id := range f.parts.Directory.Sweep(f.parts.Clock()) {
-			f.parts.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again after an outage, removed")
+	for {
+		wait := nodesEvery
+		if _, silent := f.parts.Fleet(); silent || len(f.Nodes()) == 0 {
+			if err := f.readNodes(ctx); err != nil && ctx.Err() == nil {
+				f.parts.Log.Debug().Err(err).Msg("list of nodes not read")
+				wait = nodesRetry
+			}
+		}
+		if !pause(ctx, wait) {
+			return ctx.Err()
 		}
 	}
 }
 
-// pause waits and reports whether the context still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+func (f *Follower) readNodes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	f.calls.Inc()
+	nodes, err := f.parts.Source.Nodes(ctx, len(f.Nodes()) > 0)
+	if err != nil {
+		f.failed.Inc()
+		return err
 	}
+	f.nodes.Store(&nodes)
+	f.parts.Log.Info().Int("nodes", len(nodes)).Msg("list of nodes read")
+	return nil
 }
--- a/follow/registry.go
+++ b/follow/registry.go
@@ -36,8 +36,11 @@
 	Registry Registry
 	Self     Peer
 	Log      zerolog.Logger
+	// Listed is closed once the node has been listed. It must not be nil.
+	Listed chan struct{}
 
-	lease store.LeaseID
+	lease  store.LeaseID
+	listed bool
 }
 
 // Run lists the node until the context ends, and then takes it off the list.
@@ -70,6 +73,10 @@
 		return err
 	}
 	a.lease = lease
+	if !a.listed {
+		a.listed = true
+		close(a.Listed)
+	}
 	a.Log.Info().Uint64("lease", uint64(lease)).Msg("node listed in the store")
 	return nil
 }
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -2,63 +2,59 @@
 
 import (
 	"sync"
-	"time"
 
 	"hawthornrill.example/hawthornrill/boottime"
 )
 
-// newerPatience is how long a peer may know of a later configuration before this node stops waiting for its own watch,
-// which usually tells of it within an answer's time and the pause between two calls.
-const newerPatience = 500 * time.Millisecond
+// Word is what a peer says that it knows.
+type Word struct {
+	// Version is the peer's configuration. At some time not before Confirmed it knew that this was the newest; zero if
+	// that time is not known.
+	Version   uint64
+	Confirmed boottime.Instant
+	// Endpoints is the revision of the last change of the endpoints that the peer has heard of.
+	Endpoints Revision
+}
 
-// relayed remembers what peers know that this node does not.
+// relayed remembers since when peers know of something that this node does not.
 type relayed struct {
-	mu      sync.Mutex
-	version uint64
-	since   boottime.Instant
-	// interrupt ends the watch in progress, nil if there is none.
-	interrupt func()
+	mu    sync.Mutex
+	since [topics]boottime.Instant
 }
 
-// Relay takes a peer's word: at some time not before the instant, it had confirmed that the version was the newest. A
-// peer's knowledge of the same version confirms this node's. A later one that this node's own watch does not tell of
-// makes it read the store in full.
-func (f *Follower) Relay(version uint64, confirmed boottime.Instant) {
+// Relay takes a peer's word. Its knowledge of the same version confirms this node's. Where it knows of something later
+// and this node's own watch does not tell of it for a while, that watch is given up and the store asked at once.
+func (f *Follower) Relay(word Word) {
 	table := f.table.Load()
-	if table == nil || version < table.Version {
+	if table == nil {
 		return
 	}
-	if version == table.Version {
-		f.confirm(confirmed)
-		return
+	if word.Version == table.Version && word.Confirmed > 0 {
+		f.confirm(word.Confirmed)
 	}
-	f.newer(version)
+	f.compare(Configuration, word.Version > table.Version)
+	known, _ := f.Revision(Endpoints)
+	f.compare(Endpoints, word.Endpoints > known)
 }
 
-func (f *Follower) newer(version uint64) {
+// compare notes whether a peer is ahead in a topic.
+func (f *Follower) compare(topic Topic, ahead bool) {
 	r := &f.relayed
 	now := f.parts.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.version != version {
-		r.version, r.since = version, now
-		return
-	}
-	if now.Sub(r.since) < newerPatience {
-		return
+	since := &r.since[topic]
+	switch {
+	case !ahead:
+		// Another peer may be ahead; its next word says so again.
+		if *since != 0 && now.Sub(*since) > 2*newerPatience {
+			*since = 0
+		}
+	case *since == 0:
+		*since = now
+	case now.Sub(*since) > newerPatience+f.batchPause():
+		*since = 0
+		f.parts.Log.Warn().Stringer("topic", topic).Msg("a peer knows of a later change, asking the store")
+		f.feeds[topic].hurry()
 	}
-	r.since = now
-	select {
-	case f.reload <- struct{}{}:
-	default:
-	}
-	if r.interrupt != nil {
-		r.interrupt()
-	}
-}
-
-func (f *Follower) setInterrupt(interrupt func()) {
-	f.relayed.mu.Lock()
-	defer f.relayed.mu.Unlock()
-	f.relayed.interrupt = interrupt
 }
--- a/follow/source.go
+++ b/follow/source.go
@@ -13,30 +13,36 @@
 // Revision orders the store's changes.
 type Revision uint64
 
-// ErrCompacted means that the store no longer has the changes after the revision: the state must be loaded again.
-var ErrCompacted = errors.New("follow: history is no longer available")
+// Topic is a part of the store that is followed by itself.
+type Topic uint8
 
-// State is everything that the store holds for a node, at a revision or later.
-type State struct {
-	Revision  Revision
-	Table     *routetable.Table
-	Endpoints []*directory.Endpoint
-	Peers     []Peer
-	// Rejected are entries that could not be read.
-	Rejected []error
-}
+const (
+	// Configuration is the operators' configuration.
+	Configuration Topic = iota
+	// Endpoints is the list of endpoints.
+	Endpoints
+	topics
+)
+
+var topicNames = [...]string{Configuration: "configuration", Endpoints: "endpoints"}
+
+// String returns the topic's name.
+func (t Topic) String() string { return topicNames[t] }
+
+// ErrCompacted means that the store no longer has the changes after the revision: the topic must be loaded again.
+var ErrCompacted = errors.New("follow: history is no longer available")
 
-// Change is what happened up to a revision.
+// Change is what happened in a topic up to a revision, or all that a topic holds.
 type Change struct {
+	// Revision is the store's, up to which everything is covered.
 	Revision Revision
+	// Last is the revision of the last change told, 0 if there is none.
+	Last Revision
 	// Table is the newest configuration, nil if it did not change.
 	Table *routetable.Table
 	// Endpoints were listed or changed, Removed are listed no more.
 	Endpoints []*directory.Endpoint
 	Removed   []domain.EndpointID
-	// Peers were listed, RemovedPeers are listed no more.
-	Peers        []Peer
-	RemovedPeers []domain.NodeID
 	// Rejected are entries that could not be read; the last good ones stay in force.
 	Rejected []error
 }
@@ -49,12 +55,14 @@
 	Address string
 }
 
-// Source reads the store. Both calls are linearizable: an answer covers everything that the store had accepted when the
-// call was sent.
+// Source reads the store. Load and Watch are linearizable: an answer covers everything that the store had accepted when
+// the call was sent.
 type Source interface {
-	// Load reads everything.
-	Load(ctx context.Context) (State, error)
-	// Watch waits until something changes after the revision, at most for wait, and returns an empty change if nothing
-	// did. It returns ErrCompacted if the history is gone.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (Change, error)
+	// Load reads all that the topic holds.
+	Load(ctx context.Context, topic Topic) (Change, error)
+	// Watch waits until something changes in the topic after the revision, at most for wait, and returns an empty change
+	// if nothing did. It returns ErrCompacted if the history is gone.
+	Watch(ctx context.Context, topic Topic, after Revision, wait time.Duration) (Change, error)
+	// Nodes returns the nodes as they are listed. Old allows a list that is seconds old, which costs less.
+	Nodes(ctx context.Context, old bool) ([]Peer, error)
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -121,7 +121,7 @@
 		Directory: f.directory,
 		Limits:    limits,
 		Retries:   retrybudget.New(retrybudget.Options{Ratio: 1, Slack: 100, Window: time.Minute}, f.now, one),
-		Places:    places.New(places.Options{}, f.directory, one, set),
+		Places:    places.New(places.Options{}, f.directory, alone, set),
 		Endpoints: exchange.New(set),
 		Clock:     f.now,
 		Log:       zerolog.Nop(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,8 @@
 	metrics *metricSet
 	bodies  atomic.Int64
 	active  atomic.Int64
+	// patience knows how long callers of the routes wait.
+	patience patience
 }
 
 // New returns a gateway.
@@ -145,6 +147,7 @@
 	if t.allowed <= 0 {
 		t.allowed = defaultAllowed
 	}
+	t.waitedBefore = t.gateway.patience.waited(t.route.Name, t.call.Patience)
 }
 
 // defaultAllowed is the time of a request if neither the route nor the caller bounds it.
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -35,6 +35,8 @@
 	organisation *routetable.Organisation
 	keyed        bool
 	allowed      time.Duration
+	// waitedBefore is how long the caller has probably been waiting when it sent this attempt.
+	waitedBefore time.Duration
 	body         []byte
 	cost         float64
 	counted      bool
@@ -125,7 +127,7 @@
 		AnswerTokens: t.call.AnswerTokens(),
 		Blocks:       t.call.Prompt,
 		Fingerprint:  xxhash.Sum64String(t.call.ID),
-		FirstByteDue: t.started.Add(t.route.FirstByte),
+		FirstByteDue: t.started.Add(t.route.FirstByte - t.waitedBefore),
 		Due:          t.started.Add(t.allowed),
 		Excluded:     t.tried,
 		Urgent:       t.headSent || t.mayHaveRun,
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,19 +23,26 @@
 
 // Times of the mesh.
 const (
-	// reportEvery is the pause between reports to each peer in a small fleet, perPeer what each peer adds, so that a
-	// node's own messages stay below 250 a second.
+	// reportEvery is the pause between reports to the nodes of the same data centre, and perNear what each of them adds,
+	// so that a node's own messages stay below some two hundred a second.
 	reportEvery = 80 * time.Millisecond
-	perPeer     = 4 * time.Millisecond
-	// FreshFor is how long a peer's report counts as its state.
-	FreshFor = 1200 * time.Millisecond
+	perNear     = 5 * time.Millisecond
+	// perFar is what each node of another data centre adds to the pause between reports to those, up to farMost: bytes
+	// between data centres cost, and their nodes share fewer endpoints with this one.
+	perFar  = 12 * time.Millisecond
+	farMost = 450 * time.Millisecond
+	// FreshFor is how long a peer's report counts as its state: two reports may be lost.
+	FreshFor = 1400 * time.Millisecond
 	// ForgetAfter is how long a silent peer that the store does not list is remembered.
 	ForgetAfter = 10 * time.Second
+	// confirmers is the number of nodes of a data centre that confirm the configuration for the others.
+	confirmers = 1
 )
 
 // Address is where a peer takes reports.
 type Address struct {
-	Node domain.NodeID
+	Node       domain.NodeID
+	DataCentre domain.DataCentre
 	// HostPort is "IP:port".
 	HostPort string
 }
@@ -48,10 +56,11 @@
 
 // Parts are what a Mesh works with.
 type Parts struct {
-	Self      domain.NodeID
-	Life      uint64
-	Transport Transport
-	Clock     boottime.Clock
+	Self       domain.NodeID
+	DataCentre domain.DataCentre
+	Life       uint64
+	Transport  Transport
+	Clock      boottime.Clock
 	// Peers returns the nodes to report to; this node among them is passed over.
 	Peers func() []Address
 	// Fill completes a report before it is sent.
@@ -74,13 +83,15 @@
 
 // peer is what is known of another node.
 type peer struct {
-	life     uint64
-	sentAt   boottime.Instant
-	heardAt  boottime.Instant
-	address  string
-	silent   bool
-	leaving  bool
-	reported *Report
+	life    uint64
+	sentAt  boottime.Instant
+	heardAt boottime.Instant
+	address string
+	centre  domain.DataCentre
+	silent  bool
+	leaving bool
+	// dueAt is when the next report to the peer is due.
+	dueAt boottime.Instant
 }
 
 // New returns a mesh. Run must run.
@@ -95,17 +106,18 @@
 	}
 }
 
+// tick is how often it is looked at which reports are due.
+const tick = 20 * time.Millisecond
+
 // Run sends reports until the context ends. The transport must then be closed by its owner, which ends Listen.
 func (m *Mesh) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
 	for {
-		addresses := m.targets()
-		m.report(addresses)
-		d := reportEvery + time.Duration(len(addresses))*perPeer
-		timer := time.NewTimer(d*9/10 + rand.N(d/5))
+		m.report(m.due())
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
-			timer.Stop()
 			return ctx.Err()
 		}
 	}
@@ -163,38 +175,76 @@
 		m.parts.Log.Info().Str("peer", string(report.From)).Uint64("life", report.Life).Msg("peer heard")
 	}
 	p.life, p.sentAt, p.heardAt, p.address = report.Life, report.SentAt, m.parts.Clock(), from
-	p.silent, p.leaving, p.reported = false, report.Leaving, report
+	p.silent, p.leaving, p.centre = false, report.Leaving, report.DataCentre
 	return true
 }
 
-// targets returns the listed peers and those heard of lately.
-func (m *Mesh) targets() map[domain.NodeID]string {
-	targets := make(map[domain.NodeID]string)
+// due returns the peers that are to be told now: those listed and those heard of lately.
+func (m *Mesh) due() map[domain.NodeID]string {
 	now := m.parts.Clock()
+	listed := m.parts.Peers()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.learn(listed)
+	m.forget(now, listed)
+	near, far := m.pauses()
+	due := make(map[domain.NodeID]string)
+	for id, p := range m.peers {
+		if now < p.dueAt {
+			continue
+		}
+		pause := far
+		if p.centre == m.parts.DataCentre {
+			pause = near
+		}
+		p.dueAt = now.Add(pause*9/10 + rand.N(pause/5))
+		due[id] = p.address
+	}
+	return due
+}
+
+// learn adds listed peers that were not heard of yet.
+func (m *Mesh) learn(listed []Address) {
+	for _, a := range listed {
+		if _, ok := m.peers[a.Node]; !ok && a.Node != m.parts.Self {
+			m.peers[a.Node] = &peer{silent: true, address: a.HostPort, centre: a.DataCentre}
+		}
+	}
+}
+
+// forget drops peers that have been silent for long and are not listed.
+func (m *Mesh) forget(now boottime.Instant, listed []Address) {
 	for id, p := range m.peers {
 		silence := now.Sub(p.heardAt)
 		if silence > FreshFor && !p.silent {
 			p.silent = true
 			m.parts.Log.Warn().Str("peer", string(id)).Dur("silence_ms", silence).Msg("peer silent")
 		}
-		if silence < ForgetAfter {
-			targets[id] = p.address
-			continue
+		if silence > ForgetAfter && !slices.ContainsFunc(listed, func(a Address) bool { return a.Node == id }) {
+			delete(m.peers, id)
 		}
-		delete(m.peers, id)
 	}
-	for _, a := range m.parts.Peers() {
-		targets[a.Node] = a.HostPort
+}
+
+// pauses returns those between reports to the nodes of this data centre and to the others.
+func (m *Mesh) pauses() (near, far time.Duration) {
+	local := 0
+	for _, p := range m.peers {
+		if p.centre == m.parts.DataCentre {
+			local++
+		}
 	}
-	delete(targets, m.parts.Self)
-	return targets
+	near = reportEvery + time.Duration(local)*perNear
+	far = min(reportEvery+time.Duration(len(m.peers)-local)*perFar, farMost)
+	return near, max(near, far)
 }
 
 // report sends one report to each target.
 func (m *Mesh) report(targets map[domain.NodeID]string) {
-	report := Report{From: m.parts.Self, Life: m.parts.Life}
+	if len(targets) == 0 {
+		return
+	}
+	report := Report{From: m.parts.Self, Life: m.parts.Life, DataCentre: m.parts.DataCentre}
 	m.parts.Fill(&report)
 	for id, address := range targets {
 		report.SentAt = m.parts.Clock()
@@ -222,27 +272,41 @@
 	return 0, 0
 }
 
-// Fleet counts the nodes: those that may be alive, this one included, and those heard from lately.
+// Fleet counts the nodes: those that may be alive, this one included, those heard from lately, and both for this data
+// centre.
 type Fleet struct {
 	Known int
 	Heard int
+	Near  int
 }
 
 // Fleet returns the present counts.
 func (m *Mesh) Fleet() Fleet {
-	now := m.parts.Clock()
-	known := map[domain.NodeID]bool{m.parts.Self: true}
-	for _, a := range m.parts.Peers() {
-		known[a.Node] = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fleet := Fleet{Known: 1, Heard: 1, Near: 1}
+	for _, p := range m.peers {
+		fleet.Known++
+		if !p.silent {
+			fleet.Heard++
+		}
+		if p.centre == m.parts.DataCentre {
+			fleet.Near++
+		}
 	}
+	return fleet
+}
+
+// Confirms reports whether this node is one of those of its data centre that confirm the configuration for the others:
+// the first by name of those that are heard and stay.
+func (m *Mesh) Confirms() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	heard := 1
+	before := 0
 	for id, p := range m.peers {
-		known[id] = true
-		if now.Sub(p.heardAt) <= FreshFor {
-			heard++
+		if p.centre == m.parts.DataCentre && !p.silent && !p.leaving && id < m.parts.Self {
+			before++
 		}
 	}
-	return Fleet{Known: len(known), Heard: heard}
+	return before < confirmers
 }
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -11,7 +11,8 @@
 type Report struct {
 	From domain.NodeID `cbor:"1,keyasint"`
 	// Life differs between two lives of a node's process.
-	Life uint64 `cbor:"2,keyasint"`
+	Life       uint64            `cbor:"2,keyasint"`
+	DataCentre domain.DataCentre `cbor:"11,keyasint"`
 	// SentAt is the sender's clock, Echo the greatest SentAt that it has had from the receiver's life EchoLife.
 	SentAt   boottime.Instant `cbor:"3,keyasint"`
 	Echo     boottime.Instant `cbor:"4,keyasint,omitempty"`
@@ -19,6 +20,8 @@
 	// Version is the sender's configuration, Age how old its knowledge of it was when the report was sent.
 	Version uint64        `cbor:"6,keyasint,omitempty"`
 	Age     time.Duration `cbor:"7,keyasint,omitempty"`
+	// Endpoints is the revision of the last change of the endpoints that the sender has heard of.
+	Endpoints uint64 `cbor:"12,keyasint,omitempty"`
 	// Loads are the endpoints at which the sender has requests.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
--- a/places/account.go
+++ b/places/account.go
@@ -1,6 +1,8 @@
 package places
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/directory"
@@ -51,10 +53,18 @@
 // free returns the number of places that nobody holds.
 func (a *account) free() int { return max(a.endpoint.Slots-a.own.requests-a.others.requests, 0) }
 
-// hasRoom reports whether this node may send one request more: if a place is free, or if it has less than an equal
-// part of them. The latter keeps a node that has just started from being shut out by the others.
-func (a *account) hasRoom(nodes int) bool {
-	return a.free() > 0 || a.own.requests < max(a.endpoint.Slots/max(nodes, 1), 1)
+// hasRoom reports whether this node may send one request more: if a place is free, or if the node has less than an equal
+// part of the service's places and the endpoint is not much beyond its own. The latter keeps a node that has just
+// started from being shut out by the others.
+func (a *account) hasRoom(belowPart bool) bool {
+	return a.free() > 0 || (belowPart && float64(a.own.requests+a.others.requests) < overfill*float64(a.endpoint.Slots))
+}
+
+// mine reports whether the endpoint belongs to the node's part: about sharers of the near nodes share each endpoint.
+func (a *account) mine(node domain.NodeID, near int) bool {
+	const buckets = 1 << 16
+	hash := xxhash.Sum64String(string(node) + "/" + string(a.id()))
+	return hash%buckets < uint64(buckets*sharers/near)
 }
 
 // id returns the endpoint's name.
--- a/places/desk.go
+++ b/places/desk.go
@@ -26,7 +26,7 @@
 type Desk struct {
 	options   Options
 	directory *directory.Directory
-	nodes     func() int
+	fleet     func() gossip.Fleet
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -44,13 +44,13 @@
 	loads map[domain.EndpointID]load
 }
 
-// New returns a desk. Nodes returns the number of nodes that may be alive.
-func New(options Options, d *directory.Directory, nodes func() int, set *metrics.Set) *Desk {
+// New returns a desk. Fleet counts the nodes.
+func New(options Options, d *directory.Directory, fleet func() gossip.Fleet, set *metrics.Set) *Desk {
 	options.Routing = defaultRouting(options.Routing)
 	desk := &Desk{
 		options:   options,
 		directory: d,
-		nodes:     nodes,
+		fleet:     fleet,
 		pools:     make(map[string]*pool),
 		peers:     make(map[domain.NodeID]*peerLoads),
 		granted:   set.NewCounter("hawthornrill_places_granted_total"),
@@ -68,19 +68,26 @@
 	if place != nil || err != nil {
 		return place, err
 	}
+	patience := time.NewTimer(ask.patience(w.since))
+	defer patience.Stop()
 	select {
 	case place, ok := <-w.granted:
 		return d.received(w, place, ok)
+	case <-patience.C:
+		err = &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(time.Now())}
 	case <-ctx.Done():
+		err = context.Cause(ctx)
 	}
 	if d.leave(w) {
-		return nil, context.Cause(ctx)
+		return nil, err
 	}
 	// The place was granted meanwhile.
-	if place, ok := <-w.granted; ok {
+	if place, ok := <-w.granted; ok && ctx.Err() == nil {
+		return d.received(w, place, ok)
+	} else if ok {
 		place.Release(capacity.Result{})
 	}
-	return nil, context.Cause(ctx)
+	return nil, err
 }
 
 func (d *Desk) received(w *waiter, place *Place, ok bool) (*Place, error) {
@@ -104,9 +111,9 @@
 		d.refused.Inc()
 		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: retryLeast}
 	}
-	ahead := p.waiting.AheadOf(ask.Tier, ask.Organisation, 1)
+	ahead := p.waiting.AheadOf(ask.rank(now), ask.Organisation, 1)
 	if ahead == 0 || ask.Urgent {
-		if a := p.choose(now, ask, d.nodes(), d.options.DataCentre); a != nil {
+		if a := p.choose(now, ask, d); a != nil {
 			d.granted.Inc()
 			return p.grant(d, now, ask, a), nil, nil
 		}
@@ -119,24 +126,26 @@
 	return nil, d.enqueue(p, now, ask), nil
 }
 
-// refuse decides at arrival whether the ask would start too late.
+// refuse decides at arrival whether the ask would start too late: after its latency objective, or, if that is missed
+// already, so late that its caller may have left.
 func (p *pool) refuse(now time.Time, ask *Ask, ahead, free int) *Refusal {
 	if ask.Urgent {
 		return nil
 	}
 	wait := p.predictedWait(ahead)
-	objective := ask.FirstByteDue.Sub(now)
-	if wait <= objective+time.Duration(lateSlack*float64(objective)) {
+	bound := ask.FirstByteDue.Sub(now)
+	if ask.late(now) {
+		bound = lateWait
+	}
+	if wait <= bound {
 		return nil
 	}
-	// A third of what is left is the longest that callers wait when told to come back.
-	retry := min(max(2*wait, retryLeast), retryMost, max(ask.Due.Sub(now)/3, retryLeast))
-	return &Refusal{Err: ErrOverloaded, RetryAfter: retry, Wait: wait, Ahead: ahead, Free: free}
+	return &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(now), Wait: wait, Ahead: ahead, Free: free}
 }
 
 func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
 	w := &waiter{ask: ask, since: now, granted: make(chan *Place, 1)}
-	w.item = queueItem(w, ask)
+	w.item = queueItem(w, now)
 	if evicted := p.waiting.Push(&w.item); evicted != nil {
 		close(evicted.Value.granted)
 	}
@@ -172,7 +181,7 @@
 		if w == nil {
 			return
 		}
-		a := p.choose(now, w.ask, d.nodes(), d.options.DataCentre)
+		a := p.choose(now, w.ask, d)
 		if a == nil {
 			return
 		}
@@ -236,6 +245,9 @@
 		}
 		a.describe(e)
 	})
+	for _, p := range d.pools {
+		p.countPlaces()
+	}
 }
 
 func (d *Desk) othersAt(id domain.EndpointID) load {
--- a/places/item.go
+++ b/places/item.go
@@ -1,14 +1,54 @@
 package places
 
-import "hawthornrill.example/hawthornrill/queue"
+import (
+	"math/rand/v2"
+	"time"
 
-func queueItem(w *waiter, ask *Ask) queue.Item[*waiter] {
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/queue"
+)
+
+// ranks is the number of ranks of each tier: requests that can still be on time go before those that can't.
+const ranks = 2
+
+func queueItem(w *waiter, now time.Time) queue.Item[*waiter] {
+	ask := w.ask
 	return queue.Item[*waiter]{
 		Value:        w,
-		Tier:         ask.Tier,
+		Tier:         ask.rank(now),
 		Organisation: ask.Organisation,
 		Weight:       1,
 		Cost:         1,
 		Due:          ask.FirstByteDue,
 	}
 }
+
+// rank is the ask's place in the order of tiers.
+func (a *Ask) rank(now time.Time) domain.Tier {
+	rank := ranks * min(int(a.Tier), maxTier)
+	if a.late(now) {
+		rank++
+	}
+	return domain.Tier(rank)
+}
+
+// maxTier is the lowest tier that is told from those below it.
+const maxTier = 100
+
+// late reports whether the latency objective is missed already.
+func (a *Ask) late(now time.Time) bool { return !now.Before(a.FirstByteDue) }
+
+// patience is how long the ask may wait.
+func (a *Ask) patience(now time.Time) time.Duration {
+	if a.Urgent {
+		return a.Due.Sub(now)
+	}
+	return min(max(a.FirstByteDue.Sub(now), 0)+lateMost, a.Due.Sub(now))
+}
+
+// retryAfter is when a refused caller is told to come back. A third of what is left is the longest that callers wait
+// when told to; the later they come, the more likely is the overload over, and an answer on time is lost anyway.
+func (a *Ask) retryAfter(now time.Time) time.Duration {
+	most := min(a.Due.Sub(now)/3, retryMost)
+	return max(most-rand.N(max(most/4, 1)), retryLeast)
+}
--- a/places/options.go
+++ b/places/options.go
@@ -14,9 +14,19 @@
 	lowestTurn = 5
 	// localFill is the part of an endpoint's places up to which the node's own data centre goes first.
 	localFill = 0.7
-	// lateSlack is how much longer than a request's latency objective its predicted wait may be, as a part of the
-	// objective. The prediction is a mean.
-	lateSlack = 0.0
+	// overfill is how far beyond its places an endpoint is filled by nodes that have less than an equal part of them.
+	overfill = 1.25
+	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
+	// endpoints, so that it knows more of their load by itself and needs fewer connections.
+	sharers = 8
+	// sample is the number of endpoints among which the router chooses in a fleet larger than sampleFrom. All nodes see
+	// about the same reports; if all chose the best by them, they would meet there before the next report.
+	sample     = 4
+	sampleFrom = 10
+	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and
+	// lateMost how long it may really wait: callers of streams leave after two seconds without an event.
+	lateWait = 800 * time.Millisecond
+	lateMost = 1700 * time.Millisecond
 	// retryLeast and retryMost bound the time after which a refused caller is told to come back.
 	retryLeast = 300 * time.Millisecond
 	retryMost  = 5 * time.Second
@@ -24,7 +34,8 @@
 
 // Options are a Desk's settings.
 type Options struct {
-	// DataCentre is where this node stands.
+	// Node is this node, DataCentre where it stands.
+	Node       domain.NodeID
 	DataCentre domain.DataCentre
 	// Routing are the router's numbers; zero values mean defaultRouting.
 	Routing routing.Options
--- a/places/pool.go
+++ b/places/pool.go
@@ -1,6 +1,7 @@
 package places
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"hawthornrill.example/hawthornrill/capacity"
@@ -18,6 +19,8 @@
 	// held is the mean time in seconds that a request of this node keeps a place.
 	held  mean
 	turns int
+	// places is the sum over the endpoints that are not leaving.
+	places int
 	// scratch and chosen are used again by each decision.
 	scratch []*capacity.EndpointState
 	chosen  []*account
@@ -45,21 +48,23 @@
 	}
 }
 
-// choose returns the endpoint for the ask, nil if none has room.
-func (p *pool) choose(now time.Time, ask *Ask, nodes int, local domain.DataCentre) *account {
-	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
-	for _, a := range p.accounts {
-		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(nodes) {
-			continue
-		}
-		a.refresh()
-		p.scratch = append(p.scratch, &a.state)
-		p.chosen = append(p.chosen, a)
-	}
+// choose returns the endpoint for the ask, nil if none has room. The node's own part of the near endpoints goes first,
+// then the near ones, then all: bytes between data centres cost, and the way is longer.
+func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
+	fleet := d.fleet()
+	p.collect(ask, p.outstanding() < p.places/max(fleet.Known, 1))
 	if len(p.scratch) == 0 {
 		return nil
 	}
-	p.preferLocal(local)
+	near := func(a *account) bool {
+		return a.endpoint.DataCentre == d.options.DataCentre && float64(a.state.Requests) < localFill*float64(a.endpoint.Slots)
+	}
+	if fleet.Near <= sharers || !p.keep(func(a *account) bool { return near(a) && a.mine(d.options.Node, fleet.Near) }) {
+		p.keep(near)
+	}
+	if fleet.Known > sampleFrom {
+		p.sample()
+	}
 	w := capacity.Waiting{Ask: ask.forRouter(), Arrived: now, FirstTokenDue: ask.FirstByteDue, Due: ask.Due, Pressing: true}
 	at, ok := p.router.Choose(now, &w, p.scratch)
 	if !ok {
@@ -68,26 +73,47 @@
 	return p.chosen[at]
 }
 
-// preferLocal leaves only the endpoints of the node's own data centre if one of them is less than localFill full:
-// bytes between data centres cost, and the way is longer.
-func (p *pool) preferLocal(local domain.DataCentre) {
-	near := 0
-	for _, a := range p.chosen {
-		if a.endpoint.DataCentre == local && float64(a.state.Requests) < localFill*float64(a.endpoint.Slots) {
-			near++
+// collect takes the endpoints that have room for the ask.
+func (p *pool) collect(ask *Ask, belowPart bool) {
+	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
+	for _, a := range p.accounts {
+		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(belowPart) {
+			continue
 		}
+		a.refresh()
+		p.scratch = append(p.scratch, &a.state)
+		p.chosen = append(p.chosen, a)
 	}
-	if near == 0 {
-		return
-	}
+}
+
+// keep leaves only the wanted candidates, if there are any.
+func (p *pool) keep(wanted func(*account) bool) bool {
 	kept := 0
 	for i, a := range p.chosen {
-		if a.endpoint.DataCentre == local && float64(a.state.Requests) < localFill*float64(a.endpoint.Slots) {
-			p.chosen[kept], p.scratch[kept] = a, p.scratch[i]
+		if wanted(a) {
+			p.swap(kept, i)
 			kept++
 		}
 	}
+	if kept == 0 {
+		return false
+	}
 	p.chosen, p.scratch = p.chosen[:kept], p.scratch[:kept]
+	return true
+}
+
+// sample leaves some candidates by chance.
+func (p *pool) sample() {
+	n := min(sample, len(p.chosen))
+	for i := range n {
+		p.swap(i, i+rand.IntN(len(p.chosen)-i))
+	}
+	p.chosen, p.scratch = p.chosen[:n], p.scratch[:n]
+}
+
+func (p *pool) swap(i, j int) {
+	p.chosen[i], p.chosen[j] = p.chosen[j], p.chosen[i]
+	p.scratch[i], p.scratch[j] = p.scratch[j], p.scratch[i]
 }
 
 // grant gives the ask a place.
@@ -99,6 +125,16 @@
 	return place
 }
 
+// countPlaces sums the places up.
+func (p *pool) countPlaces() {
+	p.places = 0
+	for _, a := range p.accounts {
+		if !a.endpoint.Leaving {
+			p.places += a.endpoint.Slots
+		}
+	}
+}
+
 // endpoints counts those that may take the ask, and the places free among all.
 func (p *pool) endpoints(ask *Ask) (usable, free int) {
 	for _, a := range p.accounts {
