Places: requests that can't be on time any more go behind those that can

Cause: the queue went by due time, so that under overload each request waited until just past its objective and everything was late together. Now a waiter whose objective would be missed if it were sent at once goes behind, in its tier, and the predicted wait counts the time to the first byte. Ruled out: capacity of the engines (concurrency at them stayed at their places throughout).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -22,6 +22,7 @@
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
+	"hawthornrill.example/hawthornrill/routetable"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -64,6 +65,7 @@
 		Source:    adapters.Source,
 		Directory: n.directory,
 		Clock:     boottime.Now,
+		Accepted:  func(table *routetable.Table) { n.limits.Prepare(table.Organisations) },
 		Confirms:  func() bool { return n.mesh.Confirms() },
 		Fleet:     n.fleet,
 		Listed:    n.announcer.Listed,
@@ -73,7 +75,9 @@
 	if err := n.openMesh(); err != nil {
 		return nil, err
 	}
-	n.limits = tokenlimit.New(boottime.Now, n.mesh.Fleet, n.metrics)
+	n.limits = tokenlimit.New(tokenlimit.Parts{
+		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
+	})
 	n.desk = places.New(places.Options{Node: s.Node, DataCentre: s.DataCentre}, n.directory, n.mesh.Fleet, n.metrics)
 	n.endpoints = exchange.New(n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
--- a/entrynode/settings.go
+++ b/entrynode/settings.go
@@ -26,6 +26,7 @@
 	Host   Host   `toml:"host"`
 	Keys   Keys   `toml:"keys"`
 	Retry  Retry  `toml:"retry"`
+	Limit  Limit  `toml:"limit"`
 	Log    Log    `toml:"log"`
 	Notice Notice `toml:"shutdown"`
 }
@@ -61,6 +62,12 @@
 	Slack   float64 `toml:"slack"`
 }
 
+// Limit tells how organisations' limits are measured.
+type Limit struct {
+	// WindowS is the time in seconds in which rate x window + burst may be used.
+	WindowS float64 `toml:"window_s"`
+}
+
 // Log tells what is logged.
 type Log struct {
 	// Level is debug, info, warn or error.
@@ -99,6 +106,8 @@
 	// defaultRetryWindow and defaultRetryRatio bound retries if the settings do not.
 	defaultRetryWindow = 10 * time.Second
 	defaultRetryRatio  = 0.1
+	// defaultLimitWindow is over how long limits are measured if the settings do not say.
+	defaultLimitWindow = time.Second
 )
 
 func (s *Settings) check() error {
@@ -126,6 +135,9 @@
 	if s.Retry.WindowS <= 0 {
 		s.Retry.WindowS = defaultRetryWindow.Seconds()
 	}
+	if s.Limit.WindowS <= 0 {
+		s.Limit.WindowS = defaultLimitWindow.Seconds()
+	}
 	if s.Notice.GraceS <= 0 {
 		s.Notice.GraceS = defaultGrace.Seconds()
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -28,6 +28,8 @@
 	Source    Source
 	Directory *directory.Directory
 	Clock     boottime.Clock
+	// Accepted is called with each configuration before it is in force.
+	Accepted func(*routetable.Table)
 	// Confirms tells whether this node is one of those that confirm the configuration for the others.
 	Confirms func() bool
 	// Fleet returns the number of nodes, and whether a listed one is silent.
@@ -163,6 +165,7 @@
 	if current != nil && table.Version <= current.Version {
 		return
 	}
+	f.parts.Accepted(table)
 	f.table.Store(table)
 	f.parts.Log.Info().Uint64("version", table.Version).Int("routes", table.Routes()).
 		Int("organisations", len(table.Organisations)).Msg("configuration in force")
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -84,7 +84,7 @@
 	if edit != nil {
 		edit(&route)
 	}
-	organisation := routetable.Organisation{ID: "o", Keys: []string{"key"}, CountTokens: true, PlainTokens: 10, Rate: 1000, Burst: 1000}
+	organisation := routetable.Organisation{ID: "o", Keys: []string{"key"}, CountTokens: true, PlainTokens: 10, Rate: 500, Burst: 500}
 	table, err := routetable.New(1, []routetable.Route{route}, []routetable.Service{{Name: "s", Engine: true}},
 		[]routetable.Organisation{organisation}, routetable.Limits{MaxBodyBytes: 1 << 10})
 	assert.NilError(t, err)
@@ -114,7 +114,7 @@
 	alone := func() gossip.Fleet { return gossip.Fleet{Known: 1, Heard: 1} }
 	one := func() int { return 1 }
 
-	limits := tokenlimit.New(f.now, alone, set)
+	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Parts{
 		Protocol:  testProtocol{},
 		Knowledge: f.knowledge,
@@ -127,7 +127,6 @@
 		Log:       zerolog.Nop(),
 		Metrics:   set,
 	}, Options{KeyAge: testKeyAge})
-	f.clock.Add(int64(time.Hour)) // the limit's bucket is full
 	server := httptest.NewServer(g)
 	f.t.Cleanup(server.Close)
 	f.url = server.URL
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -40,9 +40,10 @@
 	AnswerTokens  int `cbor:"5,keyasint,omitempty"`
 }
 
-// Spent is what the sender has let through of an organisation's limit in its life, and what it thinks is left.
+// Spent is what the sender has let through of an organisation's limit in its life, and what it knows to have been used
+// by all nodes in the window that ends now.
 type Spent struct {
 	Organisation domain.OrganisationID `cbor:"1,keyasint"`
 	Total        float64               `cbor:"2,keyasint"`
-	Level        float64               `cbor:"3,keyasint"`
+	Used         float64               `cbor:"3,keyasint"`
 }
--- a/places/desk.go
+++ b/places/desk.go
@@ -111,7 +111,7 @@
 		d.refused.Inc()
 		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: retryLeast}
 	}
-	ahead := p.waiting.AheadOf(ask.rank(now), ask.Organisation, 1)
+	ahead := p.waiting.AheadOf(ask.rank(now, p.start()), ask.Organisation, 1)
 	if ahead == 0 || ask.Urgent {
 		if a := p.choose(now, ask, d); a != nil {
 			d.granted.Inc()
@@ -133,8 +133,8 @@
 		return nil
 	}
 	wait := p.predictedWait(ahead)
-	bound := ask.FirstByteDue.Sub(now)
-	if ask.late(now) {
+	bound := ask.FirstByteDue.Sub(now) - p.start()
+	if ask.late(now, p.start()) {
 		bound = lateWait
 	}
 	if wait <= bound {
@@ -145,7 +145,7 @@
 
 func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
 	w := &waiter{ask: ask, since: now, granted: make(chan *Place, 1)}
-	w.item = queueItem(w, now)
+	w.item = queueItem(w, now, p.start())
 	if evicted := p.waiting.Push(&w.item); evicted != nil {
 		close(evicted.Value.granted)
 	}
@@ -170,6 +170,9 @@
 	p.router.Observe(now, &a.state, place.ask, result)
 	if result.Dispatched {
 		p.held.add(now.Sub(place.granted).Seconds())
+		if result.FirstToken > 0 {
+			p.first.add(result.FirstToken.Seconds())
+		}
 	}
 	d.hand(p, now)
 }
@@ -177,7 +180,7 @@
 // hand grants places to waiters in their order, as far as there is room.
 func (d *Desk) hand(p *pool, now time.Time) {
 	for {
-		w := p.next()
+		w := p.next(now)
 		if w == nil {
 			return
 		}
--- a/places/item.go
+++ b/places/item.go
@@ -11,11 +11,11 @@
 // ranks is the number of ranks of each tier: requests that can still be on time go before those that can't.
 const ranks = 2
 
-func queueItem(w *waiter, now time.Time) queue.Item[*waiter] {
+func queueItem(w *waiter, now time.Time, start time.Duration) queue.Item[*waiter] {
 	ask := w.ask
 	return queue.Item[*waiter]{
 		Value:        w,
-		Tier:         ask.rank(now),
+		Tier:         ask.rank(now, start),
 		Organisation: ask.Organisation,
 		Weight:       1,
 		Cost:         1,
@@ -23,10 +23,10 @@
 	}
 }
 
-// rank is the ask's place in the order of tiers.
-func (a *Ask) rank(now time.Time) domain.Tier {
+// rank is the ask's place in the order of tiers, if a request takes start to its first byte.
+func (a *Ask) rank(now time.Time, start time.Duration) domain.Tier {
 	rank := ranks * min(int(a.Tier), maxTier)
-	if a.late(now) {
+	if a.late(now, start) {
 		rank++
 	}
 	return domain.Tier(rank)
@@ -35,8 +35,8 @@
 // maxTier is the lowest tier that is told from those below it.
 const maxTier = 100
 
-// late reports whether the latency objective is missed already.
-func (a *Ask) late(now time.Time) bool { return !now.Before(a.FirstByteDue) }
+// late reports whether the latency objective would be missed if the request were sent now.
+func (a *Ask) late(now time.Time, start time.Duration) bool { return !now.Add(start).Before(a.FirstByteDue) }
 
 // patience is how long the ask may wait.
 func (a *Ask) patience(now time.Time) time.Duration {
--- a/places/pool.go
+++ b/places/pool.go
@@ -17,7 +17,9 @@
 	router   *routing.Router
 	waiting  *queue.Queue[*waiter]
 	// held is the mean time in seconds that a request of this node keeps a place.
-	held  mean
+	held mean
+	// first is the mean time in seconds from a dispatch to the first byte.
+	first mean
 	turns int
 	// places is the sum over the endpoints that are not leaving.
 	places int
@@ -38,6 +40,9 @@
 // defaultHeld is the time that a place is thought to be kept until it is measured.
 const defaultHeld = 500 * time.Millisecond
 
+// defaultFirst is the time to the first byte until it is measured.
+const defaultFirst = 50 * time.Millisecond
+
 func newPool(service string, options routing.Options) *pool {
 	return &pool{
 		service:  service,
@@ -45,6 +50,7 @@
 		router:   routing.NewRouter(options),
 		waiting:  queue.New[*waiter](maxWaiting),
 		held:     mean{value: defaultHeld.Seconds()},
+		first:    mean{value: defaultFirst.Seconds()},
 	}
 }
 
@@ -167,23 +173,39 @@
 
 // next returns the waiter whose turn it is. Of each lowestTurn turns one goes to the lowest tier that waits, so that
 // no tier is shut out altogether while another has more requests than there are places.
-func (p *pool) next() *waiter {
-	if p.waiting.Len() == 0 {
-		return nil
+func (p *pool) next(now time.Time) *waiter {
+	for p.waiting.Len() > 0 {
+		item := p.turn()
+		w := item.Value
+		if rank := w.ask.rank(now, p.start()); rank != item.Tier {
+			// It can't be on time any more: those that can go first.
+			p.waiting.Remove(item)
+			w.item = queueItem(w, now, p.start())
+			p.waiting.Push(&w.item)
+			continue
+		}
+		return w
 	}
+	return nil
+}
+
+func (p *pool) turn() *queue.Item[*waiter] {
 	if (p.turns+1)%lowestTurn == 0 {
 		if item := p.firstOfLowest(); item != nil {
-			return item.Value
+			return item
 		}
 	}
-	item := p.waiting.Peek(func(*queue.Item[*waiter]) bool { return true })
-	return item.Value
+	return p.waiting.Peek(func(*queue.Item[*waiter]) bool { return true })
 }
 
+// start is the time that a request takes from its dispatch to its first byte.
+func (p *pool) start() time.Duration { return time.Duration(p.first.value * float64(time.Second)) }
+
+// firstOfLowest returns the first waiter of the lowest tier that has any who can be on time.
 func (p *pool) firstOfLowest() *queue.Item[*waiter] {
 	lowest, found := domain.Tier(0), false
 	for rank, count := range p.waiting.Tiers() {
-		if count > 0 {
+		if count > 0 && rank%ranks == 0 {
 			lowest, found = rank, true
 		}
 	}
--- a/tokenlimit/limiter.go
+++ b/tokenlimit/limiter.go
@@ -1,12 +1,12 @@
 // Package tokenlimit holds organisations to their limits over all nodes without a message before a request.
 //
-// Each node keeps a copy of each organisation's bucket, which it debits at once by what it lets through and, as reports
-// come in, by what the others let through. What is let through beyond the limit is at most what all nodes together get
-// within one report's time.
+// A limit is a rate and a burst; in any window of the configured length, rate x window + burst may be let through. Each
+// node counts what it lets through and, as reports come in, what the others do. What is let through beyond the limit is
+// at most what the other nodes let through within one report's time, for which the operators leave room.
 //
-// Guarantees under failure. A node that does not hear some of the others fills its bucket only by the part of the nodes
-// that it hears, so that the two sides of a partition together keep to the limit. A new life does not begin with a
-// full bucket: it has half of an equal part until it hears from a peer, and then no more than that peer has.
+// Guarantees under failure. A node that does not hear some of the others uses only the part of the limit that belongs
+// to the nodes that it hears, so that the two sides of a partition together keep to the limit. A new life does not
+// begin with an unused limit: until a peer tells what was used, all of it counts as used, evenly over the window before.
 package tokenlimit
 
 import (
@@ -21,18 +21,22 @@
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
-// startPart is the part of an equal share of the burst with which a new life begins. If all nodes restart at once they
-// have half a burst together, less than the tenth of nine seconds' rate that the operators tolerate on top.
-const startPart = 0.5
-
 // forgetAfter is how long a peer's totals are kept without a report.
 const forgetAfter = time.Minute
 
+// Parts are what a Limiter works with.
+type Parts struct {
+	// Window is the time over which the operators measure the limits.
+	Window time.Duration
+	Clock  boottime.Clock
+	// Fleet counts the nodes.
+	Fleet   func() gossip.Fleet
+	Metrics *metrics.Set
+}
+
 // Limiter admits requests under the organisations' limits. It is safe for concurrent use.
 type Limiter struct {
-	clock boottime.Clock
-	fleet func() gossip.Fleet
-	// started is when this life began: a bucket fills from then on, before its first request too.
+	parts   Parts
 	started boottime.Instant
 
 	mu       sync.Mutex
@@ -43,16 +47,6 @@
 	refused  *metrics.Counter
 }
 
-// account is one organisation's bucket.
-type account struct {
-	level, rate, burst float64
-	at                 boottime.Instant
-	// spent is what this life has let through, less what it took back.
-	spent float64
-	// adopted is true once the level was compared with a peer's.
-	adopted bool
-}
-
 // peerTotals are a peer's totals as last reported.
 type peerTotals struct {
 	life    uint64
@@ -60,16 +54,15 @@
 	spent   map[domain.OrganisationID]float64
 }
 
-// New returns a limiter. Fleet counts the nodes.
-func New(clock boottime.Clock, fleet func() gossip.Fleet, set *metrics.Set) *Limiter {
+// New returns a limiter.
+func New(parts Parts) *Limiter {
 	return &Limiter{
-		clock:    clock,
-		fleet:    fleet,
-		started:  clock(),
+		parts:    parts,
+		started:  parts.Clock(),
 		accounts: make(map[domain.OrganisationID]*account),
 		peers:    make(map[domain.NodeID]*peerTotals),
-		admitted: set.NewCounter("hawthornrill_limit_admitted_total"),
-		refused:  set.NewCounter("hawthornrill_limit_refused_total"),
+		admitted: parts.Metrics.NewCounter("hawthornrill_limit_admitted_total"),
+		refused:  parts.Metrics.NewCounter("hawthornrill_limit_refused_total"),
 	}
 }
 
@@ -78,23 +71,33 @@
 	if o.Rate <= 0 {
 		return true, 0
 	}
-	fleet := l.fleet()
+	fleet := l.parts.Fleet()
+	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.account(o, fleet)
-	rate := a.fill(l.clock(), fleet)
-	// A request larger than the burst is let through by a full bucket.
-	needed := min(cost, a.burst)
-	if a.level < needed {
+	a := l.account(o.ID)
+	a.refresh(now, o, l.parts.Window)
+	limit := a.limit * part(fleet)
+	// A request larger than the limit is let through when nothing else was.
+	excess := a.total(now, l.parts.Window) + min(cost, limit) - limit
+	if excess > 0 {
 		l.refused.Inc()
-		return false, time.Duration((needed - a.level) / rate * float64(time.Second))
+		return false, time.Duration(excess / (a.rate * part(fleet)) * float64(time.Second))
 	}
-	a.level -= cost
+	a.used.add(cost)
 	a.spent += cost
 	l.admitted.Inc()
 	return true, 0
 }
 
+// part is the part of the limit that the nodes heard may use.
+func part(fleet gossip.Fleet) float64 {
+	if fleet.Known <= 0 {
+		return 1
+	}
+	return float64(fleet.Heard) / float64(fleet.Known)
+}
+
 // Return takes back the cost of a request that has not run.
 func (l *Limiter) Return(o *routetable.Organisation, cost float64) {
 	if o.Rate <= 0 {
@@ -103,45 +106,57 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a, ok := l.accounts[o.ID]; ok {
-		a.level = min(a.level+cost, a.burst)
+		a.used.advance(l.parts.Clock(), l.parts.Window)
+		a.used.add(-cost)
 		a.spent -= cost
 	}
 }
 
-func (l *Limiter) account(o *routetable.Organisation, fleet gossip.Fleet) *account {
-	a, ok := l.accounts[o.ID]
+// account returns the organisation's account, a new one as if its limit had been used up before this life.
+func (l *Limiter) account(id domain.OrganisationID) *account {
+	a, ok := l.accounts[id]
 	if !ok {
-		a = &account{at: l.started, level: o.Burst * startPart / float64(max(fleet.Known, 1))}
-		l.accounts[o.ID] = a
+		a = &account{since: l.started}
+		l.accounts[id] = a
 	}
-	a.rate, a.burst = o.Rate, o.Burst
-	a.level = min(a.level, a.burst)
 	return a
 }
 
-// fill brings the bucket to the instant and returns the rate a second at which it fills.
-func (a *account) fill(now boottime.Instant, fleet gossip.Fleet) float64 {
-	rate := a.rate
-	if fleet.Heard < fleet.Known {
-		rate *= float64(fleet.Heard) / float64(fleet.Known)
+// Prepare makes accounts for the organisations of a configuration, so that what peers tell of them is kept before their
+// first request here.
+func (l *Limiter) Prepare(organisations []routetable.Organisation) {
+	now := l.parts.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range organisations {
+		o := &organisations[i]
+		if o.Rate <= 0 || l.accounts[o.ID] != nil {
+			continue
+		}
+		a := l.account(o.ID)
+		a.refresh(now, o, l.parts.Window)
+		a.before = a.limit
 	}
-	a.level = min(a.level+rate*now.Sub(a.at).Seconds(), a.burst)
-	a.at = now
-	return rate
 }
 
 // Fill adds this node's totals to a report.
 func (l *Limiter) Fill(report *gossip.Report) {
+	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, a := range l.accounts {
-		report.Spent = append(report.Spent, gossip.Spent{Organisation: id, Total: a.spent, Level: a.level})
+		a.used.advance(now, l.parts.Window)
+		used := a.total(now, l.parts.Window)
+		if a.spent == 0 && used == 0 {
+			continue
+		}
+		report.Spent = append(report.Spent, gossip.Spent{Organisation: id, Total: a.spent, Used: used})
 	}
 }
 
-// Heard debits what a peer has let through since its last report.
+// Heard counts what a peer has let through since its last report.
 func (l *Limiter) Heard(report *gossip.Report) {
-	now := l.clock()
+	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, known := l.peers[report.From]
@@ -150,24 +165,34 @@
 		l.peers[report.From] = p
 	}
 	p.heardAt = now
+	told := make(map[domain.OrganisationID]float64, len(report.Spent))
 	for _, s := range report.Spent {
-		before, counted := p.spent[s.Organisation]
+		told[s.Organisation] = s.Used
+		before := p.spent[s.Organisation]
 		p.spent[s.Organisation] = s.Total
-		a, ok := l.accounts[s.Organisation]
-		if !ok {
-			continue
-		}
-		if counted {
-			a.level = min(max(a.level-(s.Total-before), -a.burst), a.burst)
-		}
-		if !a.adopted {
-			a.adopted = true
-			a.level = min(a.level, s.Level)
+		if a, ok := l.accounts[s.Organisation]; ok && (known || before > 0) {
+			a.used.advance(now, l.parts.Window)
+			a.used.add(s.Total - before)
 		}
 	}
+	if report.Version > 0 {
+		l.adopt(now, told)
+	}
 	l.forget(now)
 }
 
+// adopt takes over what a peer knows to have been used, in place of what was assumed at the start of this life.
+func (l *Limiter) adopt(now boottime.Instant, told map[domain.OrganisationID]float64) {
+	for id, a := range l.accounts {
+		if a.adopted {
+			continue
+		}
+		a.adopted = true
+		a.used.advance(now, l.parts.Window)
+		a.before, a.since = min(a.total(now, l.parts.Window), max(told[id]-a.used.sum, 0)), now
+	}
+}
+
 func (l *Limiter) forget(now boottime.Instant) {
 	for id, p := range l.peers {
 		if now.Sub(p.heardAt) > forgetAfter {
