--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,47 @@
+package directory
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+func listed(ids ...string) []*Endpoint {
+	var list []*Endpoint
+	for _, id := range ids {
+		list = append(list, &Endpoint{ID: domain.EndpointID(id), Service: "s"})
+	}
+	return list
+}
+
+func names(d *Directory) string {
+	text := ""
+	for _, e := range d.Current().Service("s") {
+		text += string(e.ID)
+	}
+	return text
+}
+
+func TestRemovedEndpointsAreOutAtOnce(t *testing.T) {
+	d := New()
+	d.Apply(1, listed("b", "a"), nil, 0)
+	assert.Equal(t, names(d), "ab")
+	d.Apply(2, nil, []domain.EndpointID{"a"}, 0)
+	assert.Equal(t, names(d), "b")
+	d.Replace(3, listed("c"), 0)
+	assert.Equal(t, names(d), "c")
+}
+
+func TestEntriesMissingAfterAnOutageAreKeptForAWhile(t *testing.T) {
+	d := New()
+	leaving := &Endpoint{ID: "l", Service: "s", Leaving: true}
+	d.Apply(1, append(listed("a", "b", "c"), leaving), nil, 0)
+	d.Replace(10, listed("c"), 20)
+	assert.Equal(t, names(d), "abc", "one that was leaving is not kept")
+	d.Apply(12, listed("a"), nil, 20)
+	assert.Equal(t, len(d.Sweep(19)), 0)
+	assert.Equal(t, len(d.Sweep(20)), 1)
+	assert.Equal(t, names(d), "ac", "one that is listed again stays")
+}
--- /dev/null
+++ b/follow/follower_test.go
@@ -0,0 +1,259 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/routetable"
+)
+
+var errDown = errors.New("store is down")
+
+// fakeStore is a Source in memory.
+type fakeStore struct {
+	mu        sync.Mutex
+	revision  Revision
+	version   uint64
+	changed   map[Topic]Revision
+	endpoints map[string]bool
+	// oldest is the revision before which history is gone.
+	oldest Revision
+	down   bool
+	// deaf watches never return.
+	deaf  bool
+	wake  chan struct{}
+	calls int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, version: 1, changed: map[Topic]Revision{}, endpoints: map[string]bool{"a": true}, wake: make(chan struct{})}
+}
+
+func (s *fakeStore) change(topic Topic, edit func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changed[topic] = s.revision
+	edit()
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func (s *fakeStore) set(edit func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit()
+}
+
+func (s *fakeStore) whole(topic Topic) Change {
+	c := Change{Revision: s.revision, Last: s.changed[topic]}
+	if topic == Configuration {
+		c.Table, _ = routetable.New(s.version, nil, nil, nil, routetable.Limits{})
+		return c
+	}
+	for id := range s.endpoints {
+		c.Endpoints = append(c.Endpoints, &directory.Endpoint{ID: domain.EndpointID(id), Service: "s"})
+	}
+	return c
+}
+
+func (s *fakeStore) Load(_ context.Context, topic Topic) (Change, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Change{}, errDown
+	}
+	return s.whole(topic), nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, topic Topic, after Revision, wait time.Duration) (Change, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		change, wake, done, err := s.look(topic, after)
+		s.mu.Unlock()
+		if done || err != nil {
+			return change, err
+		}
+		select {
+		case <-ctx.Done():
+			return Change{}, ctx.Err()
+		case <-timer.C:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.deaf {
+				<-ctx.Done()
+				return Change{}, ctx.Err()
+			}
+			return Change{Revision: s.revision}, nil
+		case <-wake:
+		}
+	}
+}
+
+func (s *fakeStore) look(topic Topic, after Revision) (Change, chan struct{}, bool, error) {
+	switch {
+	case s.down:
+		return Change{}, nil, true, errDown
+	case after < s.oldest:
+		return Change{}, nil, true, ErrCompacted
+	case !s.deaf && s.changed[topic] > after:
+		c := s.whole(topic)
+		if topic == Endpoints && !s.endpoints["a"] {
+			c.Removed = []domain.EndpointID{"a"}
+		}
+		return c, nil, true, nil
+	}
+	return Change{}, s.wake, false, nil
+}
+
+func (s *fakeStore) Nodes(context.Context, bool) ([]Peer, error) { return []Peer{{Node: "n"}}, nil }
+
+// follower runs a follower for a test under synctest.
+func follower(t *testing.T, s Source, confirms bool) *Follower {
+	start := time.Now()
+	listed := make(chan struct{})
+	close(listed)
+	f := New(Parts{
+		Source: s, Directory: directory.New(), Clock: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(start)) },
+		Accepted: func(*routetable.Table) {}, Confirms: func() bool { return confirms },
+		Fleet: func() (int, bool) { return 3, false }, Listed: listed, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = f.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+	return f
+}
+
+func (f *Follower) age() time.Duration { return f.Age(f.parts.Clock()) }
+
+func TestAgeStaysBoundedWhileTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follower(t, newFakeStore(), true)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, f.age() <= 2*confirmWait+watchSlack, "%v", f.age())
+		}
+	})
+}
+
+func TestAgeGrowsWithASilentStoreFromTheSendingOfTheLastCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, true)
+		time.Sleep(3 * confirmWait)
+		s.set(func() { s.deaf = true })
+		before := f.age()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, f.age() >= before+10*time.Second, "an unanswered watch confirms nothing")
+	})
+}
+
+func TestVersionNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, true)
+		s.change(Configuration, func() { s.version = 5 })
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Table().Version, uint64(5))
+		s.change(Configuration, func() { s.version = 4 })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.Table().Version, uint64(5))
+	})
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, true)
+		s.set(func() { s.deaf = true })
+		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
+		s.change(Configuration, func() { s.version = 2; s.oldest = s.revision; s.deaf = false })
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Table().Version, uint64(2))
+		assert.Assert(t, f.parts.Directory.Current().Endpoint("a") == nil, "history lost is no outage: missing means gone")
+	})
+}
+
+func TestEntriesThatLapseWithTheStoreAreKeptUntilItsReturnHasSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, true)
+		s.change(Endpoints, func() { s.down = true; s.endpoints = map[string]bool{} })
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = false })
+		time.Sleep(returnGrace - 500*time.Millisecond)
+		assert.Assert(t, f.parts.Directory.Current().Endpoint("a") != nil)
+		time.Sleep(returnGrace + 500*time.Millisecond)
+		assert.Assert(t, f.parts.Directory.Current().Endpoint("a") == nil)
+	})
+}
+
+func TestPeersConfirmationsSaveCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, false)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			f.Relay(Word{Version: 1, Confirmed: f.parts.Clock().Add(-2 * time.Second)})
+		}
+		assert.Assert(t, f.age() <= 3*time.Second)
+		assert.Assert(t, s.calls <= 4, "%d calls", s.calls)
+	})
+}
+
+func TestNodeAsksItselfWhenConfirmationsStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follower(t, newFakeStore(), false)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, f.age() <= relayLost+lookEvery+probeTimeout, "%v", f.age())
+		}
+	})
+}
+
+func TestNodeBehindItsPeersAsksTheStore(t *testing.T) {
+	for _, topic := range []Topic{Configuration, Endpoints} {
+		t.Run(topic.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				f := follower(t, s, false)
+				s.set(func() { s.deaf = true })
+				s.change(Configuration, func() { s.version = 2 })
+				s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
+				s.set(func() { s.deaf = false }) // the watch that waits stays deaf, new ones hear
+				for range 30 {
+					f.Relay(Word{Version: 2, Endpoints: s.changed[Endpoints], Confirmed: f.parts.Clock()})
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Equal(t, f.Table().Version, uint64(2))
+				assert.Assert(t, f.parts.Directory.Current().Endpoint("b") != nil)
+			})
+		})
+	}
+}
--- a/tokenlimit/limiter.go
+++ b/tokenlimit/limiter.go
@@ -168,11 +168,13 @@
 	told := make(map[domain.OrganisationID]float64, len(report.Spent))
 	for _, s := range report.Spent {
 		told[s.Organisation] = s.Used
-		before := p.spent[s.Organisation]
+		more := s.Total - p.spent[s.Organisation]
 		p.spent[s.Organisation] = s.Total
-		if a, ok := l.accounts[s.Organisation]; ok && (known || before > 0) {
+		a, ok := l.accounts[s.Organisation]
+		// What was used before this life heard of anybody is covered by what is adopted.
+		if ok && (known || a.adopted) {
 			a.used.advance(now, l.parts.Window)
-			a.used.add(s.Total - before)
+			a.used.add(more)
 		}
 	}
 	if report.Version > 0 {
