--- a/entrynode/operators.go
+++ b/entrynode/operators.go
@@ -9,6 +9,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/buildinfo"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/logging"
@@ -27,6 +28,7 @@
 	Waiting   int          `json:"requests_waiting"`
 	Fleet     gossip.Fleet `json:"fleet"`
 	Endpoints int          `json:"endpoints"`
+	Leaving   int          `json:"endpoints_leaving"`
 	// Report is what the node tells the others of itself.
 	Report gossip.Report `json:"report"`
 }
@@ -48,6 +50,11 @@
 	if table := n.follower.Table(); table != nil {
 		s.Version = table.Version
 	}
+	n.directory.Current().Each(func(e *directory.Endpoint) {
+		if e.Leaving {
+			s.Leaving++
+		}
+	})
 	known, _ := n.follower.Revision(follow.Configuration)
 	s.Revision = uint64(known)
 	n.fill(&s.Report)
--- /dev/null
+++ b/gossip/mesh_test.go
@@ -0,0 +1,210 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+var errClosed = errors.New("closed")
+
+// network carries datagrams in memory; those of a cut pair are lost.
+type network struct {
+	mu   sync.Mutex
+	in   map[string]chan packet
+	cut  map[[2]string]bool
+	sent int
+	// closed networks lose everything.
+	closed bool
+}
+
+func newNetwork() *network {
+	return &network{in: make(map[string]chan packet), cut: make(map[[2]string]bool)}
+}
+
+type packet struct {
+	from     string
+	datagram []byte
+}
+
+type port struct {
+	net  *network
+	name string
+}
+
+func (p port) Send(to string, datagram []byte) error {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.net.sent++
+	if p.net.closed || p.net.cut[[2]string{p.name, to}] {
+		return nil
+	}
+	select {
+	case p.net.in[to] <- packet{p.name, append([]byte(nil), datagram...)}:
+	default:
+	}
+	return nil
+}
+
+func (p port) Receive(buffer []byte) (int, string, error) {
+	p.net.mu.Lock()
+	in := p.net.in[p.name]
+	p.net.mu.Unlock()
+	got, ok := <-in
+	if !ok {
+		return 0, "", errClosed
+	}
+	return copy(buffer, got.datagram), got.from, nil
+}
+
+func (n *network) setCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
+}
+
+// member is a mesh with what it heard.
+type member struct {
+	*Mesh
+	mu     sync.Mutex
+	bounds []time.Duration
+}
+
+// fleet runs so many meshes, the data centres by turns.
+func fleet(t *testing.T, net *network, size, centres int) []*member {
+	start := time.Now()
+	clock := func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(start)) }
+	addresses := make([]Address, size)
+	for i := range addresses {
+		name := fmt.Sprintf("n%03d", i)
+		addresses[i] = Address{Node: domain.NodeID(name), DataCentre: domain.DataCentre(fmt.Sprint("dc", i%centres)), HostPort: name}
+		net.in[name] = make(chan packet, 1024)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	members := make([]*member, size)
+	for i, a := range addresses {
+		m := &member{}
+		m.Mesh = New(Parts{
+			Self: a.Node, DataCentre: a.DataCentre, Life: uint64(i + 1), Transport: port{net, a.HostPort}, Clock: clock,
+			Peers: func() []Address { return addresses },
+			Fill:  func(*Report) {},
+			Heard: func(_ *Report, sent boottime.Instant) {
+				if sent > 0 {
+					m.mu.Lock()
+					m.bounds = append(m.bounds, clock().Sub(sent))
+					m.mu.Unlock()
+				}
+			},
+			Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+		})
+		members[i] = m
+		running.Go(func() { _ = m.Run(ctx) })
+		running.Go(func() { _ = m.Listen(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		net.mu.Lock()
+		for _, in := range net.in {
+			close(in)
+		}
+		net.closed = true
+		net.mu.Unlock()
+		running.Wait()
+	})
+	return members
+}
+
+func TestFleetHearsEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := fleet(t, newNetwork(), 6, 3)
+		time.Sleep(2 * time.Second)
+		for _, m := range members {
+			assert.DeepEqual(t, m.Fleet(), Fleet{Known: 6, Heard: 6, Near: 2})
+		}
+	})
+}
+
+func TestEchoBoundsTheAgeOfAReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := fleet(t, newNetwork(), 6, 3)
+		time.Sleep(3 * time.Second)
+		m := members[0]
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		assert.Assert(t, len(m.bounds) > 0)
+		for _, age := range m.bounds[len(m.bounds)/2:] {
+			assert.Assert(t, age <= time.Second, "%v", age)
+		}
+	})
+}
+
+func TestOneNodeADataCentreConfirmsAndAnotherTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		members := fleet(t, net, 6, 2)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, confirming(members), "n000 n001 ")
+		for _, m := range members[1:] {
+			net.setCut("n000", string(m.parts.Self), true)
+		}
+		time.Sleep(2 * FreshFor)
+		assert.Equal(t, confirming(members), "n000 n001 n002 ", "the one that is cut off confirms for itself")
+		assert.Equal(t, members[2].Fleet().Heard, 5)
+		assert.Equal(t, members[2].Fleet().Known, 6, "a silent node that is listed still counts")
+		for _, m := range members[1:] {
+			net.setCut("n000", string(m.parts.Self), false)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, confirming(members), "n000 n001 ")
+	})
+}
+
+func confirming(members []*member) string {
+	text := ""
+	for _, m := range members {
+		if m.Confirms() {
+			text += string(m.parts.Self) + " "
+		}
+	}
+	return text
+}
+
+func TestReportsANodeSendsGrowLessThanTheFleet(t *testing.T) {
+	rate := func(size int) float64 {
+		var perNode float64
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork()
+			fleet(t, net, size, 3)
+			time.Sleep(2 * time.Second)
+			net.mu.Lock()
+			before := net.sent
+			net.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			net.mu.Lock()
+			perNode = float64(net.sent-before) / 2 / float64(size)
+			net.mu.Unlock()
+		})
+		return perNode
+	}
+	assert.Assert(t, rate(6) < 60)
+	assert.Assert(t, rate(72) < 250)
+}
+
+func TestRubbishIsDropped(t *testing.T) {
+	m := New(Parts{Self: "a", Clock: func() boottime.Instant { return 1 }, Heard: func(*Report, boottime.Instant) { t.Error("heard") }, Log: zerolog.Nop(), Metrics: metrics.NewSet()})
+	m.take([]byte("rubbish"), "x")
+	m.take(nil, "x")
+	assert.Equal(t, m.dropped.Get(), uint64(2))
+}
