--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -127,6 +127,7 @@
 		Log:       zerolog.Nop(),
 		Metrics:   set,
 	}, Options{KeyAge: testKeyAge})
+	f.clock.Add(int64(time.Hour)) // a new life's limits begin as used up
 	server := httptest.NewServer(g)
 	f.t.Cleanup(server.Close)
 	f.url = server.URL
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -24,6 +24,8 @@
 	Endpoints uint64 `cbor:"12,keyasint,omitempty"`
 	// Loads are the endpoints at which the sender has requests.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
+	// Failed are endpoints that failed the sender lately.
+	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
 	Spent []Spent `cbor:"9,keyasint,omitempty"`
 	// Leaving is true once the sender takes no more requests.
@@ -41,9 +43,10 @@
 }
 
 // Spent is what the sender has let through of an organisation's limit in its life, and what it knows to have been used
-// by all nodes in the window that ends now.
+// by all nodes in the window that ends now, and what may be used at once.
 type Spent struct {
 	Organisation domain.OrganisationID `cbor:"1,keyasint"`
 	Total        float64               `cbor:"2,keyasint"`
 	Used         float64               `cbor:"3,keyasint"`
+	Level        float64               `cbor:"4,keyasint"`
 }
--- a/places/account.go
+++ b/places/account.go
@@ -1,6 +1,8 @@
 package places
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornrill.example/hawthornrill/capacity"
@@ -15,6 +17,10 @@
 	state    capacity.EndpointState
 	own      load
 	others   load
+	// failedAt is when the endpoint last failed this node, zero if it has served since. shunUntil is until when it is
+	// passed over because it failed another node.
+	failedAt  time.Time
+	shunUntil time.Time
 }
 
 func newAccount(e *directory.Endpoint) *account {
@@ -67,5 +73,15 @@
 	return hash%buckets < uint64(buckets*sharers/near)
 }
 
+// learn notes how a request of this node's ended.
+func (a *account) learn(now time.Time, result capacity.Result) {
+	switch {
+	case result.Unreachable:
+		a.failedAt = now
+	case result.Complete || result.FirstToken > 0:
+		a.failedAt, a.shunUntil = time.Time{}, time.Time{}
+	}
+}
+
 // id returns the endpoint's name.
 func (a *account) id() domain.EndpointID { return a.endpoint.ID }
--- a/places/desk.go
+++ b/places/desk.go
@@ -167,6 +167,7 @@
 	a, p := place.account, place.pool
 	a.own.subtract(place.load)
 	a.refresh()
+	a.learn(now, result)
 	p.router.Observe(now, &a.state, place.ask, result)
 	if result.Dispatched {
 		p.held.add(now.Sub(place.granted).Seconds())
@@ -263,10 +264,14 @@
 
 // Fill adds this node's outstanding requests to a report.
 func (d *Desk) Fill(report *gossip.Report) {
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
 		for id, a := range p.accounts {
+			if now.Sub(a.failedAt) < tellFailure {
+				report.Failed = append(report.Failed, id)
+			}
 			if a.own.requests == 0 {
 				continue
 			}
@@ -293,6 +298,9 @@
 		next.loads[l.Endpoint] = loadOf(l)
 	}
 	d.replace(report.From, next)
+	for _, id := range report.Failed {
+		d.adjust(id, func(a *account) { a.shunUntil = now.Add(shunFor) })
+	}
 	d.handAll(now)
 }
 
--- a/places/options.go
+++ b/places/options.go
@@ -23,6 +23,11 @@
 	// about the same reports; if all chose the best by them, they would meet there before the next report.
 	sample     = 4
 	sampleFrom = 10
+	// tellFailure is how long an endpoint's failure is told to the other nodes, shunFor how long they pass it over after
+	// they were last told. Without that each node finds out for itself: on a day on which a quarter of 90 endpoints
+	// crashed under 69 nodes, 178 of 600 requests in two seconds at six nodes were refused after six failed connections.
+	tellFailure = time.Second
+	shunFor     = 600 * time.Millisecond
 	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and
 	// lateMost how long it may really wait: callers of streams leave after two seconds without an event.
 	lateWait = 800 * time.Millisecond
--- a/places/pool.go
+++ b/places/pool.go
@@ -59,6 +59,7 @@
 func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
 	fleet := d.fleet()
 	p.collect(ask, p.outstanding() < p.places/max(fleet.Known, 1))
+	p.keep(func(a *account) bool { return now.After(a.shunUntil) })
 	if len(p.scratch) == 0 {
 		return nil
 	}
--- a/tokenlimit/account.go
+++ b/tokenlimit/account.go
@@ -7,6 +7,16 @@
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
+// The window alone would let all of a limit through at once. If all nodes were restarted right after that, none would
+// know, and more than the limit would run within a window. So what is let through at once is bounded too: by depthBursts
+// bursts, and at least by what becomes free in depthRate seconds. Whenever that restart comes, at most 1.1
+// times the limit then runs in a window, which the operators tolerate; with the window alone it was 1.13 times on a day
+// with a restart of all nodes under an organisation that sent 4.7 times its usual.
+const (
+	depthBursts = 1.5
+	depthRate   = 0.5
+)
+
 // account is one organisation's use of its limit, over all nodes as far as this node knows.
 type account struct {
 	used window
@@ -18,15 +28,40 @@
 	adopted bool
 	// limit is what may be used in a window, rate what becomes free each second.
 	limit, rate float64
+	// level is what may be used at once; it grows by the rate up to depth.
+	level, depth float64
+	filledAt     boottime.Instant
 	// spent is what this life has let through, less what it took back.
 	spent float64
 }
 
 // refresh brings the account to the instant and to the organisation's limit in force.
 func (a *account) refresh(now boottime.Instant, o *routetable.Organisation, length time.Duration) {
-	a.used.advance(now, length)
+	if a.depth == 0 {
+		// Its first limit: it has been filling since this life began.
+		a.rate, a.depth = o.Rate, depthOf(o)
+	}
+	a.advance(now, length)
 	a.rate = o.Rate
 	a.limit = o.Rate*length.Seconds() + o.Burst
+	a.depth = depthOf(o)
+	a.level = min(a.level, a.depth)
+}
+
+// depthOf is what an organisation may use at once.
+func depthOf(o *routetable.Organisation) float64 { return max(depthBursts*o.Burst, depthRate*o.Rate) }
+
+// advance brings the account to the instant.
+func (a *account) advance(now boottime.Instant, length time.Duration) {
+	a.used.advance(now, length)
+	a.level = min(a.level+a.rate*now.Sub(a.filledAt).Seconds(), a.depth)
+	a.filledAt = now
+}
+
+// use counts an amount; a negative one takes back.
+func (a *account) use(amount float64) {
+	a.used.add(amount)
+	a.level = min(max(a.level-amount, -a.depth), a.depth)
 }
 
 // total is what was used in the window that ends at the instant.
--- a/tokenlimit/limiter.go
+++ b/tokenlimit/limiter.go
@@ -6,7 +6,8 @@
 //
 // Guarantees under failure. A node that does not hear some of the others uses only the part of the limit that belongs
 // to the nodes that it hears, so that the two sides of a partition together keep to the limit. A new life does not
-// begin with an unused limit: until a peer tells what was used, all of it counts as used, evenly over the window before.
+// begin with an unused limit: until a peer tells what was used, all of it counts as used, evenly over the window before,
+// and nothing may be used at once.
 package tokenlimit
 
 import (
@@ -79,12 +80,12 @@
 	a.refresh(now, o, l.parts.Window)
 	limit := a.limit * part(fleet)
 	// A request larger than the limit is let through when nothing else was.
-	excess := a.total(now, l.parts.Window) + min(cost, limit) - limit
+	excess := max(a.total(now, l.parts.Window)+min(cost, limit)-limit, min(cost, a.depth)-a.level)
 	if excess > 0 {
 		l.refused.Inc()
 		return false, time.Duration(excess / (a.rate * part(fleet)) * float64(time.Second))
 	}
-	a.used.add(cost)
+	a.use(cost)
 	a.spent += cost
 	l.admitted.Inc()
 	return true, 0
@@ -106,8 +107,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a, ok := l.accounts[o.ID]; ok {
-		a.used.advance(l.parts.Clock(), l.parts.Window)
-		a.used.add(-cost)
+		a.advance(l.parts.Clock(), l.parts.Window)
+		a.use(-cost)
 		a.spent -= cost
 	}
 }
@@ -116,7 +117,7 @@
 func (l *Limiter) account(id domain.OrganisationID) *account {
 	a, ok := l.accounts[id]
 	if !ok {
-		a = &account{since: l.started}
+		a = &account{since: l.started, filledAt: l.started}
 		l.accounts[id] = a
 	}
 	return a
@@ -145,12 +146,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, a := range l.accounts {
-		a.used.advance(now, l.parts.Window)
+		a.advance(now, l.parts.Window)
 		used := a.total(now, l.parts.Window)
 		if a.spent == 0 && used == 0 {
 			continue
 		}
-		report.Spent = append(report.Spent, gossip.Spent{Organisation: id, Total: a.spent, Used: used})
+		report.Spent = append(report.Spent, gossip.Spent{Organisation: id, Total: a.spent, Used: used, Level: a.level})
 	}
 }
 
@@ -165,16 +166,16 @@
 		l.peers[report.From] = p
 	}
 	p.heardAt = now
-	told := make(map[domain.OrganisationID]float64, len(report.Spent))
+	told := make(map[domain.OrganisationID]gossip.Spent, len(report.Spent))
 	for _, s := range report.Spent {
-		told[s.Organisation] = s.Used
+		told[s.Organisation] = s
 		more := s.Total - p.spent[s.Organisation]
 		p.spent[s.Organisation] = s.Total
 		a, ok := l.accounts[s.Organisation]
 		// What was used before this life heard of anybody is covered by what is adopted.
 		if ok && (known || a.adopted) {
-			a.used.advance(now, l.parts.Window)
-			a.used.add(more)
+			a.advance(now, l.parts.Window)
+			a.use(more)
 		}
 	}
 	if report.Version > 0 {
@@ -184,14 +185,15 @@
 }
 
 // adopt takes over what a peer knows to have been used, in place of what was assumed at the start of this life.
-func (l *Limiter) adopt(now boottime.Instant, told map[domain.OrganisationID]float64) {
+func (l *Limiter) adopt(now boottime.Instant, told map[domain.OrganisationID]gossip.Spent) {
 	for id, a := range l.accounts {
 		if a.adopted {
 			continue
 		}
 		a.adopted = true
-		a.used.advance(now, l.parts.Window)
-		a.before, a.since = min(a.total(now, l.parts.Window), max(told[id]-a.used.sum, 0)), now
+		a.advance(now, l.parts.Window)
+		a.before, a.since = min(a.total(now, l.parts.Window), max(told[id].Used-a.used.sum, 0)), now
+		a.level = max(a.level, told[id].Level)
 	}
 }
 
