--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -41,7 +41,10 @@
 	d := &dispatched{task: t, place: place, ctx: ctx, cancel: cancel, started: time.Now()}
 	d.watch()
 	defer d.unwatch()
-	t.endpoint = place.Endpoint.ID
+	t.endpoint, t.load = place.Endpoint.ID, place.Load
+	if !place.Reported.IsZero() {
+		t.loadAge = time.Since(place.Reported)
+	}
 	t.tried = append(t.tried, place.Endpoint.ID)
 	answer, err := t.gateway.parts.Endpoints.Send(ctx, t.exchangeRequest(place))
 	if err != nil {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -56,6 +56,8 @@
 	first    time.Duration
 	endpoint domain.EndpointID
 	events   int
+	load     int
+	loadAge  time.Duration
 }
 
 func newTask(g *Gateway, w http.ResponseWriter, r *http.Request) *task {
--- a/places/account.go
+++ b/places/account.go
@@ -59,11 +59,22 @@
 // free returns the number of places that nobody holds.
 func (a *account) free() int { return max(a.endpoint.Slots-a.own.requests-a.others.requests, 0) }
 
-// hasRoom reports whether this node may send one request more: if a place is free, or if the node has less than an equal
-// part of the service's places and the endpoint is not much beyond its own. The latter keeps a node that has just
-// started from being shut out by the others.
-func (a *account) hasRoom(belowPart bool) bool {
-	return a.free() > 0 || (belowPart && float64(a.own.requests+a.others.requests) < overfill*float64(a.endpoint.Slots))
+// room is what a node may take of an endpoint.
+type room struct {
+	// beyond allows a request beyond the endpoint's places.
+	beyond bool
+	// reserve is the part of the places that must stay free.
+	reserve float64
+}
+
+// hasRoom reports whether this node may send one request more: if a place is free beyond the reserve, or if the node may
+// go beyond the places and they are not much exceeded yet.
+func (a *account) hasRoom(r room) bool {
+	outstanding, slots := float64(a.own.requests+a.others.requests), float64(a.endpoint.Slots)
+	if r.beyond {
+		return outstanding < overfill*slots
+	}
+	return outstanding < slots-r.reserve*slots
 }
 
 // mine reports whether the endpoint belongs to the node's part: about sharers of the near nodes share each endpoint.
--- a/places/desk.go
+++ b/places/desk.go
@@ -32,6 +32,8 @@
 	pools map[string]*pool
 	// seen is the directory's snapshot that the pools follow.
 	seen *directory.Snapshot
+	// reportedAt is when the last report came.
+	reportedAt time.Time
 	// peers are the nodes' last reports.
 	peers map[domain.NodeID]*peerLoads
 
@@ -297,6 +299,7 @@
 	for _, l := range report.Loads {
 		next.loads[l.Endpoint] = loadOf(l)
 	}
+	d.reportedAt = now
 	d.replace(report.From, next)
 	for _, id := range report.Failed {
 		d.adjust(id, func(a *account) { a.shunUntil = now.Add(shunFor) })
--- a/places/options.go
+++ b/places/options.go
@@ -14,8 +14,12 @@
 	lowestTurn = 5
 	// localFill is the part of an endpoint's places up to which the node's own data centre goes first.
 	localFill = 0.7
-	// overfill is how far beyond its places an endpoint is filled by nodes that have less than an equal part of them.
-	overfill = 1.25
+	// overfill is how far beyond its places an endpoint is filled by nodes that have less than a starvedPart-th of an
+	// equal part of them.
+	overfill    = 1.25
+	starvedPart = 2
+	// lateReserve is the part of an endpoint's places that requests which will be late leave free.
+	lateReserve = 0.15
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
 	// endpoints, so that it knows more of their load by itself and needs fewer connections.
 	sharers = 8
--- a/places/place.go
+++ b/places/place.go
@@ -14,6 +14,10 @@
 	Endpoint *directory.Endpoint
 	// Waited is how long the ask waited for the place.
 	Waited time.Duration
+	// Load is what was thought to be outstanding at the endpoint when the place was given, and Reported when the last
+	// report of another node came that counts in it, zero if there is none.
+	Load     int
+	Reported time.Time
 
 	desk    *Desk
 	pool    *pool
@@ -32,6 +36,8 @@
 		account:  a,
 		ask:      ask.forRouter(),
 		granted:  now,
+		Load:     a.state.Requests,
+		Reported: d.reportedAt,
 		load: load{
 			requests:      1,
 			prefillTokens: ask.PromptTokens,
--- a/places/pool.go
+++ b/places/pool.go
@@ -6,6 +6,7 @@
 
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/queue"
 	"hawthornrill.example/hawthornrill/routing"
 )
@@ -58,7 +59,7 @@
 // then the near ones, then all: bytes between data centres cost, and the way is longer.
 func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
 	fleet := d.fleet()
-	p.collect(ask, p.outstanding() < p.places/max(fleet.Known, 1))
+	p.collect(ask, p.room(now, ask, fleet))
 	p.keep(func(a *account) bool { return now.After(a.shunUntil) })
 	if len(p.scratch) == 0 {
 		return nil
@@ -80,11 +81,24 @@
 	return p.chosen[at]
 }
 
+// room is what the ask may take. A node with much less than an equal part of the service's places may go beyond an
+// endpoint's, which keeps one that has just started from being shut out by the others. Requests that will be late leave
+// some places to those that can be on time, which would otherwise find none when they come.
+func (p *pool) room(now time.Time, ask *Ask, fleet gossip.Fleet) room {
+	if p.outstanding()*starvedPart < p.places/max(fleet.Known, 1) {
+		return room{beyond: true}
+	}
+	if ask.late(now, p.start()) && !ask.Urgent {
+		return room{reserve: lateReserve}
+	}
+	return room{}
+}
+
 // collect takes the endpoints that have room for the ask.
-func (p *pool) collect(ask *Ask, belowPart bool) {
+func (p *pool) collect(ask *Ask, r room) {
 	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
 	for _, a := range p.accounts {
-		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(belowPart) {
+		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(r) {
 			continue
 		}
 		a.refresh()
