--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -217,3 +218,24 @@
 	assert.Equal(t, f.call(nil).Status, http.StatusServiceUnavailable)
 	assert.Equal(t, f.sends.Load(), int64(0))
 }
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	ended := make(chan struct{})
+	f := newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		events(w, 1, 1)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/r/x", http.NoBody)
+	assert.NilError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Id", "1")
+	request.Header.Set("X-Key", "key")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	<-ended
+}
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -24,9 +24,9 @@
 // Times of the mesh.
 const (
 	// reportEvery is the pause between reports to the nodes of the same data centre, and perNear what each of them adds,
-	// so that a node's own messages stay below some two hundred a second.
-	reportEvery = 80 * time.Millisecond
-	perNear     = 5 * time.Millisecond
+	// so that a node sends below three hundred reports a second in a data centre of any size.
+	reportEvery = 60 * time.Millisecond
+	perNear     = 3 * time.Millisecond
 	// perFar is what each node of another data centre adds to the pause between reports to those, up to farMost: bytes
 	// between data centres cost, and their nodes share fewer endpoints with this one.
 	perFar  = 12 * time.Millisecond
--- a/places/account.go
+++ b/places/account.go
@@ -9,6 +9,7 @@
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
 )
 
 // account is what a node counts of one endpoint: its own requests exactly, the others' as they last reported.
@@ -21,6 +22,9 @@
 	// passed over because it failed another node.
 	failedAt  time.Time
 	shunUntil time.Time
+	// isMine is whether the endpoint is of this node's part, worked out for partOf nodes of the data centre.
+	isMine bool
+	partOf int
 }
 
 func newAccount(e *directory.Endpoint) *account {
@@ -63,25 +67,41 @@
 type room struct {
 	// beyond allows a request beyond the endpoint's places.
 	beyond bool
-	// reserve is the part of the places that must stay free.
+	// reserve is the part of the places that must stay free, foreign that at endpoints of the other nodes' part.
 	reserve float64
+	foreign float64
 }
 
 // hasRoom reports whether this node may send one request more: if a place is free beyond the reserve, or if the node may
 // go beyond the places and they are not much exceeded yet.
-func (a *account) hasRoom(r room) bool {
+func (a *account) hasRoom(r room, mine bool) bool {
+	reserve := r.reserve
+	if !mine {
+		reserve = max(reserve, r.foreign)
+	}
 	outstanding, slots := float64(a.own.requests+a.others.requests), float64(a.endpoint.Slots)
 	if r.beyond {
 		return outstanding < overfill*slots
 	}
-	return outstanding < slots-r.reserve*slots
+	return outstanding < slots-reserve*slots
 }
 
-// mine reports whether the endpoint belongs to the node's part: about sharers of the near nodes share each endpoint.
-func (a *account) mine(node domain.NodeID, near int) bool {
+// mine reports whether the endpoint belongs to the node's part: in a data centre with more than sharers nodes, about so
+// many share each of its endpoints, and none those of others.
+func (a *account) mine(o Options, fleet gossip.Fleet) bool {
+	if a.partOf != fleet.Near {
+		a.partOf, a.isMine = fleet.Near, a.inPart(o, fleet.Near)
+	}
+	return a.isMine
+}
+
+func (a *account) inPart(o Options, near int) bool {
+	if a.endpoint.DataCentre != o.DataCentre {
+		return false
+	}
 	const buckets = 1 << 16
-	hash := xxhash.Sum64String(string(node) + "/" + string(a.id()))
-	return hash%buckets < uint64(buckets*sharers/near)
+	hash := xxhash.Sum64String(string(o.Node) + "/" + string(a.id()))
+	return hash%buckets < uint64(buckets*sharers/max(near, 1))
 }
 
 // learn notes how a request of this node's ended.
--- a/places/options.go
+++ b/places/options.go
@@ -21,8 +21,11 @@
 	// lateReserve is the part of an endpoint's places that requests which will be late leave free.
 	lateReserve = 0.3
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
-	// endpoints, so that it knows more of their load by itself and needs fewer connections.
-	sharers = 8
+	// endpoints, so that it knows more of their load by itself and needs fewer connections. foreignReserve is the part of
+	// the places of all other endpoints that it leaves free: by reports a third of a second old, many nodes would take
+	// the last place at a time.
+	sharers        = 4
+	foreignReserve = 0.3
 	// sample is the number of endpoints among which the router chooses in a fleet larger than sampleFrom. All nodes see
 	// about the same reports; if all chose the best by them, they would meet there before the next report.
 	sample     = 4
--- a/places/pool.go
+++ b/places/pool.go
@@ -59,7 +59,7 @@
 // then the near ones, then all: bytes between data centres cost, and the way is longer.
 func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
 	fleet := d.fleet()
-	p.collect(ask, p.room(now, ask, fleet))
+	p.collect(ask, p.room(now, ask, fleet), d.options, fleet)
 	p.keep(func(a *account) bool { return now.After(a.shunUntil) })
 	if len(p.scratch) == 0 {
 		return nil
@@ -67,7 +67,7 @@
 	near := func(a *account) bool {
 		return a.endpoint.DataCentre == d.options.DataCentre && float64(a.state.Requests) < localFill*float64(a.endpoint.Slots)
 	}
-	if fleet.Near <= sharers || !p.keep(func(a *account) bool { return near(a) && a.mine(d.options.Node, fleet.Near) }) {
+	if fleet.Near <= sharers || !p.keep(func(a *account) bool { return near(a) && a.mine(d.options, fleet) }) {
 		p.keep(near)
 	}
 	if fleet.Known > sampleFrom {
@@ -88,17 +88,21 @@
 	if p.outstanding()*starvedPart < p.places/max(fleet.Known, 1) {
 		return room{beyond: true}
 	}
+	var r room
+	if fleet.Known > sampleFrom {
+		r.foreign = foreignReserve
+	}
 	if ask.late(now, p.start()) && !ask.Urgent {
-		return room{reserve: lateReserve}
+		r.reserve = lateReserve
 	}
-	return room{}
+	return r
 }
 
 // collect takes the endpoints that have room for the ask.
-func (p *pool) collect(ask *Ask, r room) {
+func (p *pool) collect(ask *Ask, r room, o Options, fleet gossip.Fleet) {
 	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
 	for _, a := range p.accounts {
-		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(r) {
+		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(r, a.mine(o, fleet)) {
 			continue
 		}
 		a.refresh()
