Places under test; a late request no longer holds up lower tiers

Found by the test of the order of waiting: a late request of a higher tier, which leaves the last places free, stood at the head of the queue and kept lower tiers that could be on time from those places.

--- a/places/desk.go
+++ b/places/desk.go
@@ -188,6 +188,12 @@
 			return
 		}
 		a := p.choose(now, w.ask, d)
+		if a == nil && w.ask.late(now, p.start()) {
+			// It leaves the last places to those that can be on time, of lower tiers too.
+			if w = p.firstOnTime(now); w != nil {
+				a = p.choose(now, w.ask, d)
+			}
+		}
 		if a == nil {
 			return
 		}
--- /dev/null
+++ b/places/desk_test.go
@@ -0,0 +1,278 @@
+package places
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
+)
+
+const testSlots = 4
+
+// bench is a desk with endpoints.
+type bench struct {
+	*Desk
+	t     *testing.T
+	list  *directory.Directory
+	fleet gossip.Fleet
+}
+
+func newBench(t *testing.T, endpoints int) *bench {
+	b := &bench{t: t, list: directory.New(), fleet: gossip.Fleet{Known: 1, Heard: 1, Near: 1}}
+	for i := range endpoints {
+		b.set(i, false)
+	}
+	b.Desk = New(Options{Node: "n", DataCentre: "d"}, b.list, func() gossip.Fleet { return b.fleet }, metrics.NewSet())
+	return b
+}
+
+func (b *bench) set(i int, leaving bool) {
+	b.list.Apply(0, []*directory.Endpoint{{
+		ID: domain.EndpointID(fmt.Sprint("e", i)), Service: "s", DataCentre: "d", Slots: testSlots, Leaving: leaving,
+	}}, nil, 0)
+}
+
+func testAsk() *Ask {
+	now := time.Now()
+	return &Ask{Service: "s", FirstByteDue: now.Add(time.Minute), Due: now.Add(2 * time.Minute)}
+}
+
+// take acquires a place that is free.
+func (b *bench) take(ask *Ask) *Place {
+	b.t.Helper()
+	place, err := b.Acquire(b.t.Context(), ask)
+	assert.NilError(b.t, err)
+	return place
+}
+
+// fill takes so many places.
+func (b *bench) fill(n int) []*Place {
+	var taken []*Place
+	for range n {
+		taken = append(taken, b.take(testAsk()))
+	}
+	return taken
+}
+
+func served(first time.Duration) capacity.Result {
+	return capacity.Result{Dispatched: true, Complete: true, FirstToken: first, Total: first}
+}
+
+// wait asks in the background.
+func (b *bench) wait(ask *Ask) chan error {
+	got := make(chan error, 1)
+	go func() {
+		_, err := b.Acquire(b.t.Context(), ask)
+		got <- err
+	}()
+	synctest.Wait()
+	return got
+}
+
+func TestPlacesAreGivenUpToTheirNumberAndThenWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		taken := b.fill(2 * testSlots)
+		got := b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+		taken[3].Release(served(time.Millisecond))
+		taken[3].Release(served(time.Millisecond)) // only the first counts
+		assert.NilError(t, <-got)
+		assert.Equal(t, b.Waiting(), 0)
+		b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+	})
+}
+
+func TestRefusedAtOnceWhenItWouldStartTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		for _, place := range b.fill(testSlots) {
+			time.Sleep(20 * time.Second)
+			place.Release(served(time.Second)) // places are kept for long
+		}
+		b.fill(testSlots)
+		began := time.Now()
+		ask := testAsk()
+		ask.FirstByteDue = began.Add(500 * time.Millisecond)
+		_, err := b.Acquire(b.t.Context(), ask)
+		var refusal *Refusal
+		assert.Assert(t, errors.As(err, &refusal) && errors.Is(err, ErrOverloaded))
+		assert.Assert(t, refusal.RetryAfter >= retryLeast && refusal.RetryAfter <= ask.Due.Sub(began)/3)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+func TestLateRequestGivesUpBeforeItsCallerDoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.fill(testSlots)
+		ask := testAsk()
+		ask.FirstByteDue = time.Now().Add(-time.Second)
+		began := time.Now()
+		_, err := b.Acquire(b.t.Context(), ask)
+		assert.ErrorIs(t, err, ErrOverloaded)
+		assert.Assert(t, time.Since(began) <= lateMost)
+		assert.Equal(t, b.Waiting(), 0)
+	})
+}
+
+func TestOrderOfWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		taken := b.fill(testSlots)
+		order := make(chan string, 10)
+		add := func(name string, tier domain.Tier, due time.Duration) {
+			ask := testAsk()
+			ask.Tier, ask.Name, ask.FirstByteDue = tier, name, time.Now().Add(due)
+			go func() {
+				if place, err := b.Acquire(b.t.Context(), ask); err == nil {
+					order <- name
+					time.Sleep(time.Millisecond)
+					place.Release(served(time.Microsecond))
+				}
+			}()
+			synctest.Wait()
+		}
+		add("second tier", 1, time.Minute)
+		add("soon late", 0, time.Second)
+		add("first tier", 0, time.Minute)
+		time.Sleep(1100 * time.Millisecond) // "soon late" can't be on time any more
+		taken[0].Release(served(time.Microsecond))
+		time.Sleep(time.Second)
+		assert.Equal(t, <-order, "first tier")
+		// Late ones leave places free: all but one are taken, so that the second tier goes first.
+		assert.Equal(t, <-order, "second tier")
+	})
+}
+
+func TestOthersPlacesCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.fleet = gossip.Fleet{Known: 2, Heard: 2, Near: 2}
+		report := &gossip.Report{From: "m", Loads: []gossip.Load{{Endpoint: "e0", Requests: testSlots}, {Endpoint: "e1", Requests: 1}}}
+		b.Heard(report)
+		for range testSlots - 1 {
+			assert.Equal(t, b.take(testAsk()).Endpoint.ID, domain.EndpointID("e1"))
+		}
+		got := b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+		// A peer that falls silent no longer counts.
+		time.Sleep(gossip.FreshFor + time.Second)
+		assert.Equal(t, len(got), 0, "nothing serves the queue without Run")
+		b.serve()
+		assert.NilError(t, <-got)
+	})
+}
+
+func TestNodeThatHasStartedIsNotShutOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.fleet = gossip.Fleet{Known: 2, Heard: 2, Near: 2}
+		b.Heard(&gossip.Report{From: "m", Loads: []gossip.Load{{Endpoint: "e0", Requests: testSlots}}})
+		b.take(testAsk())
+		b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+	})
+}
+
+func TestLeavingAndExcludedEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		b.set(0, true)
+		ask := testAsk()
+		ask.Excluded = []domain.EndpointID{"e1"}
+		for range testSlots {
+			assert.Equal(t, b.take(ask).Endpoint.ID, domain.EndpointID("e2"))
+		}
+		ask.Excluded = append(ask.Excluded, "e2")
+		_, err := b.Acquire(b.t.Context(), ask)
+		assert.ErrorIs(t, err, ErrNoEndpoint)
+	})
+}
+
+func TestFailuresAreToldAndPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		place := b.take(testAsk())
+		place.Release(capacity.Result{Unreachable: true})
+		var report gossip.Report
+		b.Fill(&report)
+		assert.DeepEqual(t, report.Failed, []domain.EndpointID{place.Endpoint.ID})
+		other := newBench(t, 2)
+		report.From = "m"
+		other.Heard(&report)
+		for range testSlots {
+			assert.Assert(t, other.take(testAsk()).Endpoint.ID != place.Endpoint.ID)
+		}
+	})
+}
+
+func TestCallerThatLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.fill(testSlots)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		gone := errors.New("gone")
+		time.AfterFunc(time.Second, func() { cancel(gone) })
+		_, err := b.Acquire(ctx, testAsk())
+		assert.ErrorIs(t, err, gone)
+		assert.Equal(t, b.Waiting(), 0)
+	})
+}
+
+func TestPartsCoverEveryEndpoint(t *testing.T) {
+	const near, endpoints = 23, 30
+	counts := make([]int, endpoints)
+	for n := range near {
+		for e := range endpoints {
+			a := newAccount(&directory.Endpoint{ID: domain.EndpointID(fmt.Sprint("e", e)), DataCentre: "d"})
+			if a.mine(Options{Node: domain.NodeID(fmt.Sprint("n", n)), DataCentre: "d"}, gossip.Fleet{Near: near}) {
+				counts[e]++
+			}
+		}
+	}
+	for e, n := range counts {
+		assert.Assert(t, n > 0, "endpoint %d belongs to nobody's part", e)
+	}
+	a := newAccount(&directory.Endpoint{ID: "e", DataCentre: "d"})
+	assert.Assert(t, a.mine(Options{Node: "n", DataCentre: "d"}, gossip.Fleet{Near: 1}))
+	a = newAccount(a.endpoint)
+	assert.Assert(t, !a.mine(Options{Node: "n", DataCentre: "far"}, gossip.Fleet{Near: 1}))
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, endpoints := range []int{12, 90} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			list := directory.New()
+			for i := range endpoints {
+				list.Apply(0, []*directory.Endpoint{{ID: domain.EndpointID(fmt.Sprint("e", i)), Service: "s", DataCentre: "d", Slots: 8}}, nil, 0)
+			}
+			known := 7
+			if endpoints > 12 {
+				known = 69
+			}
+			desk := New(Options{Node: "n", DataCentre: "d"}, list, func() gossip.Fleet { return gossip.Fleet{Known: known, Heard: known, Near: known / 3} }, metrics.NewSet())
+			ask := testAsk()
+			ask.PromptTokens, ask.AnswerTokens = 600, 300
+			b.ReportAllocs()
+			for b.Loop() {
+				place, err := desk.Acquire(b.Context(), ask)
+				if err != nil {
+					b.Fatal(err)
+				}
+				place.Release(served(time.Millisecond))
+			}
+		})
+	}
+}
