--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,366 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hawthornrill.example/hawthornrill/platform/platformtest"
+)
+
+var (
+	seedFlag  = flag.Int64("soak.seed", 0, "first seed of a soak by hand; 0 plays the seeds that are kept")
+	seedsFlag = flag.Int("soak.seeds", 1, "number of seeds, one after the other")
+	timeFlag  = flag.Duration("soak.time", 12*time.Second, "`time` of each seed")
+	nodesFlag = flag.Int("soak.nodes", 5, "number of entry nodes")
+)
+
+// keptSeeds are played by every test run: one that never failed, and each that ever did, with its cause.
+var keptSeeds = []int64{1}
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "hawthornrill-entry")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/hawthornrill-entry").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestSoak(t *testing.T) {
+	seeds := keptSeeds
+	if *seedFlag != 0 {
+		seeds = nil
+		for i := range *seedsFlag {
+			seeds = append(seeds, *seedFlag+int64(i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { newSoak(t, seed).run(*timeFlag) })
+	}
+}
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"chat","host":"h.example","prefix":"/chat/","kind":"stream","timeout_ms":10000,"target_latency_ms":2000,"service":"llm","max_attempts":3,"resumable":true,"gap_aim_ms":1000},
+ {"name":"once","host":"h.example","prefix":"/once/","kind":"stream","timeout_ms":10000,"target_latency_ms":2000,"service":"llm","max_attempts":1,"gap_aim_ms":1000},
+ {"name":"book","host":"h.example","prefix":"/book/","kind":"non_idempotent","timeout_ms":10000,"target_latency_ms":2000,"service":"app","max_attempts":2},
+ {"name":"look","host":"h.example","prefix":"/look/","kind":"idempotent","timeout_ms":10000,"target_latency_ms":2000,"service":"app","max_attempts":2}],
+ "services":[{"name":"llm","engine":{"stride":1}},{"name":"app"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"o1","api_keys":[%s]}]}`
+
+var paths = []string{"/chat/", "/once/", "/book/", "/look/"}
+
+// soak is one seed's system, callers and faults.
+type soak struct {
+	t      *testing.T
+	random *rand.Rand
+	dir    string
+	store  *platformtest.Store
+	// storeProxies are the nodes' ways to the store.
+	storeProxies []*proxy
+	nodes        []*process
+	record       *record
+	requests     atomic.Int64
+
+	mu        sync.Mutex
+	version   int
+	keys      []string
+	endpoints []*platformtest.Endpoint
+	// ever are all endpoints that there were.
+	ever []*platformtest.Endpoint
+	// left is when the store had taken note of an endpoint's leaving.
+	left map[*platformtest.Endpoint]time.Time
+}
+
+func newSoak(t *testing.T, seed int64) *soak {
+	s := &soak{
+		t: t, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
+		record: &record{started: time.Now(), revoked: make(map[string]time.Time)}, left: make(map[*platformtest.Endpoint]time.Time),
+	}
+	dir, err := os.MkdirTemp("", "soak-logs")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.dir = dir
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.configure(func() { s.keys = []string{"k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7"} })
+	for i := range 4 {
+		s.addEndpoint("llm", i)
+	}
+	for i := range 2 {
+		s.addEndpoint("app", i)
+	}
+	for i := range *nodesFlag {
+		way := newProxy(t, server.Listener.Addr().String())
+		s.storeProxies = append(s.storeProxies, way)
+		n := newProcess(t, dir, fmt.Sprint("node-", i), fmt.Sprint("dc-", i%2), way.address())
+		n.start(t, binary)
+		t.Cleanup(n.end)
+		s.nodes = append(s.nodes, n)
+	}
+	return s
+}
+
+// configure writes a new version.
+func (s *soak) configure(edit func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit()
+	s.version++
+	s.store.Put("op/config", fmt.Appendf(nil, configuration, s.version, `"`+strings.Join(s.keys, `","`)+`"`))
+}
+
+func (s *soak) addEndpoint(service string, i int) {
+	e := platformtest.NewEndpoint(fmt.Sprintf("%s-%d-%d", service, i, s.requests.Add(1)), service, fmt.Sprint("dc-", i%2))
+	e.Pause(20 * time.Millisecond)
+	s.t.Cleanup(e.Close)
+	e.List(s.store, "ready")
+	s.endpoints = append(s.endpoints, e)
+	s.ever = append(s.ever, e)
+}
+
+func (s *soak) everyEndpoint() []*platformtest.Endpoint { return s.ever }
+
+// run plays faults while callers call, and then checks the promises.
+func (s *soak) run(length time.Duration) {
+	s.waitReady()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 12 {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(i)))
+		callers.Go(func() { s.callUntil(stop, random) })
+	}
+	var faults sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		fault := s.faults()[s.random.IntN(len(s.faults()))]
+		node := s.random.IntN(len(s.nodes))
+		lasts := time.Duration(200+s.random.IntN(2500)) * time.Millisecond
+		choice := s.random.Uint64()
+		faults.Go(func() { fault(node, lasts, choice) })
+		time.Sleep(time.Duration(100+s.random.IntN(1200)) * time.Millisecond)
+	}
+	faults.Wait()
+	time.Sleep(time.Second)
+	close(stop)
+	callers.Wait()
+	s.check()
+}
+
+func (s *soak) waitReady() {
+	deadline := time.Now().Add(30 * time.Second)
+	for _, n := range s.nodes {
+		for !s.ready(n) {
+			if time.Now().After(deadline) {
+				s.t.Fatalf("%s is not ready; logs in %s", n.name, s.dir)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func (s *soak) ready(n *process) bool {
+	response, err := http.Get("http://" + n.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// callUntil sends one request after the other, on connections that stay open until the node closes them.
+func (s *soak) callUntil(stop chan struct{}, random *rand.Rand) {
+	client := &http.Transport{}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		s.record.add(s.call(client, s.nodes[random.IntN(len(s.nodes))], paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8))))
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+}
+
+func (s *soak) call(client *http.Transport, n *process, path, key string) outcome {
+	o := outcome{id: fmt.Sprint("r", s.requests.Add(1)), node: n.name, key: key, path: path, sent: time.Now()}
+	defer func() { o.ended = time.Now() }()
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callers+path, strings.NewReader("body"))
+	if err != nil {
+		s.t.Error(err)
+		return o
+	}
+	request.Host = "h.example"
+	request.GetBody = nil // the library must not repeat it
+	request.Header.Set("Request-Id", o.id)
+	request.Header.Set("Credential", key)
+	request.Header.Set("Deadline-Ms", "9000")
+	if path == "/chat/" || path == "/once/" {
+		request.Header.Set("Model", "m")
+		request.Header.Set("Token-Count", "10,5")
+	}
+	response, err := client.RoundTrip(request)
+	if err != nil {
+		o.err, o.ended = err, time.Now()
+		return o
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	o.status, o.body, o.err, o.ended = response.StatusCode, string(body), err, time.Now()
+	return o
+}
+
+// faults are what may happen; each returns when it is over.
+func (s *soak) faults() []func(node int, lasts time.Duration, choice uint64) {
+	return []func(int, time.Duration, uint64){s.kill, s.stopGracefully, s.freeze, s.reload, s.cutStore, s.failStore, s.compact, s.revoke, s.replaceEndpoint, s.crashEndpoint, s.breakStreams, s.refuse}
+}
+
+func (s *soak) restart(n *process) {
+	n.start(s.t, binary)
+	for deadline := time.Now().Add(20 * time.Second); !s.ready(n) && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *soak) kill(node int, _ time.Duration, _ uint64) {
+	defer s.record.began("kill", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].end()
+	s.restart(s.nodes[node])
+}
+
+func (s *soak) stopGracefully(node int, _ time.Duration, _ uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.nodes[node]
+	over := s.record.began("stop", n.name)
+	n.signal(syscall.SIGTERM)
+	if !n.ended(10 * time.Second) {
+		s.t.Errorf("%s does not end", n.name)
+		n.end()
+	}
+	over()
+	defer s.record.began("start", n.name)()
+	s.restart(n)
+}
+
+func (s *soak) freeze(node int, lasts time.Duration, _ uint64) {
+	defer s.record.began("freeze", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].signal(syscall.SIGSTOP)
+	time.Sleep(lasts)
+	s.nodes[node].signal(syscall.SIGCONT)
+}
+
+func (s *soak) reload(node int, _ time.Duration, _ uint64) {
+	defer s.record.began("reload", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].signal(syscall.SIGHUP)
+}
+
+func (s *soak) cutStore(node int, lasts time.Duration, choice uint64) {
+	m := mode(1 + choice%uint64(modes-1))
+	defer s.record.began("store "+modeNames[m], s.nodes[node].name)()
+	s.storeProxies[node].set(m)
+	time.Sleep(3 * lasts)
+	s.storeProxies[node].set(reset) // what was silent ends
+	s.storeProxies[node].set(pass)
+}
+
+func (s *soak) failStore(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("store fails", "")()
+	s.store.Fail([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[choice%2])
+	time.Sleep(lasts)
+	s.store.Fail(0)
+}
+
+func (s *soak) compact(int, time.Duration, uint64) { s.store.Compact() }
+
+func (s *soak) revoke(_ int, _ time.Duration, choice uint64) {
+	s.configure(func() {
+		if len(s.keys) < 3 {
+			return
+		}
+		at := int(choice % uint64(len(s.keys)))
+		s.record.mu.Lock()
+		s.record.revoked[s.keys[at]] = time.Now()
+		s.record.mu.Unlock()
+		s.keys = append(s.keys[:at:at], s.keys[at+1:]...)
+	})
+}
+
+// replaceEndpoint starts a new one and has the old one leave.
+func (s *soak) replaceEndpoint(_ int, lasts time.Duration, choice uint64) {
+	s.mu.Lock()
+	at := int(choice % uint64(len(s.endpoints)))
+	old := s.endpoints[at]
+	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
+	s.addEndpoint(old.Service, at)
+	old.List(s.store, "draining")
+	s.left[old] = time.Now()
+	s.mu.Unlock()
+	time.Sleep(lasts + 2*time.Second)
+	s.store.Remove("servers/" + old.ID)
+}
+
+func (s *soak) crashEndpoint(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("endpoint crashes", "")()
+	s.mu.Lock()
+	at := int(choice % uint64(len(s.endpoints)))
+	old := s.endpoints[at]
+	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
+	s.addEndpoint(old.Service, at)
+	s.mu.Unlock()
+	old.Close()
+	time.Sleep(lasts)
+	s.store.Remove("servers/" + old.ID)
+}
+
+func (s *soak) pick(choice uint64) *platformtest.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[choice%uint64(len(s.endpoints))]
+}
+
+func (s *soak) breakStreams(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("streams break", "")()
+	e := s.pick(choice)
+	e.BreakAfter(2)
+	time.Sleep(lasts)
+	e.BreakAfter(0)
+}
+
+func (s *soak) refuse(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("endpoint refuses", "")()
+	e := s.pick(choice)
+	e.Refuse(true)
+	time.Sleep(lasts)
+	e.Refuse(false)
+}
