--- a/places/account.go
+++ b/places/account.go
@@ -22,6 +22,8 @@
 	// passed over because it failed another node.
 	failedAt  time.Time
 	shunUntil time.Time
+	// givenBack is true while a place that this node gave back is handed to its own waiters.
+	givenBack bool
 	// isMine is whether the endpoint is of this node's part, worked out for partOf nodes of the data centre.
 	isMine bool
 	partOf int
@@ -76,7 +78,7 @@
 // go beyond the places and they are not much exceeded yet.
 func (a *account) hasRoom(r room, mine bool) bool {
 	reserve := r.reserve
-	if !mine {
+	if !mine && !a.givenBack {
 		reserve = max(reserve, r.foreign)
 	}
 	outstanding, slots := float64(a.own.requests+a.others.requests), float64(a.endpoint.Slots)
--- a/places/desk.go
+++ b/places/desk.go
@@ -177,7 +177,10 @@
 			p.first.add(result.FirstToken.Seconds())
 		}
 	}
+	// The place goes to this node's own waiters first: the others count it as taken until they hear of it.
+	a.givenBack = true
 	d.hand(p, now)
+	a.givenBack = false
 }
 
 // hand grants places to waiters in their order, as far as there is room.
--- a/places/options.go
+++ b/places/options.go
@@ -35,6 +35,11 @@
 	// crashed under 69 nodes, 178 of 600 requests in two seconds at six nodes were refused after six failed connections.
 	tellFailure = time.Second
 	shunFor     = 600 * time.Millisecond
+	// longAnswer is the number of tokens from which on it is asked whether an endpoint ends the answer in time; shorter
+	// ones end in a second or two on the slowest hardware seen (11 ms a token). inTimePart is the part of the caller's
+	// time that the predicted total may take: the callers' guesses at the length are off by half, either way.
+	longAnswer = 100
+	inTimePart = 0.6
 	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and
 	// lateMost how long it may really wait: callers of streams leave after two seconds without an event.
 	lateWait = 800 * time.Millisecond
--- a/places/pool.go
+++ b/places/pool.go
@@ -61,7 +61,7 @@
 	fleet := d.fleet()
 	p.collect(ask, p.room(now, ask, fleet), d.options, fleet)
 	p.keep(func(a *account) bool { return now.After(a.shunUntil) })
-	if len(p.scratch) == 0 {
+	if !p.keepInTime(now, ask) || len(p.scratch) == 0 {
 		return nil
 	}
 	near := func(a *account) bool {
@@ -127,6 +127,25 @@
 	return true
 }
 
+// keepInTime leaves only the candidates that are likely to end the answer while the caller still waits: one that is cut
+// off has kept its place for nothing. It reports false if none of them is, but another endpoint, full now, would be.
+func (p *pool) keepInTime(now time.Time, ask *Ask) bool {
+	if ask.AnswerTokens < longAnswer {
+		return true
+	}
+	routed, left := ask.forRouter(), time.Duration(inTimePart*float64(ask.Due.Sub(now)))
+	inTime := func(a *account) bool { return p.router.Forecast(now, &a.state, routed).Total <= left }
+	if p.keep(inTime) {
+		return true
+	}
+	for _, a := range p.accounts {
+		if !a.endpoint.Leaving && !ask.excludes(a.id()) && now.After(a.shunUntil) && inTime(a) {
+			return false
+		}
+	}
+	return true
+}
+
 // sample leaves some candidates by chance.
 func (p *pool) sample() {
 	n := min(sample, len(p.chosen))
