--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -138,7 +139,7 @@
 	n.mesh = gossip.New(gossip.Parts{
 		Self:       n.settings.Node,
 		DataCentre: n.settings.DataCentre,
-		Life:       uint64(time.Now().UnixNano()),
+		Life:       rand.Uint64(),
 		Transport:  socket,
 		Clock:      boottime.Now,
 		Peers:      n.peers,
