--- a/places/options.go
+++ b/places/options.go
@@ -19,7 +19,7 @@
 	overfill    = 1.25
 	starvedPart = 2
 	// lateReserve is the part of an endpoint's places that requests which will be late leave free.
-	lateReserve = 0.3
+	lateReserve = 0.2
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
 	// endpoints, so that it knows more of their load by itself and needs fewer connections. foreignReserve is the part of
 	// the places of all other endpoints that it leaves free: by reports a third of a second old, many nodes would take
