Parts of prompts count with their tokens; one place of eight is left free at other nodes' endpoints

The router took a part of a prompt for sixteen tokens whatever its length. Now blocks may bring their own lengths.

--- a/capacity/api.go
+++ b/capacity/api.go
@@ -47,6 +47,8 @@
 	AnswerTokens int `cbor:"6,keyasint"`
 	// Blocks are the hashes of the prompt's prefix blocks, the shortest prefix first.
 	Blocks []uint64 `cbor:"7,keyasint,omitempty"`
+	// BlockTokens are the tokens of each block; nil if all blocks have the usual length.
+	BlockTokens []int `cbor:"12,keyasint,omitempty"`
 	// Session groups the turns of a conversation.
 	Session string `cbor:"8,keyasint,omitempty"`
 	// FirstToken and Deadline are the time left when sent; zero FirstToken for none.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -20,12 +20,32 @@
 	PromptTokens       int
 	MaxAnswerTokens    int
 	LikelyAnswerTokens int
-	// Prompt identifies the parts of the prompt, the first one first.
-	Prompt []uint64
+	// Prompt are the parts of the prompt, the first one first.
+	Prompt []PromptPart
 	// LastEvent is the id of the last event that the caller has, empty at the beginning.
 	LastEvent string
 }
 
+// PromptPart is a part of a prompt. Engines that keep it, and all parts before it, need not read it again.
+type PromptPart struct {
+	Hash   uint64
+	Tokens int
+}
+
+// blocks returns what identifies each part together with all before it, and their tokens.
+func (c *Call) blocks() (hashes []uint64, tokens []int) {
+	before := uint64(0)
+	for _, part := range c.Prompt {
+		before = (before ^ part.Hash) * hashMultiplier
+		hashes = append(hashes, before)
+		tokens = append(tokens, part.Tokens)
+	}
+	return hashes, tokens
+}
+
+// hashMultiplier mixes the hashes of parts in their order (the 64-bit FNV prime).
+const hashMultiplier = 0x100000001b3
+
 // Tokens is what the call counts under a limit on tokens.
 func (c *Call) Tokens() int { return c.PromptTokens + c.MaxAnswerTokens }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -127,13 +127,13 @@
 		Service:      t.service,
 		PromptTokens: t.call.PromptTokens,
 		AnswerTokens: t.call.AnswerTokens(),
-		Blocks:       t.call.Prompt,
 		Fingerprint:  xxhash.Sum64String(t.call.ID),
 		FirstByteDue: t.started.Add(t.route.FirstByte - t.waitedBefore),
 		Due:          t.started.Add(t.allowed),
 		Excluded:     t.tried,
 		Urgent:       t.headSent || t.mayHaveRun,
 	}
+	ask.Blocks, ask.BlockTokens = t.call.blocks()
 	if t.organisation != nil {
 		ask.Organisation = t.organisation.ID
 		if t.organisation.HasTier {
--- a/places/account.go
+++ b/places/account.go
@@ -85,7 +85,15 @@
 	if r.beyond {
 		return outstanding < overfill*slots
 	}
-	return outstanding < slots-reserve*slots
+	return outstanding < slots-reservedPlaces(reserve, slots)
+}
+
+// reservedPlaces is the number of places that a reserve keeps free: at least one, if there are several.
+func reservedPlaces(reserve, slots float64) float64 {
+	if reserve <= 0 || slots <= 1 {
+		return 0
+	}
+	return max(reserve*slots, 1)
 }
 
 // mine reports whether the endpoint belongs to the node's part: in a data centre with more than sharers nodes, about so
--- a/places/ask.go
+++ b/places/ask.go
@@ -17,8 +17,9 @@
 	// PromptTokens and AnswerTokens are estimates of the work; zero for a plain call.
 	PromptTokens int
 	AnswerTokens int
-	// Blocks identify the parts of the prompt, the first one first.
-	Blocks []uint64
+	// Blocks identify the parts of the prompt, each together with all before it, BlockTokens are their tokens.
+	Blocks      []uint64
+	BlockTokens []int
 	// Fingerprint identifies the attempt.
 	Fingerprint uint64
 	// FirstByteDue is the instant of the latency objective, Due that at which the caller gives up.
@@ -48,6 +49,7 @@
 		PromptTokens: a.PromptTokens,
 		AnswerTokens: a.AnswerTokens,
 		Blocks:       a.Blocks,
+		BlockTokens:  a.BlockTokens,
 		Fingerprint:  a.Fingerprint,
 	}
 }
--- a/places/options.go
+++ b/places/options.go
@@ -25,7 +25,7 @@
 	// the places of all other endpoints that it leaves free: by reports a third of a second old, many nodes would take
 	// the last place at a time.
 	sharers        = 4
-	foreignReserve = 0.3
+	foreignReserve = 0.1
 	// sample is the number of endpoints among which the router chooses in a fleet larger than sampleFrom. All nodes see
 	// about the same reports; if all chose the best by them, they would meet there before the next report.
 	sample     = 4
--- a/routing/holdback.go
+++ b/routing/holdback.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"slices"
-
-	"hawthornrill.example/hawthornrill/prefix"
-)
+import "slices"
 
 // holdBack reports whether the ask had better wait for an endpoint that has no
 // room now: with that endpoint's wait it would still take less than 1/ratio of what
@@ -27,7 +23,7 @@
 	interval := speed.Interval.At(float64(n))
 	left := float64(e.load.answerTokens) / float64(n)
 	wait := 2 * left * interval / float64(n+1)
-	cached := e.prefixes.Depth(r.Ask.Blocks, 0) * prefix.BlockTokens
+	cached := prefixTokens(r.Ask, e.prefixes.Depth(r.Ask.Blocks, 0))
 	prompt := max(r.Ask.PromptTokens-cached, 0)
 	return wait + speed.First.At(float64(prompt)) + float64(r.Ask.AnswerTokens)*interval
 }
--- a/routing/scorer_prefix.go
+++ b/routing/scorer_prefix.go
@@ -1,7 +1,5 @@
 package routing
 
-import "hawthornrill.example/hawthornrill/prefix"
-
 // PrefixScorer estimates how much of the prompt the endpoint holds, from what was
 // dispatched there and what its cache events said.
 type PrefixScorer struct{}
@@ -12,7 +10,6 @@
 	for i := range candidates {
 		c := &candidates[i]
 		depth = c.Learned.prefixes.Depth(r.Ask.Blocks, depth)
-		tokens := min(depth*prefix.BlockTokens, r.Ask.PromptTokens)
-		c.Estimate.CachedTokens = float64(tokens) * c.Learned.trust.Part()
+		c.Estimate.CachedTokens = float64(prefixTokens(r.Ask, depth)) * c.Learned.trust.Part()
 	}
 }
