--- a/gateway/options.go
+++ b/gateway/options.go
@@ -6,7 +6,7 @@
 type Options struct {
 	// KeyAge is how old the knowledge of the keys may be when a request is dispatched; zero for no bound.
 	KeyAge time.Duration
-	// KeepMemory bounds the bytes of request bodies held at a time; zero means defaultBodyBytes.
+	// BodyBytes bounds the request bodies held at a time; zero means defaultBodyBytes.
 	BodyBytes int64
 }
 
--- a/places/desk.go
+++ b/places/desk.go
@@ -186,20 +186,10 @@
 // hand grants places to waiters in their order, as far as there is room.
 func (d *Desk) hand(p *pool, now time.Time) {
 	for {
-		w := p.next(now)
+		w, a := d.match(p, now)
 		if w == nil {
 			return
 		}
-		a := p.choose(now, w.ask, d)
-		if a == nil && w.ask.late(now, p.start()) {
-			// It leaves the last places to those that can be on time, of lower tiers too.
-			if w = p.firstOnTime(now); w != nil {
-				a = p.choose(now, w.ask, d)
-			}
-		}
-		if a == nil {
-			return
-		}
 		p.waiting.Take(&w.item)
 		p.turns++
 		d.granted.Inc()
@@ -207,6 +197,34 @@
 	}
 }
 
+// match returns the first waiter for whom there is an endpoint, usually the one whose turn it is. If that one can't use
+// every endpoint that has room, it may be one behind it.
+func (d *Desk) match(p *pool, now time.Time) (*waiter, *account) {
+	first := p.next(now)
+	if first == nil {
+		return nil, nil
+	}
+	if a := p.choose(now, first.ask, d); a != nil {
+		return first, a
+	}
+	if !first.ask.choosy(now, p.start()) {
+		return nil, nil
+	}
+	looked := 0
+	for item := range p.waiting.Ordered() {
+		if looked++; looked > lookBehind {
+			break
+		}
+		if item.Value == first {
+			continue
+		}
+		if a := p.choose(now, item.Value.ask, d); a != nil {
+			return item.Value, a
+		}
+	}
+	return nil, nil
+}
+
 // handAll serves all queues.
 func (d *Desk) handAll(now time.Time) {
 	for _, p := range d.pools {
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -276,3 +276,24 @@
 		})
 	}
 }
+
+func TestChoosyWaiterDoesNotHoldUpThoseBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		taken := b.fill(2 * testSlots)
+		choosy := testAsk()
+		choosy.FirstByteDue = choosy.FirstByteDue.Add(-time.Second) // its turn comes first
+		choosy.Excluded = []domain.EndpointID{"e0"}
+		first := b.wait(choosy)
+		second := b.wait(testAsk())
+		for _, place := range taken {
+			if place.Endpoint.ID == "e0" {
+				place.Release(served(time.Millisecond))
+				break
+			}
+		}
+		assert.NilError(t, <-second)
+		assert.Equal(t, len(first), 0)
+		assert.Equal(t, b.Waiting(), 1)
+	})
+}
--- a/places/item.go
+++ b/places/item.go
@@ -40,6 +40,12 @@
 	return !now.Add(start).Before(a.FirstByteDue)
 }
 
+// choosy reports whether there may be room that the ask can't use: it leaves the last places to those that can be on
+// time, waits for an endpoint that is fast enough, or has tried some.
+func (a *Ask) choosy(now time.Time, start time.Duration) bool {
+	return a.late(now, start) || a.AnswerTokens >= longAnswer || len(a.Excluded) > 0
+}
+
 // patience is how long the ask may wait.
 func (a *Ask) patience(now time.Time) time.Duration {
 	if a.Urgent {
--- a/places/options.go
+++ b/places/options.go
@@ -10,6 +10,8 @@
 const (
 	// maxWaiting bounds the asks that wait for one service at one node.
 	maxWaiting = 512
+	// lookBehind is the number of waiters looked at behind one for whom there is no endpoint.
+	lookBehind = 8
 	// lowestTurn is the number of turns of which one goes to the lowest tier that waits.
 	lowestTurn = 5
 	// localFill is the part of an endpoint's places up to which the node's own data centre goes first.
--- a/places/pool.go
+++ b/places/pool.go
@@ -236,15 +236,6 @@
 	return p.waiting.Peek(func(*queue.Item[*waiter]) bool { return true })
 }
 
-// firstOnTime returns the first waiter that can be on time, nil if there is none.
-func (p *pool) firstOnTime(now time.Time) *waiter {
-	item := p.waiting.Peek(func(i *queue.Item[*waiter]) bool { return !i.Value.ask.late(now, p.start()) })
-	if item == nil {
-		return nil
-	}
-	return item.Value
-}
-
 // start is the time that a request takes from its dispatch to its first byte.
 func (p *pool) start() time.Duration { return time.Duration(p.first.value * float64(time.Second)) }
 
