--- a/places/desk.go
+++ b/places/desk.go
@@ -40,12 +40,6 @@
 	granted, refused, queued *metrics.Counter
 }
 
-// peerLoads is what a peer has outstanding.
-type peerLoads struct {
-	heard time.Time
-	loads map[domain.EndpointID]load
-}
-
 // New returns a desk. Fleet counts the nodes.
 func New(options Options, d *directory.Directory, fleet func() gossip.Fleet, set *metrics.Set) *Desk {
 	options.Routing = defaultRouting(options.Routing)
@@ -161,77 +155,6 @@
 	return d.pool(w.ask.Service).waiting.Remove(&w.item)
 }
 
-// release gives a place back and hands out what has become free.
-func (d *Desk) release(place *Place, result capacity.Result) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	a, p := place.account, place.pool
-	a.own.subtract(place.load)
-	a.refresh()
-	a.learn(now, result)
-	p.router.Observe(now, &a.state, place.ask, result)
-	if result.Dispatched {
-		p.held.add(now.Sub(place.granted).Seconds())
-		if result.FirstToken > 0 {
-			p.first.add(result.FirstToken.Seconds())
-		}
-	}
-	// The place goes to this node's own waiters first: the others count it as taken until they hear of it.
-	a.givenBack = true
-	d.hand(p, now)
-	a.givenBack = false
-}
-
-// hand grants places to waiters in their order, as far as there is room.
-func (d *Desk) hand(p *pool, now time.Time) {
-	for {
-		w, a := d.match(p, now)
-		if w == nil {
-			return
-		}
-		p.waiting.Take(&w.item)
-		p.turns++
-		d.granted.Inc()
-		w.granted <- p.grant(d, now, w.ask, a)
-	}
-}
-
-// match returns the first waiter for whom there is an endpoint, usually the one whose turn it is. If that one can't use
-// every endpoint that has room, it may be one behind it.
-func (d *Desk) match(p *pool, now time.Time) (*waiter, *account) {
-	first := p.next(now)
-	if first == nil {
-		return nil, nil
-	}
-	if a := p.choose(now, first.ask, d); a != nil {
-		return first, a
-	}
-	if !first.ask.choosy(now, p.start()) {
-		return nil, nil
-	}
-	looked := 0
-	for item := range p.waiting.Ordered() {
-		if looked++; looked > lookBehind {
-			break
-		}
-		if item.Value == first {
-			continue
-		}
-		if a := p.choose(now, item.Value.ask, d); a != nil {
-			return item.Value, a
-		}
-	}
-	return nil, nil
-}
-
-// handAll serves all queues.
-func (d *Desk) handAll(now time.Time) {
-	for _, p := range d.pools {
-		d.hand(p, now)
-	}
-}
-
 // Waiting returns the number of asks that wait.
 func (d *Desk) Waiting() int {
 	d.mu.Lock()
@@ -283,91 +206,6 @@
 	}
 }
 
-func (d *Desk) othersAt(id domain.EndpointID) load {
-	var sum load
-	for _, p := range d.peers {
-		sum.add(p.loads[id])
-	}
-	return sum
-}
-
-// Fill adds this node's outstanding requests to a report.
-func (d *Desk) Fill(report *gossip.Report) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		for id, a := range p.accounts {
-			if now.Sub(a.failedAt) < tellFailure {
-				report.Failed = append(report.Failed, id)
-			}
-			if a.own.requests == 0 {
-				continue
-			}
-			report.Loads = append(report.Loads, gossip.Load{
-				Endpoint:      id,
-				Requests:      a.own.requests,
-				PrefillTokens: a.own.prefillTokens,
-				PromptTokens:  a.own.promptTokens,
-				AnswerTokens:  a.own.answerTokens,
-			})
-		}
-	}
-}
-
-// Heard takes a peer's outstanding requests.
-func (d *Desk) Heard(report *gossip.Report) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	d.follow()
-	d.expire(now)
-	next := &peerLoads{heard: now, loads: make(map[domain.EndpointID]load, len(report.Loads))}
-	for _, l := range report.Loads {
-		next.loads[l.Endpoint] = loadOf(l)
-	}
-	d.reportedAt = now
-	d.replace(report.From, next)
-	for _, id := range report.Failed {
-		d.adjust(id, func(a *account) { a.shunUntil = now.Add(shunFor) })
-	}
-	d.handAll(now)
-}
-
-// expire drops the reports of silent peers.
-func (d *Desk) expire(now time.Time) {
-	for id, p := range d.peers {
-		if now.Sub(p.heard) > gossip.FreshFor {
-			d.replace(id, nil)
-		}
-	}
-}
-
-func (d *Desk) replace(id domain.NodeID, next *peerLoads) {
-	if old, ok := d.peers[id]; ok {
-		for endpoint, l := range old.loads {
-			d.adjust(endpoint, func(a *account) { a.others.subtract(l) })
-		}
-		delete(d.peers, id)
-	}
-	if next == nil {
-		return
-	}
-	for endpoint, l := range next.loads {
-		d.adjust(endpoint, func(a *account) { a.others.add(l) })
-	}
-	d.peers[id] = next
-}
-
-func (d *Desk) adjust(id domain.EndpointID, edit func(*account)) {
-	for _, p := range d.pools {
-		if a, ok := p.accounts[id]; ok {
-			edit(a)
-			return
-		}
-	}
-}
-
 // Run serves the queues when the directory changes, and now and then, until the context ends.
 func (d *Desk) Run(ctx context.Context) error {
 	ticker := time.NewTicker(serveEvery)
--- /dev/null
+++ b/places/others.go
@@ -0,0 +1,99 @@
+package places
+
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
+)
+
+// peerLoads is what a peer has outstanding.
+type peerLoads struct {
+	heard time.Time
+	loads map[domain.EndpointID]load
+}
+
+func (d *Desk) othersAt(id domain.EndpointID) load {
+	var sum load
+	for _, p := range d.peers {
+		sum.add(p.loads[id])
+	}
+	return sum
+}
+
+// Fill adds this node's outstanding requests to a report.
+func (d *Desk) Fill(report *gossip.Report) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		for id, a := range p.accounts {
+			if now.Sub(a.failedAt) < tellFailure {
+				report.Failed = append(report.Failed, id)
+			}
+			if a.own.requests == 0 {
+				continue
+			}
+			report.Loads = append(report.Loads, gossip.Load{
+				Endpoint:      id,
+				Requests:      a.own.requests,
+				PrefillTokens: a.own.prefillTokens,
+				PromptTokens:  a.own.promptTokens,
+				AnswerTokens:  a.own.answerTokens,
+			})
+		}
+	}
+}
+
+// Heard takes a peer's outstanding requests.
+func (d *Desk) Heard(report *gossip.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.follow()
+	d.expire(now)
+	next := &peerLoads{heard: now, loads: make(map[domain.EndpointID]load, len(report.Loads))}
+	for _, l := range report.Loads {
+		next.loads[l.Endpoint] = loadOf(l)
+	}
+	d.reportedAt = now
+	d.replace(report.From, next)
+	for _, id := range report.Failed {
+		d.adjust(id, func(a *account) { a.shunUntil = now.Add(shunFor) })
+	}
+	d.handAll(now)
+}
+
+// expire drops the reports of silent peers.
+func (d *Desk) expire(now time.Time) {
+	for id, p := range d.peers {
+		if now.Sub(p.heard) > gossip.FreshFor {
+			d.replace(id, nil)
+		}
+	}
+}
+
+func (d *Desk) replace(id domain.NodeID, next *peerLoads) {
+	if old, ok := d.peers[id]; ok {
+		for endpoint, l := range old.loads {
+			d.adjust(endpoint, func(a *account) { a.others.subtract(l) })
+		}
+		delete(d.peers, id)
+	}
+	if next == nil {
+		return
+	}
+	for endpoint, l := range next.loads {
+		d.adjust(endpoint, func(a *account) { a.others.add(l) })
+	}
+	d.peers[id] = next
+}
+
+func (d *Desk) adjust(id domain.EndpointID, edit func(*account)) {
+	for _, p := range d.pools {
+		if a, ok := p.accounts[id]; ok {
+			edit(a)
+			return
+		}
+	}
+}
