--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -86,7 +86,7 @@
 	}
 	organisation := routetable.Organisation{ID: "o", Keys: []string{"key"}, CountTokens: true, PlainTokens: 10, Rate: 500, Burst: 500}
 	table, err := routetable.New(1, []routetable.Route{route}, []routetable.Service{{Name: "s", Engine: true}},
-		[]routetable.Organisation{organisation}, routetable.Limits{MaxBodyBytes: 1 << 10})
+		[]routetable.Organisation{organisation}, routetable.Limits{MaxBodyBytes: 1 << 10, MaxHeaderBytes: 4 << 10})
 	assert.NilError(t, err)
 	f.knowledge.table = table
 	for i, handler := range endpoints {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,9 @@
 	if !strings.HasPrefix(t.request.RequestURI, "/") {
 		return &problem{Status: http.StatusBadRequest, Title: "the request target must be a path"}
 	}
+	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headBytes(t.request) > limit {
+		return &problem{Status: http.StatusRequestHeaderFieldsTooLarge, Title: "the head is too long"}
+	}
 	call, err := t.gateway.parts.Protocol.ReadCall(t.request.Header)
 	if err != nil {
 		return &problem{Status: http.StatusBadRequest, Title: err.Error()}
@@ -116,6 +119,18 @@
 	return t.countIn()
 }
 
+// headBytes is the length of a request's head as it was sent, but for white space.
+func headBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
 // authenticate finds the organisation of the request's key.
 func (t *task) authenticate(table *routetable.Table) *problem {
 	t.keyed = table.RequiresKeys() && !t.route.Public
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,6 +195,7 @@
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<10)))
 			r.ContentLength = 2 << 10
 		}, 413},
+		{"head too long", func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 4<<10)) }, 431},
 		{"over the limit", func(r *http.Request) { r.Header.Set("X-Tokens", "900") }, 200},
 	}
 	for _, test := range tests {
