Gateway: a caller that does not read is cut off after its time

Found by reading: a write to a caller that had stopped reading had no bound, so that the request, its place in the counts and its body stayed for good.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -68,6 +68,7 @@
 	directory *directory.Directory
 	clock     atomic.Int64
 	url       string
+	gateway   *Gateway
 	sends     atomic.Int64
 }
 
@@ -128,6 +129,7 @@
 		Metrics:   set,
 	}, Options{KeyAge: testKeyAge})
 	f.clock.Add(int64(time.Hour)) // a new life's limits begin as used up
+	f.gateway = g
 	server := httptest.NewServer(g)
 	f.t.Cleanup(server.Close)
 	f.url = server.URL
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	t := newTask(g, w, r)
+	t.boundWrites(time.Time{})
 	if refused := t.admit(); refused != nil {
 		t.refuse(refused)
 		return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -240,3 +242,32 @@
 	_ = response.Body.Close()
 	<-ended
 }
+
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	ended := make(chan struct{})
+	f := newFixture(t, func(r *routetable.Route) { r.Timeout, r.Resumable = 300*time.Millisecond, false }, func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		events(w, 1, 1)
+		for id := 2; r.Context().Err() == nil; id++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 1<<10))
+		}
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	<-ended
+	for f.gateway.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestBoundOnWritesEndsWithItsRequest(t *testing.T) {
+	f := newFixture(t, func(r *routetable.Route) { r.Timeout = 50 * time.Millisecond }, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+	assert.Equal(t, f.call(nil).Status, http.StatusOK)
+	time.Sleep(50*time.Millisecond + writeGrace)
+	got := f.call(func(r *http.Request) { r.Header.Set("X-Key", "none") })
+	assert.NilError(t, got.Err)
+	assert.Equal(t, got.Status, http.StatusUnauthorized)
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -74,6 +74,7 @@
 	ctx, cancel := context.WithTimeoutCause(t.request.Context(), t.left(), errTimeout)
 	defer cancel()
 	t.ctx = ctx
+	t.boundWrites(time.Now().Add(max(t.left(), 0) + writeGrace))
 	t.lastEvent = t.call.LastEvent
 	t.service = t.route.Service(xxhash.Sum64String(t.call.ID))
 	t.gateway.parts.Retries.Request(t.service)
@@ -90,6 +91,15 @@
 	}
 }
 
+// writeGrace is how much longer than a request's time its caller may take to read what is left of the answer.
+const writeGrace = time.Second
+
+// boundWrites ends writes to a caller that does not read; the zero time lifts the bound of an earlier request on the
+// connection.
+func (t *task) boundWrites(until time.Time) {
+	_ = http.NewResponseController(t.writer).SetWriteDeadline(until) // supported by net/http's server
+}
+
 // step is what an attempt came to: a final answer that was passed on, one of the node's own, or another attempt.
 type step struct {
 	done bool
