Following: what went missing while only this node was cut off is not kept

Ruled out: a stale directory at the send, a lost watch. If peers had been ahead for 1.5 s the store was there for others, and what it lists no more is gone.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -21,6 +21,9 @@
 	interrupt atomic.Pointer[context.CancelFunc]
 	urgent    atomic.Bool
 
+	// aheadSince is since when peers have been ahead of this node while its own calls failed, zero if they are not.
+	aheadSince atomic.Int64
+
 	// failing is true between the first failed call and the next good one, returned is when that was.
 	failing  bool
 	failures int
@@ -127,12 +130,19 @@
 func (d *feed) succeed() {
 	d.failures = 0
 	if !d.failing {
+		d.aheadSince.Store(0)
 		return
 	}
 	d.failing = false
 	f := d.follower
-	d.returned = f.parts.Clock()
-	f.parts.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(d.returned)).Msg("store reached again")
+	now := f.parts.Clock()
+	d.returned = now
+	if ahead := d.aheadSince.Swap(0); ahead != 0 && now.Sub(boottime.Instant(ahead)) > aloneAfter {
+		// The store was there for others: what it lists no more has not lapsed with it, but is gone.
+		d.returned = 0
+	}
+	f.parts.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(now)).Bool("outage", d.returned != 0).
+		Msg("store reached again")
 }
 
 // fail notes a failed call and pauses.
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -257,3 +257,18 @@
 		})
 	}
 }
+
+func TestRemovalWhileOnlyThisNodeWasCutOffIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := follower(t, s, true)
+		s.change(Endpoints, func() { s.down = true; s.endpoints = map[string]bool{} })
+		for range 30 {
+			f.Relay(Word{Version: 1, Endpoints: s.changed[Endpoints]})
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.set(func() { s.down = false })
+		time.Sleep(returnGrace - 500*time.Millisecond)
+		assert.Assert(t, f.parts.Directory.Current().Endpoint("a") == nil, "peers saw the removal: the store was not away")
+	})
+}
--- a/follow/options.go
+++ b/follow/options.go
@@ -34,6 +34,9 @@
 	// returnGrace is how long entries missing after an outage are kept: the platform states that live endpoints are
 	// listed again about two seconds after its return.
 	returnGrace = 2200 * time.Millisecond
+	// aloneAfter is how long a peer must have been ahead for an outage to be this node's alone. After an outage of the
+	// store itself the nodes return within about a second of each other, the longest pause between calls.
+	aloneAfter = 1500 * time.Millisecond
 	// lookEvery is how often kept entries and the age are looked at.
 	lookEvery = 100 * time.Millisecond
 	// nodesEvery is how often the list of nodes is read while a listed one is silent.
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -34,7 +34,11 @@
 	}
 	f.compare(Configuration, word.Version > table.Version)
 	known, _ := f.Revision(Endpoints)
-	f.compare(Endpoints, word.Endpoints > known)
+	ahead := word.Endpoints > known
+	if ahead {
+		f.feeds[Endpoints].aheadSince.CompareAndSwap(0, int64(f.parts.Clock()))
+	}
+	f.compare(Endpoints, ahead)
 }
 
 // compare notes whether a peer is ahead in a topic.
