Soak and whole-path tests: no two nodes are given the same port

The fault is the test's own. Ports are now drawn below those that the kernel gives to connections, and none is given twice.

--- a/cmd/hawthornrill-entry/main_test.go
+++ b/cmd/hawthornrill-entry/main_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -102,17 +103,26 @@
 	s.t.Cleanup(leave)
 }
 
-// freePort returns an address on loopback that is free for TCP and UDP.
+// givenPorts are the addresses that freePort has returned, so that no two nodes get the same.
+var givenPorts sync.Map
+
+// freePort returns an address on loopback that is free for TCP and UDP. It lies below the ports that the kernel gives to
+// connections, one of which could take it before the node does.
 func freePort(t *testing.T) string {
 	t.Helper()
 	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		assert.NilError(t, err)
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
+		if err != nil {
+			continue
+		}
 		address := l.Addr().String()
 		u, err := net.ListenPacket("udp4", address)
 		_ = l.Close()
-		if err == nil {
-			_ = u.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		if _, given := givenPorts.LoadOrStore(address, true); !given {
 			return address
 		}
 	}
--- a/cmd/hawthornrill-soak/process_test.go
+++ b/cmd/hawthornrill-soak/process_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -55,17 +57,25 @@
 	return p
 }
 
+// givenPorts are the addresses that freePort has returned, so that no two nodes get the same.
+var givenPorts sync.Map
+
+// freePort returns an address on loopback that is free for TCP and UDP. It lies below the ports that the kernel gives to
+// connections, one of which could take it before the node does.
 func freePort(t *testing.T) string {
 	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		address := l.Addr().String()
 		u, err := net.ListenPacket("udp4", address)
 		_ = l.Close()
-		if err == nil {
-			_ = u.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		if _, given := givenPorts.LoadOrStore(address, true); !given {
 			return address
 		}
 	}
