--- a/entrynode/idle.go
+++ b/entrynode/idle.go
@@ -32,18 +32,7 @@
 }
 
 // run closes what has been idle for too long, until the context ends.
-func (i *idleConns) run(ctx context.Context) error {
-	ticker := time.NewTicker(idleSweep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			i.sweep()
-		}
-	}
-}
+func (i *idleConns) run(ctx context.Context) error { return every(ctx, idleSweep, i.sweep) }
 
 func (i *idleConns) sweep() {
 	limit := i.limit()
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -268,15 +268,8 @@
 const tidyEvery = time.Second
 
 func (n *Node) tidy(ctx context.Context) error {
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			snapshot := n.directory.Current()
-			n.endpoints.Forget(func(id endpointID) bool { return snapshot.Endpoint(id) != nil })
-		}
-	}
+	return every(ctx, tidyEvery, func() {
+		snapshot := n.directory.Current()
+		n.endpoints.Forget(func(id endpointID) bool { return snapshot.Endpoint(id) != nil })
+	})
 }
--- a/logging/async.go
+++ b/logging/async.go
@@ -44,9 +44,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped since the last that was written.
-func (a *Async) Dropped() int64 { return a.dropped.Load() }
-
 // Close writes what waits. Write must not be called afterwards.
 func (a *Async) Close() {
 	a.once.Do(func() { close(a.lines) })
