--- a/places/account.go
+++ b/places/account.go
@@ -72,9 +72,11 @@
 	// reserve is the part of the places that must stay free, foreign that at endpoints of the other nodes' part.
 	reserve float64
 	foreign float64
+	// rounds is how many requests an endpoint may have for each of its places; one or more.
+	rounds float64
 }
 
-// hasRoom reports whether this node may send one request more: if a place is free beyond the reserve, or if the node may
+// hasRoom reports whether this node may send one request more: if a place is free beyond the reserve, or if requests may
 // go beyond the places and they are not much exceeded yet.
 func (a *account) hasRoom(r room, mine bool) bool {
 	reserve := r.reserve
@@ -82,7 +84,10 @@
 		reserve = max(reserve, r.foreign)
 	}
 	outstanding, slots := float64(a.own.requests+a.others.requests), float64(a.endpoint.Slots)
-	if r.beyond {
+	switch {
+	case r.rounds > 1:
+		return outstanding < r.rounds*slots
+	case r.beyond:
 		return outstanding < overfill*slots
 	}
 	return outstanding < slots-reservedPlaces(reserve, slots)
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -175,6 +175,42 @@
 	})
 }
 
+func TestShortWorkUsesTheEndpointsQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.fleet = gossip.Fleet{Known: 20, Heard: 20, Near: 7}
+		for range 50 {
+			place := b.take(testAsk())
+			time.Sleep(30 * time.Millisecond)
+			place.Release(served(30 * time.Millisecond))
+		}
+		b.Heard(&gossip.Report{From: "m", Loads: []gossip.Load{{Endpoint: "e0", Requests: testSlots}}})
+		for range testSlots {
+			ask := testAsk()
+			ask.FirstByteDue = time.Now().Add(150 * time.Millisecond)
+			b.take(ask)
+		}
+		assert.Equal(t, b.Waiting(), 0, "what the other node had is likely to have ended")
+		// One that can't be on time leaves the places to those that can.
+		ask := testAsk()
+		ask.FirstByteDue = time.Now()
+		b.wait(ask)
+		assert.Equal(t, b.Waiting(), 1)
+	})
+}
+
+func TestMeanLearnsFromTheFirstSamples(t *testing.T) {
+	m := mean{value: 0.5}
+	for range 9 {
+		m.add(0.03)
+	}
+	assert.Assert(t, m.value < 0.08, "%v", m.value)
+	for range 100 {
+		m.add(1)
+	}
+	assert.Assert(t, m.value > 0.9, "%v", m.value)
+}
+
 func TestNodeThatHasStartedIsNotShutOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
--- a/places/options.go
+++ b/places/options.go
@@ -20,6 +20,13 @@
 	// equal part of them.
 	overfill    = 1.25
 	starvedPart = 2
+	// quickWork is the time below which work ends before the other nodes' reports of it are of use: they are 0.1 to 0.5 s
+	// old. quickPart is the part of the time left that such work may spend at an endpoint, queueing included, and
+	// quickRounds how many requests for each of its places an endpoint may have then; endpoints queue "a few more" than
+	// they have places and reject the rest.
+	quickWork   = 150 * time.Millisecond
+	quickPart   = 0.6
+	quickRounds = 2
 	// lateReserve is the part of an endpoint's places that requests which will be late leave free.
 	lateReserve = 0.2
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
@@ -48,7 +55,7 @@
 	lateMost = 1700 * time.Millisecond
 	// retryLeast and retryMost bound the time after which a refused caller is told to come back.
 	retryLeast = 300 * time.Millisecond
-	retryMost  = 5 * time.Second
+	retryMost  = 10 * time.Second
 )
 
 // Options are a Desk's settings.
--- a/places/pool.go
+++ b/places/pool.go
@@ -88,7 +88,7 @@
 	if p.outstanding()*starvedPart < p.places/max(fleet.Known, 1) {
 		return room{beyond: true}
 	}
-	var r room
+	r := room{rounds: p.rounds(now, ask, fleet)}
 	if fleet.Known > sampleFrom {
 		r.foreign = foreignReserve
 	}
@@ -98,6 +98,18 @@
 	return r
 }
 
+// rounds is how many requests for each of its places an endpoint may have: more than one only for work that ends before
+// the other nodes would hear of it. Their reports then say what an endpoint had, not what it has, so that a node would
+// wait for places that are free. The endpoint's own queue costs a round of short work; it is used as far as that leaves
+// the request on time.
+func (p *pool) rounds(now time.Time, ask *Ask, fleet gossip.Fleet) float64 {
+	if fleet.Known <= 1 || p.held.value >= quickWork.Seconds() || ask.late(now, p.start()) {
+		return 1
+	}
+	left := quickPart * ask.FirstByteDue.Sub(now).Seconds()
+	return min(max(left/p.held.value, 1), quickRounds)
+}
+
 // collect takes the endpoints that have room for the ask.
 func (p *pool) collect(ask *Ask, r room, o Options, fleet gossip.Fleet) {
 	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
