Gateway: a first attempt of a less patient caller is no longer taken for one that came back

Cause: the time that callers state at their first attempt is spread over the upper 0.15 of the greatest. The node took the difference for time waited already, so that more than half of all first attempts counted as late from the start: behind the others, with a fifth of the places kept from them. Seen in the logs of a calm stretch (waited_before_ms: median 405 of 10,000, 539 of 12,000).

Ruled out: real returns; nothing had been refused in that stretch.

--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -13,10 +13,18 @@
 	most map[string]time.Duration
 }
 
-// maxRoutes bounds the routes remembered; beyond it all are learned anew.
-const maxRoutes = 4096
+const (
+	// maxRoutes bounds the routes remembered; beyond it all are learned anew.
+	maxRoutes = 4096
+	// patienceSpread is the part by which the times that callers of a route state at their first attempt differ. In
+	// deployments seen they are spread evenly over the upper 0.15 of the greatest; without it more than half of all
+	// first attempts were taken for late ones. A refused caller comes back with three quarters of its time at the most,
+	// since it is told to wait for a quarter of it or more (see places.Ask).
+	patienceSpread = 0.2
+)
 
-// waited returns how long the caller has been waiting; zero if it does not say how long it will wait.
+// waited returns how long the caller has been waiting; zero if this is probably its first attempt, or if it does not say
+// how long it will wait.
 func (p *patience) waited(route string, left time.Duration) time.Duration {
 	if left <= 0 {
 		return 0
@@ -26,6 +34,10 @@
 	if p.most == nil || len(p.most) >= maxRoutes {
 		p.most = make(map[string]time.Duration)
 	}
-	p.most[route] = max(p.most[route], left)
-	return p.most[route] - left
+	most := max(p.most[route], left)
+	p.most[route] = most
+	if spread := time.Duration(patienceSpread * float64(most)); most-left <= spread {
+		return 0
+	}
+	return most - left
 }
