Places: an endpoint that failed is not used while others are only full

Cause: a crashed endpoint has many places free. Ruled out: unlucky choice among sound endpoints; those were full.

Now such an ask waits, unless nothing is sound. A peer's word of a failure is passed over for a second after this node was served there, so that a node that is cut off does not take endpoints from the others.

--- a/places/account.go
+++ b/places/account.go
@@ -10,6 +10,7 @@
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/routing"
 )
 
 // account is what a node counts of one endpoint: its own requests exactly, the others' as they last reported.
@@ -18,9 +19,10 @@
 	state    capacity.EndpointState
 	own      load
 	others   load
-	// failedAt is when the endpoint last failed this node, zero if it has served since. shunUntil is until when it is
-	// passed over because it failed another node.
+	// failedAt is when the endpoint last failed this node, zero if it has served since. servedAt is when it last did.
+	// shunUntil is until when it is passed over because it failed another node.
 	failedAt  time.Time
+	servedAt  time.Time
 	shunUntil time.Time
 	// givenBack is true while a place that this node gave back is handed to its own waiters.
 	givenBack bool
@@ -125,9 +127,31 @@
 	case result.Unreachable:
 		a.failedAt = now
 	case result.Complete || result.FirstToken > 0:
-		a.failedAt, a.shunUntil = time.Time{}, time.Time{}
+		a.serves(now)
 	}
 }
 
+// serves notes that the endpoint does what it is asked to.
+func (a *account) serves(now time.Time) {
+	a.servedAt = now
+	a.failedAt, a.shunUntil = time.Time{}, time.Time{}
+}
+
+// shun passes the endpoint over for a while, since it failed another node. Not if it has just served this one: the other
+// node may be cut off from it.
+func (a *account) shun(now time.Time) {
+	if now.Sub(a.servedAt) > ownWord {
+		a.shunUntil = now.Add(shunFor)
+	}
+}
+
+// inService reports whether nothing is known against the endpoint.
+func (a *account) inService(now time.Time, router *routing.Router) bool {
+	if !now.After(a.shunUntil) {
+		return false
+	}
+	return a.failedAt.IsZero() || router.InService(now, a.id())
+}
+
 // id returns the endpoint's name.
 func (a *account) id() domain.EndpointID { return a.endpoint.ID }
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -254,6 +254,52 @@
 	})
 }
 
+func TestFailedEndpointIsNotUsedWhileOthersAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		failed := b.take(testAsk())
+		failed.Release(capacity.Result{Unreachable: true})
+		for range testSlots {
+			assert.Assert(t, b.take(testAsk()).Endpoint.ID != failed.Endpoint.ID)
+		}
+		got := b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+		time.Sleep(5 * time.Second) // it may be tried again
+		b.serve()
+		assert.NilError(t, <-got)
+		b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1, "by one request at a time")
+	})
+}
+
+func TestAllEndpointsFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		for range 2 {
+			b.take(testAsk()).Release(capacity.Result{Unreachable: true})
+		}
+		// There is nothing better: the caller gets its answer by trying, not by waiting.
+		b.take(testAsk())
+	})
+}
+
+func TestOwnWordGoesBeforeAnothersForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.set(1, true)
+		b.take(testAsk()).Release(served(time.Millisecond))
+		report := &gossip.Report{From: "m", Failed: []domain.EndpointID{"e0"}}
+		b.Heard(report)
+		b.set(1, false)
+		b.take(testAsk()).Release(served(time.Millisecond))
+		inService := func() bool { return b.pools["s"].accounts["e0"].inService(time.Now(), b.pools["s"].router) }
+		assert.Assert(t, inService())
+		time.Sleep(ownWord + time.Millisecond)
+		b.Heard(report)
+		assert.Assert(t, !inService())
+	})
+}
+
 func TestCallerThatLeavesTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
--- a/places/options.go
+++ b/places/options.go
@@ -44,6 +44,9 @@
 	// crashed under 69 nodes, 178 of 600 requests in two seconds at six nodes were refused after six failed connections.
 	tellFailure = time.Second
 	shunFor     = 600 * time.Millisecond
+	// ownWord is how long what this node has seen of an endpoint goes before what another node tells of it: reports are
+	// up to half a second old.
+	ownWord = time.Second
 	// longAnswer is the number of tokens from which on it is asked whether an endpoint ends the answer in time; shorter
 	// ones end in a second or two on the slowest hardware seen (11 ms a token). inTimePart is the part of the caller's
 	// time that the predicted total may take: the callers' guesses at the length are off by half, either way.
--- a/places/others.go
+++ b/places/others.go
@@ -59,7 +59,7 @@
 	d.reportedAt = now
 	d.replace(report.From, next)
 	for _, id := range report.Failed {
-		d.adjust(id, func(a *account) { a.shunUntil = now.Add(shunFor) })
+		d.adjust(id, func(a *account) { a.shun(now) })
 	}
 	d.handAll(now)
 }
--- a/places/place.go
+++ b/places/place.go
@@ -48,16 +48,17 @@
 }
 
 // FirstEvent tells that the prompt has been read.
-func (p *Place) FirstEvent() { p.change(func(l *load) { l.prefillTokens = 0 }) }
+func (p *Place) FirstEvent() { p.progress(func(l *load) { l.prefillTokens = 0 }) }
 
 // Produced tells that so many more answer tokens have come.
 func (p *Place) Produced(tokens int) {
-	p.change(func(l *load) { l.answerTokens = max(l.answerTokens-tokens, 0) })
+	p.progress(func(l *load) { l.answerTokens = max(l.answerTokens-tokens, 0) })
 }
 
-func (p *Place) change(edit func(*load)) {
+func (p *Place) progress(edit func(*load)) {
 	p.desk.mu.Lock()
 	defer p.desk.mu.Unlock()
+	p.account.servedAt = time.Now()
 	p.account.own.subtract(p.load)
 	edit(&p.load)
 	p.account.own.add(p.load)
--- a/places/pool.go
+++ b/places/pool.go
@@ -60,8 +60,7 @@
 func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
 	fleet := d.fleet()
 	p.collect(ask, p.room(now, ask, fleet), d.options, fleet)
-	p.keep(func(a *account) bool { return now.After(a.shunUntil) })
-	if !p.keepInTime(now, ask) || len(p.scratch) == 0 {
+	if !p.keepInService(now, ask) || !p.keepInTime(now, ask) || len(p.scratch) == 0 {
 		return nil
 	}
 	near := func(a *account) bool {
@@ -139,6 +138,25 @@
 	return true
 }
 
+// keepInService leaves only the candidates that nothing is known against. It reports false if there are none, but another
+// endpoint, full now, would be: one that has crashed has many places free, and under overload all that wait would go
+// there. On a day on which 23 of 60 endpoints crashed in a burst under 72 nodes, that was 40,000 failed connections in
+// four seconds, and one request in five refused for them.
+func (p *pool) keepInService(now time.Time, ask *Ask) bool {
+	inService := func(a *account) bool { return a.inService(now, p.router) }
+	return p.keep(inService) || !p.other(ask, inService)
+}
+
+// other reports whether the ask could use another endpoint, full or not.
+func (p *pool) other(ask *Ask, wanted func(*account) bool) bool {
+	for _, a := range p.accounts {
+		if !a.endpoint.Leaving && !ask.excludes(a.id()) && wanted(a) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepInTime leaves only the candidates that are likely to end the answer while the caller still waits: one that is cut
 // off has kept its place for nothing. It reports false if none of them is, but another endpoint, full now, would be.
 func (p *pool) keepInTime(now time.Time, ask *Ask) bool {
@@ -147,15 +165,7 @@
 	}
 	routed, left := ask.forRouter(), time.Duration(inTimePart*float64(ask.Due.Sub(now)))
 	inTime := func(a *account) bool { return p.router.Forecast(now, &a.state, routed).Total <= left }
-	if p.keep(inTime) {
-		return true
-	}
-	for _, a := range p.accounts {
-		if !a.endpoint.Leaving && !ask.excludes(a.id()) && now.After(a.shunUntil) && inTime(a) {
-			return false
-		}
-	}
-	return true
+	return p.keep(inTime) || !p.other(ask, func(a *account) bool { return a.inService(now, p.router) && inTime(a) })
 }
 
 // sample leaves some candidates by chance.
--- a/routing/router.go
+++ b/routing/router.go
@@ -65,6 +65,19 @@
 	return &capacity.Refusal{Err: capacity.ErrQuarantined, RetryAfter: left}
 }
 
+// InService reports whether an endpoint would pass the filter of those that failed: it has not, or its time out of
+// service is over and no other request is trying it.
+func (rt *Router) InService(now time.Time, id domain.EndpointID) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	e, ok := rt.endpoints[id]
+	if !ok {
+		return true
+	}
+	filter := EjectedFilter{ProbeTimeout: rt.options.ProbeTimeout}
+	return filter.Keep(&Request{Now: now}, &Candidate{Learned: e})
+}
+
 // Choose implements capacity.Chooser.
 func (rt *Router) Choose(now time.Time, waiting *capacity.Waiting, states []*capacity.EndpointState) (int, bool) {
 	rt.mu.Lock()
