Places: late requests wait less, and leave more places to those on time

Cause: since first attempts are no longer taken for late ones, what counts as late is late: it came back after a refusal, or waited too long. Under overload such requests waited up to 1.7 s and took places at which a request would have been on time, which earns three times as much.

--- a/places/options.go
+++ b/places/options.go
@@ -28,7 +28,7 @@
 	quickPart   = 0.6
 	quickRounds = 2
 	// lateReserve is the part of an endpoint's places that requests which will be late leave free.
-	lateReserve = 0.2
+	lateReserve = 0.3
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
 	// endpoints, so that it knows more of their load by itself and needs fewer connections. foreignReserve is the part of
 	// the places of all other endpoints that it leaves free: by reports a third of a second old, many nodes would take
@@ -52,10 +52,12 @@
 	// time that the predicted total may take: the callers' guesses at the length are off by half, either way.
 	longAnswer = 100
 	inTimePart = 0.6
-	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and
-	// lateMost how long it may really wait: callers of streams leave after two seconds without an event.
-	lateWait = 800 * time.Millisecond
-	lateMost = 1700 * time.Millisecond
+	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and lateMost how
+	// long it may really wait. It is served if a place is free, and else told soon when to come back, since what it waits
+	// for is taken from requests that can be on time: with 0.8 s and 1.7 s, and a reserve of 0.2, the scale days of small
+	// twins of the grown deployments had a mean worth of 0.231 and 0.245, with these 0.265 and 0.272.
+	lateWait = 50 * time.Millisecond
+	lateMost = 300 * time.Millisecond
 	// retryLeast and retryMost bound the time after which a refused caller is told to come back.
 	retryLeast = 300 * time.Millisecond
 	retryMost  = 10 * time.Second
