--- a/capacity/api.go
+++ b/capacity/api.go
@@ -77,6 +77,8 @@
 	PromptTokens int `cbor:"7,keyasint"`
 	AnswerTokens int `cbor:"8,keyasint"`
 	CachedTokens int `cbor:"9,keyasint"`
+	// Replaced is true if another life of the endpoint answers at its address: this one will not come back.
+	Replaced bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Grant is a place at an endpoint, held until Release.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -97,12 +97,17 @@
 }
 
 // canRepeat reports whether the request may go to another endpoint after a send that may have run.
-func (t *task) canRepeat() bool { return t.route.Repeatable() && t.sends < t.route.MaxEndpoints }
+func (t *task) canRepeat() bool { return t.route.Repeatable() && t.offers() < t.route.MaxEndpoints }
+
+// offers is the number of endpoints that the request has been sent to and that it was meant for. One that has been
+// replaced by another life does not count: it can't have run the request. On days on which endpoints restart that was
+// one refusal in three of routes that allow a single endpoint.
+func (t *task) offers() int { return t.sends - t.misdirected }
 
 // watch ends the send after a silence, if the request can go on elsewhere.
 func (d *dispatched) watch() {
 	t := d.task
-	if !t.route.Repeatable() || t.sends+1 >= t.route.MaxEndpoints {
+	if !t.route.Repeatable() || t.offers()+1 >= t.route.MaxEndpoints {
 		return
 	}
 	d.stall = time.AfterFunc(t.patience(), func() { d.cancel(errStalled) })
@@ -203,9 +208,14 @@
 // rejected is the end of a send that the endpoint promised not to run.
 func (d *dispatched) rejected(status int) step {
 	t := d.task
-	d.place.Release(capacity.Result{Unreachable: true})
+	replaced := status == http.StatusMisdirectedRequest
+	d.place.Release(capacity.Result{Unreachable: !replaced, Replaced: replaced})
 	err := fmt.Errorf("%w: status %d", endpoint.ErrRefused, status)
-	if t.sends >= t.route.MaxEndpoints {
+	if replaced {
+		// The endpoint that it was meant for has not seen it, and another is there in its place.
+		t.misdirected++
+	}
+	if t.offers() >= t.route.MaxEndpoints {
 		return t.giveUp(err)
 	}
 	return d.again(err, false)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,6 +123,18 @@
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	replaced := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}
+	var asked atomic.Int64
+	replacedTwice := func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) <= 2 {
+			replaced(w, r)
+			return
+		}
+		ok(w, r)
+	}
 	unsigned := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "rubbish") }
 	foreign := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Id", "another")
@@ -137,6 +150,8 @@
 		sends     int64
 	}{
 		{"answered", routetable.NonIdempotent, 1, []http.HandlerFunc{ok}, 200, 1},
+		{"the endpoint has been replaced", routetable.NonIdempotent, 1, []http.HandlerFunc{replacedTwice, replacedTwice, replacedTwice}, 200, 3},
+		{"all have been replaced", routetable.NonIdempotent, 1, []http.HandlerFunc{replaced, replaced}, 503, 2},
 		{"idempotent, answer lost, repeated up to the bound", routetable.Idempotent, 2, []http.HandlerFunc{cut, cut, cut}, 502, 2},
 		{"non-idempotent, answer lost, never repeated", routetable.NonIdempotent, 2, []http.HandlerFunc{cut, ok}, 0, 0},
 		{"non-idempotent, refused by all", routetable.NonIdempotent, 2, []http.HandlerFunc{refused, refused}, 503, 2},
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -47,6 +47,8 @@
 	// sends counts dispatches, mayHaveRun is true once one of them may have run.
 	sends      int
 	mayHaveRun bool
+	// misdirected counts the dispatches that another life of the endpoint turned away.
+	misdirected int
 	// headSent is true once the head of an answer was passed on, lastEvent is the last event's id.
 	headSent  bool
 	lastEvent string
--- a/places/account.go
+++ b/places/account.go
@@ -24,6 +24,8 @@
 	failedAt  time.Time
 	servedAt  time.Time
 	shunUntil time.Time
+	// replacedAt is when another life of the endpoint answered at its address, zero if none has.
+	replacedAt time.Time
 	// givenBack is true while a place that this node gave back is handed to its own waiters.
 	givenBack bool
 	// isMine is whether the endpoint is of this node's part, worked out for partOf nodes of the data centre.
@@ -124,6 +126,8 @@
 // learn notes how a request of this node's ended.
 func (a *account) learn(now time.Time, result capacity.Result) {
 	switch {
+	case result.Replaced:
+		a.replacedAt = now
 	case result.Unreachable:
 		a.failedAt = now
 	case result.Complete || result.FirstToken > 0:
@@ -147,11 +151,19 @@
 
 // inService reports whether nothing is known against the endpoint.
 func (a *account) inService(now time.Time, router *routing.Router) bool {
-	if !now.After(a.shunUntil) {
+	if !now.After(a.shunUntil) || a.replaced(now) {
 		return false
 	}
 	return a.failedAt.IsZero() || router.InService(now, a.id())
 }
 
+// replaced reports whether the endpoint's life is over, though the directory still lists it.
+func (a *account) replaced(now time.Time) bool {
+	return !a.replacedAt.IsZero() && now.Sub(a.replacedAt) < replacedFor
+}
+
+// trouble reports whether the other nodes are to be told that the endpoint failed this one.
+func (a *account) trouble(now time.Time) bool { return now.Sub(a.failedAt) < tellFailure || a.replaced(now) }
+
 // id returns the endpoint's name.
 func (a *account) id() domain.EndpointID { return a.endpoint.ID }
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -272,6 +272,24 @@
 	})
 }
 
+func TestReplacedEndpointIsPassedOverByAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, other := newBench(t, 2), newBench(t, 2)
+		replaced := b.take(testAsk())
+		replaced.Release(capacity.Result{Replaced: true})
+		time.Sleep(5 * time.Second)
+		report := gossip.Report{From: "m"}
+		b.Fill(&report)
+		other.Heard(&report)
+		for range testSlots {
+			assert.Assert(t, b.take(testAsk()).Endpoint.ID != replaced.Endpoint.ID)
+			assert.Assert(t, other.take(testAsk()).Endpoint.ID != replaced.Endpoint.ID)
+		}
+		b.wait(testAsk())
+		assert.Equal(t, b.Waiting(), 1)
+	})
+}
+
 func TestAllEndpointsFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2)
--- a/places/options.go
+++ b/places/options.go
@@ -44,6 +44,9 @@
 	// crashed under 69 nodes, 178 of 600 requests in two seconds at six nodes were refused after six failed connections.
 	tellFailure = time.Second
 	shunFor     = 600 * time.Millisecond
+	// replacedFor is how long an endpoint is passed over after another life answered at its address: the directory drops
+	// the old one within seconds, when its entry in the store ends.
+	replacedFor = 10 * time.Second
 	// ownWord is how long what this node has seen of an endpoint goes before what another node tells of it: reports are
 	// up to half a second old.
 	ownWord = time.Second
--- a/places/others.go
+++ b/places/others.go
@@ -28,7 +28,7 @@
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
 		for id, a := range p.accounts {
-			if now.Sub(a.failedAt) < tellFailure {
+			if a.trouble(now) {
 				report.Failed = append(report.Failed, id)
 			}
 			if a.own.requests == 0 {
