--- a/places/choose.go
+++ b/places/choose.go
@@ -139,4 +139,3 @@
 	p.chosen[i], p.chosen[j] = p.chosen[j], p.chosen[i]
 	p.scratch[i], p.scratch[j] = p.scratch[j], p.scratch[i]
 }
-
