Entry node: connections keep within the host's descriptors and the endpoints' bounds

max_files and an endpoint's greatest number of connections were read and used by nothing. Now callers have half of the sockets (further ones wait to be accepted), connections to endpoints two fifths; at that bound an idle connection to another endpoint makes room. A node keeps idle at an endpoint no more than an equal part of what it accepts from all nodes.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +40,7 @@
 	defaultIdle = 4 * time.Second
 	// idleMargin is what is left of the stated time for the request to arrive.
 	idleMargin = 500 * time.Millisecond
-	// maxIdle bounds the idle connections kept to one endpoint.
+	// maxIdle bounds the idle connections kept to one endpoint if the options do not: more than a node has there at a time.
 	maxIdle = 32
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 64 << 10
@@ -64,7 +65,10 @@
 
 // Client keeps connections to endpoints. It is safe for concurrent use.
 type Client struct {
-	dialer *net.Dialer
+	dialer  *net.Dialer
+	options Options
+	// open counts the connections, those being dialled included.
+	open atomic.Int64
 
 	mu   sync.Mutex
 	idle map[domain.EndpointID][]*conn
@@ -72,15 +76,28 @@
 	dials, reused, stale *metrics.Counter
 }
 
+// Options bound a Client.
+type Options struct {
+	// Connections bounds the open connections to all endpoints; 0 is no bound.
+	Connections int
+	// Idle bounds the idle ones kept to an endpoint; nil means maxIdle.
+	Idle func(domain.EndpointID) int
+}
+
 // New returns a client without connections.
-func New(set *metrics.Set) *Client {
+func New(options Options, set *metrics.Set) *Client {
+	if options.Idle == nil {
+		options.Idle = func(domain.EndpointID) int { return maxIdle }
+	}
 	c := &Client{
-		dialer: netdial.New(dialTimeout, silentTimeout),
-		idle:   make(map[domain.EndpointID][]*conn),
-		dials:  set.NewCounter("hawthornrill_endpoint_dials_total"),
-		reused: set.NewCounter("hawthornrill_endpoint_connections_reused_total"),
-		stale:  set.NewCounter("hawthornrill_endpoint_stale_answers_total"),
+		dialer:  netdial.New(dialTimeout, silentTimeout),
+		options: options,
+		idle:    make(map[domain.EndpointID][]*conn),
+		dials:   set.NewCounter("hawthornrill_endpoint_dials_total"),
+		reused:  set.NewCounter("hawthornrill_endpoint_connections_reused_total"),
+		stale:   set.NewCounter("hawthornrill_endpoint_stale_answers_total"),
 	}
+	set.NewGauge("hawthornrill_endpoint_connections", func() float64 { return float64(c.open.Load()) })
 	return c
 }
 
@@ -122,12 +139,44 @@
 		}
 		conn.close()
 	}
+	return c.dial(ctx, r.Address)
+}
+
+// errTooMany means that no connection more may be opened and none is idle.
+var errTooMany = errors.New("exchange: too many connections are open")
+
+// dial opens a connection. At the bound on open ones an idle one to another endpoint makes room.
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	most := int64(c.options.Connections)
+	for c.open.Add(1) > most && most > 0 {
+		c.open.Add(-1)
+		if !c.closeIdle() {
+			return nil, errTooMany
+		}
+	}
 	c.dials.Inc()
-	raw, err := c.dialer.DialContext(ctx, "tcp4", r.Address)
+	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		c.open.Add(-1)
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, func() { c.open.Add(-1) }), nil
+}
+
+// closeIdle closes an idle connection, the one that was used longest ago of some endpoint, and reports whether there was
+// one.
+func (c *Client) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, list := range c.idle {
+		if len(list) == 0 {
+			continue
+		}
+		list[0].close()
+		c.idle[id] = append(list[:0], list[1:]...)
+		return true
+	}
+	return false
 }
 
 func (c *Client) take(id domain.EndpointID) *conn {
@@ -146,7 +195,7 @@
 	conn.idleUntil = time.Now().Add(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[id]) >= maxIdle {
+	if len(c.idle[id]) >= c.options.Idle(id) {
 		conn.close()
 		return
 	}
--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -87,7 +87,7 @@
 
 func TestRequestIsSentAsItIs(t *testing.T) {
 	s := serve(t, answerTo("1", "Content-Length: 2\r\n", "ok"))
-	body, err := send(t, New(metrics.NewSet()), s.request("1"))
+	body, err := send(t, New(Options{}, metrics.NewSet()), s.request("1"))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "ok")
 	assert.Equal(t, <-s.received, "POST /a%2Fb?x=%20y h.example body")
@@ -109,7 +109,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := serve(t, test.first, ok("2"))
-			c := New(metrics.NewSet())
+			c := New(Options{}, metrics.NewSet())
 			body, err := send(t, c, s.request("1"))
 			assert.NilError(t, err)
 			assert.Equal(t, body, "ok")
@@ -128,7 +128,7 @@
 func TestStaleAnswerIsSkipped(t *testing.T) {
 	late := answerTo("0", "Content-Length: 4\r\n", "late")
 	s := serve(t, late+answerTo("1", "Content-Length: 2\r\n", "ok"))
-	body, err := send(t, New(metrics.NewSet()), s.request("1"))
+	body, err := send(t, New(Options{}, metrics.NewSet()), s.request("1"))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "ok")
 }
@@ -146,7 +146,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := serve(t, test.text)
-			_, err := send(t, New(metrics.NewSet()), s.request("1"))
+			_, err := send(t, New(Options{}, metrics.NewSet()), s.request("1"))
 			assert.Assert(t, errors.Is(err, endpoint.ErrBroken), "%v", err)
 			assert.Assert(t, !errors.Is(err, endpoint.ErrNotDispatched))
 		})
@@ -158,17 +158,17 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	_, err = send(t, New(metrics.NewSet()), (&server{address: address}).request("1"))
+	_, err = send(t, New(Options{}, metrics.NewSet()), (&server{address: address}).request("1"))
 	assert.Assert(t, errors.Is(err, endpoint.ErrNotDispatched))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = New(metrics.NewSet()).Send(ctx, (&server{address: address}).request("1"))
+	_, err = New(Options{}, metrics.NewSet()).Send(ctx, (&server{address: address}).request("1"))
 	assert.Assert(t, errors.Is(err, endpoint.ErrNotDispatched))
 }
 
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	s := serve(t, answerTo("1", "Content-Length: 2\r\n", "ok")) // closes after each answer
-	c := New(metrics.NewSet())
+	c := New(Options{}, metrics.NewSet())
 	for range 3 {
 		_, err := send(t, c, s.request("1"))
 		assert.NilError(t, err)
@@ -195,7 +195,7 @@
 
 func TestForgottenEndpointsHaveNoConnections(t *testing.T) {
 	s := serve(t, answerTo("1", "Content-Length: 2\r\n", "ok"), answerTo("1", "Content-Length: 2\r\n", "ok"))
-	c := New(metrics.NewSet())
+	c := New(Options{}, metrics.NewSet())
 	_, err := send(t, c, s.request("1"))
 	assert.NilError(t, err)
 	c.Forget(func(domain.EndpointID) bool { return true })
@@ -207,10 +207,44 @@
 func TestEndOfTheContextClosesTheConnection(t *testing.T) {
 	s := serve(t, answerTo("1", "Content-Length: 100\r\n", "part"), "")
 	ctx, cancel := context.WithCancel(context.Background())
-	answer, err := New(metrics.NewSet()).Send(ctx, s.request("1"))
+	answer, err := New(Options{}, metrics.NewSet()).Send(ctx, s.request("1"))
 	assert.NilError(t, err)
 	defer answer.Close()
 	cancel()
 	_, err = io.ReadAll(answer)
 	assert.Assert(t, errors.Is(err, endpoint.ErrBroken))
 }
+
+func TestBoundOnOpenConnections(t *testing.T) {
+	c := New(Options{Connections: 1}, metrics.NewSet())
+	ok := answerTo("1", "Content-Length: 2\r\n", "ok")
+	first, second := serve(t, ok, ok), serve(t, ok, ok)
+	toFirst, toSecond := first.request("1"), second.request("1")
+	toSecond.Endpoint = "f"
+
+	held, err := c.Send(context.Background(), toFirst)
+	assert.NilError(t, err)
+	_, err = c.Send(context.Background(), toSecond)
+	assert.ErrorIs(t, err, endpoint.ErrNotDispatched)
+	assert.ErrorIs(t, err, errTooMany)
+	_, err = io.ReadAll(held)
+	assert.NilError(t, err)
+	held.Close()
+
+	// The connection that is idle now makes room.
+	_, err = send(t, c, toSecond)
+	assert.NilError(t, err)
+	assert.Equal(t, c.open.Load(), int64(1))
+}
+
+func TestBoundOnIdleConnections(t *testing.T) {
+	c := New(Options{Idle: func(domain.EndpointID) int { return 0 }}, metrics.NewSet())
+	ok := answerTo("1", "Content-Length: 2\r\n", "ok")
+	s := serve(t, ok)
+	for range 2 {
+		_, err := send(t, c, s.request("1"))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, s.connections.Load(), int64(2))
+	assert.Equal(t, c.open.Load(), int64(0))
+}
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -20,14 +20,16 @@
 	idleUntil time.Time
 	// limit is the number of bytes that may still be read.
 	limit int64
-	once  sync.Once
+	// closed is called once, when the connection is closed.
+	closed func()
+	once   sync.Once
 }
 
 // readBuffer is the size of a connection's buffer, enough for an answer's head and an event.
 const readBuffer = 4 << 10
 
-func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+func newConn(raw net.Conn, closed func()) *conn {
+	c := &conn{Conn: raw, closed: closed}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -44,7 +46,12 @@
 	return n, err
 }
 
-func (c *conn) close() { c.once.Do(func() { _ = c.Conn.Close() }) }
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.Conn.Close() // nothing is written any more that could be lost
+		c.closed()
+	})
+}
 
 // quiet reports whether the idle connection is open and nothing has come in.
 func (c *conn) quiet() bool {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
@@ -80,7 +81,7 @@
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
 	n.desk = places.New(places.Options{Node: s.Node, DataCentre: s.DataCentre}, n.directory, n.mesh.Fleet, n.metrics)
-	n.endpoints = exchange.New(n.metrics)
+	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
 		Protocol:  adapters.Protocol,
 		Knowledge: n.follower,
@@ -234,6 +235,9 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.add(&group, background, stop)
+	if most := n.settings.Host.callerConnections(); most > 0 {
+		listener = netutil.LimitListener(listener, most)
+	}
 	group.Add(func() error { return n.serveCallers(ctx, listener) }, func(error) { _ = n.callers.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callers.Addr).Msg("node started")
 	err = group.Run()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -123,7 +123,7 @@
 		Limits:    limits,
 		Retries:   retrybudget.New(retrybudget.Options{Ratio: 1, Slack: 100, Window: time.Minute}, f.now, one),
 		Places:    places.New(places.Options{}, f.directory, alone, set),
-		Endpoints: exchange.New(set),
+		Endpoints: exchange.New(exchange.Options{}, set),
 		Clock:     f.now,
 		Log:       zerolog.Nop(),
 		Metrics:   set,
