Places: an endpoint's memory bounds what it is given

The configuration's memory of an engine was read and used by nothing. An engine whose memory runs out breaks its newest request off, also in the middle of its stream, and reads it again from the start; deployments with small memories or long prompts would meet that. A request now waits for an endpoint whose memory holds it beside what is outstanding there.

The test failed before (it did not compile, for want of the bound).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -80,7 +80,9 @@
 	n.limits = tokenlimit.New(tokenlimit.Parts{
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
-	n.desk = places.New(places.Options{Node: s.Node, DataCentre: s.DataCentre}, n.directory, n.mesh.Fleet, n.metrics)
+	n.desk = places.New(places.Options{
+		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens,
+	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
 		Protocol:  adapters.Protocol,
@@ -124,6 +126,14 @@
 	return fleet.Known, fleet.Heard < fleet.Known
 }
 
+// cacheTokens is the memory of a service's engines.
+func (n *Node) cacheTokens(service string) int {
+	if table := n.follower.Table(); table != nil {
+		return table.Services[service].CacheTokens
+	}
+	return 0
+}
+
 func (n *Node) idleTimeout() time.Duration {
 	if table := n.follower.Table(); table != nil {
 		return table.Limits.IdleTimeout
--- a/places/account.go
+++ b/places/account.go
@@ -78,6 +78,9 @@
 	foreign float64
 	// rounds is how many requests an endpoint may have for each of its places; one or more.
 	rounds float64
+	// tokens is what the request needs of an endpoint's memory, cache all that there is of it; zero if not known.
+	tokens int
+	cache  int
 }
 
 // hasRoom reports whether this node may send one request more: if a place is free beyond the reserve, or if requests may
@@ -87,6 +90,9 @@
 	if !mine && !a.givenBack {
 		reserve = max(reserve, r.foreign)
 	}
+	if !a.holds(r) {
+		return false
+	}
 	outstanding, slots := float64(a.own.requests+a.others.requests), float64(a.endpoint.Slots)
 	switch {
 	case r.rounds > 1:
@@ -97,6 +103,12 @@
 	return outstanding < slots-reservedPlaces(reserve, slots)
 }
 
+// holds reports whether the endpoint's memory holds the request beside what is outstanding there: an engine whose memory
+// runs out breaks the newest request off and reads it again from the start. An empty endpoint may be tried in any case.
+func (a *account) holds(r room) bool {
+	return r.cache <= 0 || a.state.Requests == 0 || a.state.ReservedTokens+r.tokens <= r.cache
+}
+
 // reservedPlaces is the number of places that a reserve keeps free: at least one, if there are several.
 func reservedPlaces(reserve, slots float64) float64 {
 	if reserve <= 0 || slots <= 1 {
--- a/places/choose.go
+++ b/places/choose.go
@@ -28,10 +28,12 @@
 // endpoint's, which keeps one that has just started from being shut out by the others. Requests that will be late leave
 // some places to those that can be on time, which would otherwise find none when they come.
 func (p *pool) room(now time.Time, ask *Ask, fleet gossip.Fleet) room {
+	r := room{tokens: ask.PromptTokens + ask.AnswerTokens, cache: p.cache()}
 	if p.outstanding()*starvedPart < p.places/max(fleet.Known, 1) {
-		return room{beyond: true}
+		r.beyond = true
+		return r
 	}
-	r := room{rounds: p.rounds(now, ask, fleet)}
+	r.rounds = p.rounds(now, ask, fleet)
 	if fleet.Known > sampleFrom {
 		r.foreign = foreignReserve
 	}
--- a/places/desk.go
+++ b/places/desk.go
@@ -43,6 +43,9 @@
 // New returns a desk. Fleet counts the nodes.
 func New(options Options, d *directory.Directory, fleet func() gossip.Fleet, set *metrics.Set) *Desk {
 	options.Routing = defaultRouting(options.Routing)
+	if options.CacheTokens == nil {
+		options.CacheTokens = func(string) int { return 0 }
+	}
 	desk := &Desk{
 		options:   options,
 		directory: d,
@@ -169,7 +172,7 @@
 func (d *Desk) pool(service string) *pool {
 	p, ok := d.pools[service]
 	if !ok {
-		p = newPool(service, d.options.Routing)
+		p = newPool(service, d.options)
 		d.pools[service] = p
 	}
 	return p
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -222,6 +222,26 @@
 	})
 }
 
+func TestRequestsThatAnEndpointsMemoryDoesNotHoldWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.options.CacheTokens = func(string) int { return 1000 }
+		large := func() *Ask {
+			ask := testAsk()
+			ask.PromptTokens = 600
+			return ask
+		}
+		first := b.take(large())
+		got := b.wait(large())
+		assert.Equal(t, b.Waiting(), 1)
+		first.Release(served(time.Millisecond))
+		assert.NilError(t, <-got)
+		ask := testAsk()
+		ask.PromptTokens = 300
+		b.take(ask)
+	})
+}
+
 func TestLeavingAndExcludedEndpoints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 3)
--- a/places/item.go
+++ b/places/item.go
@@ -41,9 +41,9 @@
 }
 
 // choosy reports whether there may be room that the ask can't use: it leaves the last places to those that can be on
-// time, waits for an endpoint that is fast enough, or has tried some.
+// time, waits for an endpoint that is fast enough or has the memory, or has tried some.
 func (a *Ask) choosy(now time.Time, start time.Duration) bool {
-	return a.late(now, start) || a.AnswerTokens >= longAnswer || len(a.Excluded) > 0
+	return a.late(now, start) || a.AnswerTokens >= longAnswer || a.PromptTokens >= longPrompt || len(a.Excluded) > 0
 }
 
 // patience is how long the ask may wait.
--- a/places/options.go
+++ b/places/options.go
@@ -55,6 +55,9 @@
 	// time that the predicted total may take: the callers' guesses at the length are off by half, either way.
 	longAnswer = 100
 	inTimePart = 0.6
+	// longPrompt is the number of tokens from which on a prompt may have to wait for an endpoint's memory: engines seen
+	// hold 500,000 tokens and work on about ten requests at a time.
+	longPrompt = 16000
 	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and lateMost how
 	// long it may really wait. It is served if a place is free, and else told soon when to come back, since what it waits
 	// for is taken from requests that can be on time: with 0.8 s and 1.7 s, and a reserve of 0.2, the scale days of small
@@ -71,6 +74,8 @@
 	// Node is this node, DataCentre where it stands.
 	Node       domain.NodeID
 	DataCentre domain.DataCentre
+	// CacheTokens returns the memory in tokens of each endpoint of a service, zero if it is not known; nil for none.
+	CacheTokens func(service string) int
 	// Routing are the router's numbers; zero values mean defaultRouting.
 	Routing routing.Options
 }
--- a/places/pool.go
+++ b/places/pool.go
@@ -22,6 +22,8 @@
 	// first is the mean time in seconds from a dispatch to the first byte.
 	first mean
 	turns int
+	// cache returns the memory in tokens of each endpoint, zero if it is not known.
+	cache func() int
 	// places is the sum over the endpoints that are not leaving.
 	places int
 	// scratch and chosen are used again by each decision.
@@ -44,11 +46,12 @@
 // defaultFirst is the time to the first byte until it is measured.
 const defaultFirst = 50 * time.Millisecond
 
-func newPool(service string, options routing.Options) *pool {
+func newPool(service string, options Options) *pool {
 	return &pool{
 		service:  service,
 		accounts: make(map[domain.EndpointID]*account),
-		router:   routing.NewRouter(options),
+		router:   routing.NewRouter(options.Routing),
+		cache:    func() int { return options.CacheTokens(service) },
 		waiting:  queue.New[*waiter](maxWaiting),
 		held:     mean{value: defaultHeld.Seconds()},
 		first:    mean{value: defaultFirst.Seconds()},
