--- a/places/desk.go
+++ b/places/desk.go
@@ -110,7 +110,7 @@
 		d.refused.Inc()
 		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: retryLeast}
 	}
-	ahead := p.waiting.AheadOf(ask.rank(now, p.start()), ask.Organisation, 1)
+	ahead := p.waiting.AheadOf(ask.rank(now, p.start(ask)), ask.Organisation, 1)
 	if ahead == 0 || ask.Urgent {
 		if a := p.choose(now, ask, d); a != nil {
 			d.granted.Inc()
@@ -132,8 +132,8 @@
 		return nil
 	}
 	wait := p.predictedWait(ahead)
-	bound := ask.FirstByteDue.Sub(now) - p.start()
-	if ask.late(now, p.start()) {
+	bound := ask.FirstByteDue.Sub(now) - p.start(ask)
+	if ask.late(now, p.start(ask)) {
 		bound = lateWait
 	}
 	if wait <= bound {
@@ -144,7 +144,7 @@
 
 func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
 	w := &waiter{ask: ask, since: now, granted: make(chan *Place, 1)}
-	w.item = queueItem(w, now, p.start())
+	w.item = queueItem(w, now, p.start(ask))
 	if evicted := p.waiting.Push(&w.item); evicted != nil {
 		close(evicted.Value.granted)
 	}
--- a/places/hand.go
+++ b/places/hand.go
@@ -19,7 +19,7 @@
 	if result.Dispatched {
 		p.held.add(now.Sub(place.granted).Seconds())
 		if result.FirstToken > 0 {
-			p.first.add(result.FirstToken.Seconds())
+			p.firsts.add(place.ask.PromptTokens, result.FirstToken)
 		}
 	}
 	// The place goes to this node's own waiters first: the others count it as taken until they hear of it.
@@ -52,7 +52,7 @@
 	if a := p.choose(now, first.ask, d); a != nil {
 		return first, a
 	}
-	if !first.ask.choosy(now, p.start()) {
+	if !first.ask.choosy(now, p.start(first.ask)) {
 		return nil, nil
 	}
 	looked := 0
--- a/places/item.go
+++ b/places/item.go
@@ -19,7 +19,7 @@
 		Organisation: ask.Organisation,
 		Weight:       1,
 		Cost:         1,
-		Due:          ask.FirstByteDue,
+		Due:          ask.FirstByteDue.Add(-start),
 	}
 }
 
--- a/places/pool.go
+++ b/places/pool.go
@@ -19,9 +19,9 @@
 	waiting *queue.Queue[*waiter]
 	// held is the mean time in seconds that a request of this node keeps a place.
 	held mean
-	// first is the mean time in seconds from a dispatch to the first byte.
-	first mean
-	turns int
+	// firsts are the mean times from a dispatch to the first byte.
+	firsts firstBytes
+	turns  int
 	// cache returns the memory in tokens of each endpoint, zero if it is not known.
 	cache func() int
 	// places is the sum over the endpoints that are not leaving.
@@ -43,9 +43,6 @@
 // defaultHeld is the time that a place is thought to be kept until it is measured.
 const defaultHeld = 500 * time.Millisecond
 
-// defaultFirst is the time to the first byte until it is measured.
-const defaultFirst = 50 * time.Millisecond
-
 func newPool(service string, options Options) *pool {
 	return &pool{
 		service:  service,
@@ -54,7 +51,7 @@
 		cache:    func() int { return options.CacheTokens(service) },
 		waiting:  queue.New[*waiter](maxWaiting),
 		held:     mean{value: defaultHeld.Seconds()},
-		first:    mean{value: defaultFirst.Seconds()},
+		firsts:   newFirstBytes(),
 	}
 }
 
@@ -116,10 +113,10 @@
 	for p.waiting.Len() > 0 {
 		item := p.turn()
 		w := item.Value
-		if rank := w.ask.rank(now, p.start()); rank != item.Tier {
+		if rank := w.ask.rank(now, p.start(w.ask)); rank != item.Tier {
 			// It can't be on time any more: those that can go first.
 			p.waiting.Remove(item)
-			w.item = queueItem(w, now, p.start())
+			w.item = queueItem(w, now, p.start(w.ask))
 			p.waiting.Push(&w.item)
 			continue
 		}
@@ -137,8 +134,8 @@
 	return p.waiting.Peek(func(*queue.Item[*waiter]) bool { return true })
 }
 
-// start is the time that a request takes from its dispatch to its first byte.
-func (p *pool) start() time.Duration { return time.Duration(p.first.value * float64(time.Second)) }
+// start is the time that the request takes from its dispatch to its first byte.
+func (p *pool) start(ask *Ask) time.Duration { return p.firsts.of(ask.PromptTokens) }
 
 // firstOfLowest returns the first waiter of the lowest tier that has any who can be on time.
 func (p *pool) firstOfLowest() *queue.Item[*waiter] {
