hawthornctl lists a group's commands; tests and demo share one way to free addresses

hawthornctl table -h answered that there is no such command. freePort stood in two test folders and, in other words, in the demo; it is now platformtest.FreeAddress.

--- a/cmd/hawthornrill-demo/platformsample.go
+++ b/cmd/hawthornrill-demo/platformsample.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -91,10 +90,7 @@
 
 func (s *platformSample) startNodes(ctx context.Context, log zerolog.Logger) error {
 	for i := range platformNodes {
-		settings, err := s.settings(fmt.Sprintf("entry-%d", i))
-		if err != nil {
-			return err
-		}
+		settings := s.settings(fmt.Sprintf("entry-%d", i))
 		client := platform.NewClient(settings.Store, onesend.New(onesend.Options{}))
 		node, err := entrynode.New(settings, entrynode.Adapters{Protocol: platform.Heads{}, Source: client, Registry: client}, log)
 		if err != nil {
@@ -127,30 +123,16 @@
 	}
 }
 
-func (s *platformSample) settings(name string) (entrynode.Settings, error) {
-	settings := entrynode.Settings{
+func (s *platformSample) settings(name string) entrynode.Settings {
+	return entrynode.Settings{
 		Node: domain.NodeID(name), DataCentre: "d", Store: s.server.Listener.Addr().String(),
+		Listen: entrynode.Listen{
+			Callers: platformtest.FreeAddress(), Ready: platformtest.FreeAddress(), Peers: platformtest.FreeAddress(),
+		},
 		Retry:  entrynode.Retry{Ratio: 1, WindowS: 10, Slack: 10},
 		Limit:  entrynode.Limit{WindowS: 8},
 		Notice: entrynode.Notice{GraceS: 5},
 	}
-	for _, address := range []*string{&settings.Listen.Callers, &settings.Listen.Ready, &settings.Listen.Peers} {
-		free, err := freeAddress()
-		if err != nil {
-			return settings, err
-		}
-		*address = free
-	}
-	return settings, nil
-}
-
-// freeAddress returns an address on loopback that nobody listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("demo: %w", err)
-	}
-	return l.Addr().String(), l.Close()
 }
 
 // serve sends requests of both kinds to the nodes in turn.
--- a/cmd/hawthornrill-entry/main_test.go
+++ b/cmd/hawthornrill-entry/main_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -87,7 +85,7 @@
 	s.t.Helper()
 	settings := entrynode.Settings{
 		Node: domain.NodeID(name), DataCentre: "d", Store: s.address,
-		Listen: entrynode.Listen{Callers: freePort(s.t), Ready: freePort(s.t), Peers: freePort(s.t), Operators: freePort(s.t)},
+		Listen: entrynode.Listen{Callers: platformtest.FreeAddress(), Ready: platformtest.FreeAddress(), Peers: platformtest.FreeAddress(), Operators: platformtest.FreeAddress()},
 		Keys:   entrynode.Keys{Strict: true, MaxAgeMS: 5000},
 		Retry:  entrynode.Retry{Ratio: 1, WindowS: 10, Slack: 100},
 		Limit:  entrynode.Limit{WindowS: 8},
@@ -103,31 +101,6 @@
 	s.t.Cleanup(leave)
 }
 
-// givenPorts are the addresses that freePort has returned, so that no two nodes get the same.
-var givenPorts sync.Map
-
-// freePort returns an address on loopback that is free for TCP and UDP. It lies below the ports that the kernel gives to
-// connections, one of which could take it before the node does.
-func freePort(t *testing.T) string {
-	t.Helper()
-	for {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
-		if err != nil {
-			continue
-		}
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp4", address)
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		if _, given := givenPorts.LoadOrStore(address, true); !given {
-			return address
-		}
-	}
-}
-
 func (s *system) until(what string, holds func() bool) {
 	s.t.Helper()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
--- a/cmd/hawthornrill-soak/process_test.go
+++ b/cmd/hawthornrill-soak/process_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
 // process is an entry node as a process that the soak started; only such are ever signalled.
@@ -48,39 +47,15 @@
 `
 
 func newProcess(t *testing.T, dir, name, centre, store string) *process {
-	p := &process{name: name, callers: freePort(t), ready: freePort(t), log: filepath.Join(dir, name+".log")}
+	p := &process{name: name, callers: platformtest.FreeAddress(), ready: platformtest.FreeAddress(), log: filepath.Join(dir, name+".log")}
 	p.settings = filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(settingsText, name, centre, store, p.callers, p.ready, freePort(t))
+	text := fmt.Sprintf(settingsText, name, centre, store, p.callers, p.ready, platformtest.FreeAddress())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return p
 }
 
-// givenPorts are the addresses that freePort has returned, so that no two nodes get the same.
-var givenPorts sync.Map
-
-// freePort returns an address on loopback that is free for TCP and UDP. It lies below the ports that the kernel gives to
-// connections, one of which could take it before the node does.
-func freePort(t *testing.T) string {
-	for {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
-		if err != nil {
-			continue
-		}
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp4", address)
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		if _, given := givenPorts.LoadOrStore(address, true); !given {
-			return address
-		}
-	}
-}
-
 func (p *process) start(t *testing.T, binary string) {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -53,6 +53,35 @@
 	return command{}, nil, false
 }
 
+// findGroup returns the commands whose names begin with the first word, if that is all that was asked for, or help with
+// them.
+func findGroup(words []string) ([]command, bool) {
+	if len(words) > 2 || len(words) == 2 && !isHelp(words[1]) {
+		return nil, false
+	}
+	var group []command
+	for _, c := range commands() {
+		if strings.HasPrefix(c.name, words[0]+" ") {
+			group = append(group, c)
+		}
+	}
+	return group, len(group) > 0
+}
+
+func isHelp(word string) bool {
+	switch word {
+	case "-h", "-help", "--help", "help":
+		return true
+	}
+	return false
+}
+
+func printGroup(out io.Writer, group []command) {
+	for _, c := range group {
+		_, _ = fmt.Fprintf(out, "  hawthornctl %-16s %-12s %s\n", c.name, c.arguments, c.summary)
+	}
+}
+
 func (c command) usage(flags *flag.FlagSet, out io.Writer) {
 	_, _ = fmt.Fprintf(out, "usage: hawthornctl %s [flags] %s\n\n%s\n\n", c.name, c.arguments, c.summary)
 	flags.SetOutput(out)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -233,6 +233,8 @@
 		x.expect(ExitOK, "", "-version", "hawthornctl")
 		x.expect(ExitOK, "", "-h", "Exit codes")
 		x.expect(ExitOK, "", "table apply -h", "-yes")
+		x.expect(ExitOK, "", "table -h", "table apply", "table rollback")
+		x.expect(ExitOK, "", "key", "key new")
 		assert.NilError(t, os.WriteFile(x.path("wrong"), []byte("hr_wrong"), 0o600))
 		x.expect(ExitFailed, "", "status -node http://127.0.0.1:9000 -key-file @wrong", "Not authorised")
 		code, output := x.run("", "key new")
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -39,14 +39,18 @@
 		printHelp(s.Err)
 		return ExitUsage
 	}
-	switch arguments[0] {
-	case "-h", "-help", "--help", "help":
+	switch {
+	case isHelp(arguments[0]):
 		printHelp(s.Out)
 		return ExitOK
-	case "-version", "--version":
+	case arguments[0] == "-version" || arguments[0] == "--version":
 		_, _ = fmt.Fprintln(s.Out, "hawthornctl", version())
 		return ExitOK
 	}
+	if group, ok := findGroup(arguments); ok {
+		printGroup(s.Out, group)
+		return ExitOK
+	}
 	c, rest, ok := find(arguments)
 	if !ok {
 		_, _ = fmt.Fprintf(s.Err, "hawthornctl: there is no such command; hawthornctl -h lists them\n")
