Places: the route's tier orders requests within the organisation's

Cause: an organisation's tier goes before the route's. Where all organisations share one, the routes' tiers counted for nothing, and under overload checks of 2,000 tokens with tier 2 took places from quotes with tier 0.

Turns of the lower tiers now go to each in rotation: the lowest alone had them, so that one in the middle got nothing (TestNoTierThatWaitsIsShutOut: 36, 0 and 8 served before).

--- a/gateway/task.go
+++ b/gateway/task.go
@@ -133,10 +133,10 @@
 }
 
 func (t *task) ask() *places.Ask {
-	tier := t.route.Tier
 	ask := &places.Ask{
 		Name:         t.call.ID,
 		Service:      t.service,
+		Tier:         t.route.Tier,
 		PromptTokens: t.call.PromptTokens,
 		AnswerTokens: t.call.AnswerTokens(),
 		Fingerprint:  xxhash.Sum64String(t.call.ID),
@@ -149,10 +149,9 @@
 	if t.organisation != nil {
 		ask.Organisation = t.organisation.ID
 		if t.organisation.HasTier {
-			tier = t.organisation.Tier
+			ask.Tier, ask.Within = t.organisation.Tier, t.route.Tier
 		}
 	}
-	ask.Tier = tier
 	return ask
 }
 
--- a/places/ask.go
+++ b/places/ask.go
@@ -14,6 +14,8 @@
 	Service      string
 	Organisation domain.OrganisationID
 	Tier         domain.Tier
+	// Within orders requests of the same tier: the route's where Tier is the organisation's.
+	Within domain.Tier
 	// PromptTokens and AnswerTokens are estimates of the work; zero for a plain call.
 	PromptTokens int
 	AnswerTokens int
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +157,55 @@
 	})
 }
 
+func TestRankFitsItsByte(t *testing.T) {
+	now := time.Now()
+	last := -1
+	for _, tier := range []domain.Tier{0, 1, maxTier} {
+		for _, within := range []domain.Tier{0, withinTiers - 1, 255} {
+			for _, due := range []time.Time{now.Add(time.Second), now} {
+				ask := Ask{Tier: tier, Within: within, FirstByteDue: due}
+				rank := int(ask.rank(now, 0))
+				assert.Assert(t, rank > last || within == 255, "%d %d: %d", tier, within, rank)
+				last = rank
+			}
+		}
+	}
+	assert.Equal(t, last, 255)
+}
+
+func TestNoTierThatWaitsIsShutOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		taken := b.fill(testSlots)
+		ctx, cancel := context.WithCancel(t.Context())
+		var served [3]atomic.Int64
+		for within := range domain.Tier(3) {
+			for range 60 {
+				ask := testAsk()
+				ask.Within = within
+				go func() {
+					place, err := b.Acquire(ctx, ask)
+					if err != nil {
+						return
+					}
+					served[within].Add(1)
+					time.Sleep(10 * time.Millisecond)
+					place.Release(capacity.Result{})
+				}()
+				synctest.Wait()
+			}
+		}
+		for _, place := range taken {
+			place.Release(capacity.Result{})
+		}
+		time.Sleep(105 * time.Millisecond) // while the first tier has waiters, so that about 40 are served
+		cancel()
+		time.Sleep(time.Second)
+		assert.Assert(t, served[0].Load() >= 30, "%v", &served)
+		assert.Assert(t, served[1].Load() >= 3 && served[2].Load() >= 3, "%v", &served)
+	})
+}
+
 func TestOthersPlacesCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2)
--- a/places/item.go
+++ b/places/item.go
@@ -24,16 +24,24 @@
 }
 
 // rank is the ask's place in the order of tiers, if a request takes start to its first byte.
+//
+// Requests of one tier are ordered by Within. Where organisations share a tier, the routes' tiers would count for nothing
+// otherwise: with them, mean worth on overloaded days rose from 0.603 to 0.614, 0.603 to 0.608 (two small deployments),
+// 0.295 to 0.299 and 0.261 to 0.268 (small twins of two large ones).
 func (a *Ask) rank(now time.Time, start time.Duration) domain.Tier {
-	rank := ranks * min(int(a.Tier), maxTier)
+	rank := ranks * (withinTiers*min(int(a.Tier), maxTier) + min(int(a.Within), withinTiers-1))
 	if a.late(now, start) {
 		rank++
 	}
 	return domain.Tier(rank)
 }
 
-// maxTier is the lowest tier that is told from those below it.
-const maxTier = 100
+const (
+	// maxTier is the lowest tier that is told from those below it, withinTiers the number of steps within a tier that are
+	// told apart. A rank is one byte.
+	maxTier     = 31
+	withinTiers = 4
+)
 
 // late reports whether the latency objective would be missed if the request were sent now.
 func (a *Ask) late(now time.Time, start time.Duration) bool {
--- a/places/options.go
+++ b/places/options.go
@@ -12,8 +12,8 @@
 	maxWaiting = 512
 	// lookBehind is the number of waiters looked at behind one for whom there is no endpoint.
 	lookBehind = 8
-	// lowestTurn is the number of turns of which one goes to the lowest tier that waits.
-	lowestTurn = 5
+	// lowerTurn is the number of turns of which one goes to a tier below the first that waits.
+	lowerTurn = 5
 	// localFill is the part of an endpoint's places up to which the node's own data centre goes first.
 	localFill = 0.7
 	// overfill is how far beyond its places an endpoint is filled by nodes that have less than a starvedPart-th of an
--- a/places/pool.go
+++ b/places/pool.go
@@ -107,8 +107,8 @@
 	return time.Duration(float64(ahead+1) * p.held.value / float64(outstanding) * float64(time.Second))
 }
 
-// next returns the waiter whose turn it is. Of each lowestTurn turns one goes to the lowest tier that waits, so that
-// no tier is shut out altogether while another has more requests than there are places.
+// next returns the waiter whose turn it is. Of each lowerTurn turns one goes to a tier below the first, to each in
+// rotation, so that no tier is shut out altogether while another has more requests than there are places.
 func (p *pool) next(now time.Time) *waiter {
 	for p.waiting.Len() > 0 {
 		item := p.turn()
@@ -126,8 +126,8 @@
 }
 
 func (p *pool) turn() *queue.Item[*waiter] {
-	if (p.turns+1)%lowestTurn == 0 {
-		if item := p.firstOfLowest(); item != nil {
+	if (p.turns+1)%lowerTurn == 0 {
+		if item := p.firstOfLower((p.turns + 1) / lowerTurn); item != nil {
 			return item
 		}
 	}
@@ -137,18 +137,20 @@
 // start is the time that the request takes from its dispatch to its first byte.
 func (p *pool) start(ask *Ask) time.Duration { return p.firsts.of(ask.PromptTokens) }
 
-// firstOfLowest returns the first waiter of the lowest tier that has any who can be on time.
-func (p *pool) firstOfLowest() *queue.Item[*waiter] {
-	lowest, found := domain.Tier(0), false
+// firstOfLower returns the first waiter of a tier below the highest that has any who can be on time, of each such tier in
+// rotation; nil if there is none.
+func (p *pool) firstOfLower(rotation int) *queue.Item[*waiter] {
+	var waiting []domain.Tier
 	for rank, count := range p.waiting.Tiers() {
 		if count > 0 && rank%ranks == 0 {
-			lowest, found = rank, true
+			waiting = append(waiting, rank)
 		}
 	}
-	if !found {
+	if len(waiting) < 2 {
 		return nil
 	}
-	for item := range p.waiting.TierPositions(lowest) {
+	lower := waiting[1:]
+	for item := range p.waiting.TierPositions(lower[rotation%len(lower)]) {
 		return item
 	}
 	return nil
