Soak: reports between nodes are lost, or cut in one direction

A relay stands before each node's datagrams, in the place of its address in the stand-in's store, and drops a third, all inwards or all outwards for a while.

--- a/cmd/hawthornrill-soak/process_test.go
+++ b/cmd/hawthornrill-soak/process_test.go
@@ -17,6 +17,7 @@
 	name     string
 	callers  string
 	ready    string
+	peers    string
 	settings string
 	log      string
 
@@ -47,9 +48,12 @@
 `
 
 func newProcess(t *testing.T, dir, name, centre, store string) *process {
-	p := &process{name: name, callers: platformtest.FreeAddress(), ready: platformtest.FreeAddress(), log: filepath.Join(dir, name+".log")}
+	p := &process{
+		name: name, callers: platformtest.FreeAddress(), ready: platformtest.FreeAddress(), peers: platformtest.FreeAddress(),
+		log: filepath.Join(dir, name+".log"),
+	}
 	p.settings = filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(settingsText, name, centre, store, p.callers, p.ready, platformtest.FreeAddress())
+	text := fmt.Sprintf(settingsText, name, centre, store, p.callers, p.ready, p.peers)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
@@ -86,9 +87,11 @@
 	store  *platformtest.Store
 	// storeProxies are the nodes' ways to the store.
 	storeProxies []*proxy
-	nodes        []*process
-	record       *record
-	requests     atomic.Int64
+	// relays are the other nodes' ways to each node.
+	relays   []*relay
+	nodes    []*process
+	record   *record
+	requests atomic.Int64
 
 	mu        sync.Mutex
 	version   int
@@ -123,13 +126,25 @@
 		way := newProxy(t, server.Listener.Addr().String())
 		s.storeProxies = append(s.storeProxies, way)
 		n := newProcess(t, dir, fmt.Sprint("node-", i), fmt.Sprint("dc-", i%2), way.address())
+		s.relays = append(s.relays, newRelay(t, n.peers))
+		s.nodes = append(s.nodes, n)
+	}
+	s.store.Rewrite(s.listRelays)
+	for _, n := range s.nodes {
 		n.start(t, binary)
 		t.Cleanup(n.end)
-		s.nodes = append(s.nodes, n)
 	}
 	return s
 }
 
+// listRelays puts the relays' addresses in place of the nodes' in what the nodes write.
+func (s *soak) listRelays(value []byte) []byte {
+	for i, n := range s.nodes {
+		value = bytes.ReplaceAll(value, []byte(n.peers), []byte(s.relays[i].address()))
+	}
+	return value
+}
+
 // configure writes a new version.
 func (s *soak) configure(edit func()) {
 	s.mu.Lock()
@@ -172,9 +187,22 @@
 	time.Sleep(time.Second)
 	close(stop)
 	callers.Wait()
+	s.checkRelays()
 	s.check()
 }
 
+// checkRelays checks that the nodes talk to each other by the relays. A node that hears of another before it reads the list
+// answers by the other's relay, so that one may be unused.
+func (s *soak) checkRelays() {
+	pairs := 0
+	for _, r := range s.relays {
+		pairs += r.senders()
+	}
+	if pairs < len(s.nodes)-1 {
+		s.t.Errorf("only %d pairs of nodes have used the relays", pairs)
+	}
+}
+
 func (s *soak) waitReady() {
 	deadline := time.Now().Add(30 * time.Second)
 	for _, n := range s.nodes {
@@ -233,7 +261,10 @@
 
 // faults are what may happen; each returns when it is over.
 func (s *soak) faults() []func(node int, lasts time.Duration, choice uint64) {
-	return []func(int, time.Duration, uint64){s.kill, s.stopGracefully, s.freeze, s.reload, s.cutStore, s.failStore, s.compact, s.revoke, s.replaceEndpoint, s.crashEndpoint, s.breakStreams, s.refuse}
+	return []func(int, time.Duration, uint64){
+		s.kill, s.stopGracefully, s.freeze, s.reload, s.cutStore, s.failStore, s.compact, s.revoke, s.replaceEndpoint,
+		s.crashEndpoint, s.breakStreams, s.refuse, s.losePeers,
+	}
 }
 
 func (s *soak) restart(n *process) {
@@ -291,6 +322,15 @@
 	s.storeProxies[node].set(pass)
 }
 
+// losePeers loses datagrams between a node and the others, some or all in one direction.
+func (s *soak) losePeers(node int, lasts time.Duration, choice uint64) {
+	l := loss(1 + choice%uint64(losses-1))
+	defer s.record.began("datagrams "+lossNames[l], s.nodes[node].name)()
+	s.relays[node].set(l)
+	time.Sleep(2 * lasts)
+	s.relays[node].set(lossNone)
+}
+
 func (s *soak) failStore(_ int, lasts time.Duration, choice uint64) {
 	defer s.record.began("store fails", "")()
 	s.store.Fail([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[choice%2])
