Places: a line when the node's belief of an endpoint changes

That an endpoint failed, was replaced, serves again or failed another node decided where requests went, and no line said so. One line a change, with its times and the requests counted there; repeated failures write none. The test failed before.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -81,7 +81,7 @@
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
 	n.desk = places.New(places.Options{
-		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens,
+		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
--- a/places/account.go
+++ b/places/account.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/config"
@@ -16,6 +17,7 @@
 // account is what a node counts of one endpoint: its own requests exactly, the others' as they last reported.
 type account struct {
 	endpoint *directory.Endpoint
+	log      zerolog.Logger
 	state    capacity.EndpointState
 	own      load
 	others   load
@@ -33,8 +35,8 @@
 	partOf int
 }
 
-func newAccount(e *directory.Endpoint) *account {
-	a := &account{}
+func newAccount(e *directory.Endpoint, log zerolog.Logger) *account {
+	a := &account{log: log}
 	a.describe(e)
 	return a
 }
@@ -145,8 +147,14 @@
 func (a *account) learn(now time.Time, result capacity.Result) {
 	switch {
 	case result.Replaced:
+		if !a.replaced(now) {
+			a.note("endpoint was replaced by another life, passed over")
+		}
 		a.replacedAt = now
 	case result.Unreachable:
+		if a.failedAt.IsZero() {
+			a.note("endpoint failed, passed over")
+		}
 		a.failedAt = now
 	case result.Complete || result.FirstToken > 0:
 		a.serves(now)
@@ -155,16 +163,29 @@
 
 // serves notes that the endpoint does what it is asked to.
 func (a *account) serves(now time.Time) {
+	if !a.failedAt.IsZero() {
+		a.note("endpoint serves again")
+	}
 	a.servedAt = now
 	a.failedAt, a.shunUntil = time.Time{}, time.Time{}
 }
 
+// note logs what is believed of the endpoint from now on, and on what ground.
+func (a *account) note(belief string) {
+	a.log.Info().Str("endpoint", string(a.id())).Str("service", a.endpoint.Service).Time("failed_at", a.failedAt).
+		Time("served_at", a.servedAt).Int("own_requests", a.own.requests).Int("others_requests", a.others.requests).Msg(belief)
+}
+
 // shun passes the endpoint over for a while, since it failed another node. Not if it has just served this one: the other
 // node may be cut off from it.
 func (a *account) shun(now time.Time) {
-	if now.Sub(a.servedAt) > ownWord {
-		a.shunUntil = now.Add(shunFor)
+	if now.Sub(a.servedAt) <= ownWord {
+		return
+	}
+	if now.After(a.shunUntil) {
+		a.note("endpoint failed another node, passed over")
 	}
+	a.shunUntil = now.Add(shunFor)
 }
 
 // inService reports whether nothing is known against the endpoint.
--- a/places/desk.go
+++ b/places/desk.go
@@ -198,7 +198,7 @@
 		p := d.pool(e.Service)
 		a, ok := p.accounts[e.ID]
 		if !ok {
-			a = newAccount(e)
+			a = newAccount(e, d.options.Log)
 			a.others = d.othersAt(e.ID)
 			a.refresh()
 			p.accounts[e.ID] = a
--- a/places/desk_test.go
+++ b/places/desk_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/capacity"
@@ -360,6 +362,23 @@
 	})
 }
 
+func TestBeliefsAboutEndpointsAreLoggedWhenTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		var out strings.Builder
+		b.options.Log = zerolog.New(&out)
+		for range 3 {
+			b.take(testAsk()).Release(capacity.Result{Unreachable: true})
+		}
+		b.take(testAsk()).Release(served(time.Millisecond))
+		b.take(testAsk()).Release(capacity.Result{Replaced: true})
+		assert.Equal(t, strings.Count(out.String(), "\n"), 3, out.String())
+		for _, belief := range []string{"endpoint failed, passed over", "serves again", "replaced by another life"} {
+			assert.Equal(t, strings.Count(out.String(), belief), 1, out.String())
+		}
+	})
+}
+
 func TestAllEndpointsFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2)
@@ -406,7 +425,7 @@
 	counts := make([]int, endpoints)
 	for n := range near {
 		for e := range endpoints {
-			a := newAccount(&directory.Endpoint{ID: domain.EndpointID(fmt.Sprint("e", e)), DataCentre: "d"})
+			a := newAccount(&directory.Endpoint{ID: domain.EndpointID(fmt.Sprint("e", e)), DataCentre: "d"}, zerolog.Nop())
 			if a.mine(Options{Node: domain.NodeID(fmt.Sprint("n", n)), DataCentre: "d"}, gossip.Fleet{Near: near}) {
 				counts[e]++
 			}
@@ -415,9 +434,9 @@
 	for e, n := range counts {
 		assert.Assert(t, n > 0, "endpoint %d belongs to nobody's part", e)
 	}
-	a := newAccount(&directory.Endpoint{ID: "e", DataCentre: "d"})
+	a := newAccount(&directory.Endpoint{ID: "e", DataCentre: "d"}, zerolog.Nop())
 	assert.Assert(t, a.mine(Options{Node: "n", DataCentre: "d"}, gossip.Fleet{Near: 1}))
-	a = newAccount(a.endpoint)
+	a = newAccount(a.endpoint, zerolog.Nop())
 	assert.Assert(t, !a.mine(Options{Node: "n", DataCentre: "far"}, gossip.Fleet{Near: 1}))
 }
 
--- a/places/options.go
+++ b/places/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/routing"
 )
@@ -78,6 +80,8 @@
 	CacheTokens func(service string) int
 	// Routing are the router's numbers; zero values mean defaultRouting.
 	Routing routing.Options
+	// Log tells what the node comes to believe of endpoints; the zero value writes nothing.
+	Log zerolog.Logger
 }
 
 // defaultRouting are the router's numbers where requests are accounted by each node for itself.
