Entry node: a request that is being read when the node leaves is served

Cause: at the signal, net/http closes connections that it takes for idle, and it does so until it has read a request's whole head. A request that had begun to arrive was then read, dispatched, and cut off with its connection.

Callers' connections now know whether bytes of a request have come. The test brings the instant about by a read in the middle of a head, and failed before with the connection reset. The bound on callers' connections moves into the same listener, which also lets net/http end its side first, as the library's limiting listener did not.

--- /dev/null
+++ b/entrynode/callers.go
@@ -0,0 +1,152 @@
+package entrynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// callerListener accepts callers' connections, up to a number at a time; further ones wait.
+type callerListener struct {
+	net.Listener
+	// free holds a token for each connection that may be accepted; nil for no bound.
+	free chan struct{}
+	// closing is true once idle connections are closed because the node leaves.
+	closing atomic.Bool
+	// spared counts the connections that such a closing has spared and that are open still.
+	spared atomic.Int64
+}
+
+func newCallerListener(l net.Listener, most int) *callerListener {
+	c := &callerListener{Listener: l}
+	if most > 0 {
+		c.free = make(chan struct{}, most)
+	}
+	return c
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	if l.free != nil {
+		l.free <- struct{}{}
+	}
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		l.release()
+		return nil, err
+	}
+	return &callerConn{Conn: raw, listener: l, idle: true}, nil
+}
+
+func (l *callerListener) release() {
+	if l.free != nil {
+		<-l.free
+	}
+}
+
+// sparedEvery is how often it is looked at whether the spared connections have ended; they do within an answer's time.
+const sparedEvery = 10 * time.Millisecond
+
+// awaitSpared waits until the connections that were spared have got their answers, or returns the context's error.
+func (l *callerListener) awaitSpared(ctx context.Context) error {
+	ticker := time.NewTicker(sparedEvery)
+	defer ticker.Stop()
+	for l.spared.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// callerConn is a caller's connection that knows whether a request has begun to arrive.
+//
+// net/http takes a connection for idle until it has read a request's whole head. It would close one in between, when the
+// node leaves, and the request would be dispatched and cut off: seen about once in a hundred days with restarts, at the
+// instant of the signal. Here such a connection is spared; one that is closed gives out no more bytes, so that a request
+// that crosses the closing is not read.
+type callerConn struct {
+	net.Conn
+	listener *callerListener
+
+	mu sync.Mutex
+	// idle is true between requests, begun once bytes of the next one have been read.
+	idle   bool
+	begun  bool
+	spared bool
+	closed bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && c.idle {
+		c.begun = true
+	}
+	return n, err
+}
+
+// Close implements net.Conn. While the node leaves, the first call spares a connection on which a request has begun to
+// arrive: it is net/http's closing of idle ones. The next one comes after the answer.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.begun && !c.spared && c.listener.closing.Load() {
+		c.spared = true
+		c.listener.spared.Add(1)
+		return nil
+	}
+	return c.end()
+}
+
+// closeIfQuiet closes the connection unless a request has begun to arrive.
+func (c *callerConn) closeIfQuiet() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.begun {
+		return nil
+	}
+	return c.end()
+}
+
+// end closes the connection for good; the mutex is held.
+func (c *callerConn) end() error {
+	if !c.closed {
+		c.closed = true
+		c.listener.release()
+		if c.spared {
+			c.listener.spared.Add(-1)
+		}
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite lets net/http end its side first, so that a caller reads an answer that comes before its whole body was sent.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// observe follows net/http's view of the connection.
+func (c *callerConn) observe(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.idle, c.begun = true, false
+	case http.StateActive:
+		c.idle = false
+	}
+}
--- /dev/null
+++ b/entrynode/callers_test.go
@@ -0,0 +1,104 @@
+package entrynode
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// hookedListener calls a function before each read of its connections.
+type hookedListener struct {
+	net.Listener
+	reading func()
+}
+
+type hookedConn struct {
+	net.Conn
+	reading func()
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return hookedConn{c, l.reading}, err
+}
+
+func (c hookedConn) Read(p []byte) (int, error) {
+	c.reading()
+	// The head comes byte by byte, so that there are reads in its middle.
+	return c.Conn.Read(p[:1])
+}
+
+const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// callTwice sends two requests on one connection, and calls leave while the second one's head is being read.
+func callTwice(t *testing.T, leave func(*http.Server, *callerListener)) (*http.Response, error) {
+	raw, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	t.Cleanup(func() { _ = server.Close() })
+	reads := 0
+	var listener *callerListener
+	listener = newCallerListener(hookedListener{raw, func() {
+		if reads++; reads == len(testRequest)+len(testRequest)/2 {
+			leave(server, listener)
+		}
+	}}, 0)
+	server.ConnState = func(c net.Conn, state http.ConnState) { c.(*callerConn).observe(state) }
+	go func() { _ = server.Serve(listener) }()
+	c, err := net.Dial("tcp4", raw.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	var response *http.Response
+	for range 2 {
+		_, err = io.WriteString(c, testRequest)
+		assert.NilError(t, err)
+		if response, err = http.ReadResponse(reader, nil); err != nil {
+			return nil, err
+		}
+		if _, err = io.ReadAll(response.Body); err != nil {
+			return nil, err
+		}
+	}
+	return response, nil
+}
+
+func TestRequestThatHasBegunToArriveIsServedThoughTheNodeLeaves(t *testing.T) {
+	response, err := callTwice(t, func(server *http.Server, l *callerListener) {
+		l.closing.Store(true)
+		server.SetKeepAlivesEnabled(false)
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, response.Close)
+}
+
+func TestSweepLeavesAConnectionOnWhichARequestArrives(t *testing.T) {
+	near, far := net.Pipe()
+	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true}
+	go func() { _, _ = far.Write([]byte("G")) }()
+	_, err := c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, c.closeIfQuiet())
+	go func() { _, _ = far.Write([]byte("E")) }()
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+}
+
+func TestClosedConnectionGivesOutNoMoreBytes(t *testing.T) {
+	near, far := net.Pipe()
+	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true}
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	assert.NilError(t, c.closeIfQuiet())
+	assert.Assert(t, <-read != nil)
+	_, err := far.Write([]byte("x"))
+	assert.Assert(t, err != nil)
+}
--- a/entrynode/idle.go
+++ b/entrynode/idle.go
@@ -22,6 +22,9 @@
 
 // observe is an http.Server's ConnState.
 func (i *idleConns) observe(c net.Conn, state http.ConnState) {
+	if caller, ok := c.(*callerConn); ok {
+		caller.observe(state)
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if state == http.StateIdle {
@@ -45,7 +48,16 @@
 	for c, since := range i.since {
 		if now.Sub(since) > limit+idleSlack {
 			delete(i.since, c)
-			_ = c.Close() // the caller may have closed it already
+			closeQuiet(c)
 		}
 	}
 }
+
+// closeQuiet closes an idle connection; its caller may have closed it already.
+func closeQuiet(c net.Conn) {
+	if caller, ok := c.(*callerConn); ok {
+		_ = caller.closeIfQuiet()
+		return
+	}
+	_ = c.Close()
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -14,7 +14,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
@@ -245,10 +244,8 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.add(&group, background, stop)
-	if most := n.settings.Host.callerConnections(); most > 0 {
-		listener = netutil.LimitListener(listener, most)
-	}
-	group.Add(func() error { return n.serveCallers(ctx, listener) }, func(error) { _ = n.callers.Close() })
+	callers := newCallerListener(listener, n.settings.Host.callerConnections())
+	group.Add(func() error { return n.serveCallers(ctx, callers) }, func(error) { _ = n.callers.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callers.Addr).Msg("node started")
 	err = group.Run()
 	n.log.Info().AnErr("cause", err).Msg("node stopped")
