--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -63,7 +63,7 @@
 
 // fixture is a gateway before scripted endpoints.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	knowledge *testKnowledge
 	directory *directory.Directory
 	clock     atomic.Int64
@@ -74,7 +74,7 @@
 
 const testKeyAge = 5 * time.Second
 
-func newFixture(t *testing.T, edit func(*routetable.Route), endpoints ...http.HandlerFunc) *fixture {
+func newFixture(t testing.TB, edit func(*routetable.Route), endpoints ...http.HandlerFunc) *fixture {
 	f := &fixture{t: t, knowledge: &testKnowledge{}, directory: directory.New()}
 	f.clock.Store(int64(time.Hour))
 	route := routetable.Route{
