--- /dev/null
+++ b/places/example_test.go
@@ -0,0 +1,48 @@
+package places_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/capacity"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/places"
+)
+
+// A program that embeds the desk tells it of endpoints, asks it for a place before each send, and gives the place back
+// with what it saw.
+func Example() {
+	endpoints := directory.New()
+	endpoints.Apply(0, []*directory.Endpoint{{ID: "engine-1", Service: "chat", DataCentre: "north", Slots: 1}}, nil, 0)
+	alone := func() gossip.Fleet { return gossip.Fleet{Known: 1, Heard: 1, Near: 1} }
+	desk := places.New(places.Options{Node: "node-1", DataCentre: "north"}, endpoints, alone, metrics.NewSet())
+
+	ask := &places.Ask{
+		Service:      "chat",
+		PromptTokens: 600,
+		FirstByteDue: time.Now().Add(50 * time.Millisecond),
+		Due:          time.Now().Add(10 * time.Second),
+	}
+	place, err := desk.Acquire(context.Background(), ask)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("send to", place.Endpoint.ID)
+
+	// The only place is taken, and the next request would start too late: it is told so at once.
+	var refusal *places.Refusal
+	if _, err = desk.Acquire(context.Background(), ask); errors.As(err, &refusal) {
+		fmt.Println(refusal, "- come back later:", refusal.RetryAfter > 0)
+	}
+
+	place.Release(capacity.Result{Dispatched: true, Complete: true, FirstToken: 40 * time.Millisecond, Total: time.Second})
+	// Output:
+	// send to engine-1
+	// places: the request would start too late - come back later: true
+}
