--- /dev/null
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"hawthornrill.example/hawthornrill/platform/platformtest"
+)
+
+// faults are what may happen; each returns when it is over.
+func (s *soak) faults() []func(node int, lasts time.Duration, choice uint64) {
+	return []func(int, time.Duration, uint64){
+		s.kill, s.stopGracefully, s.freeze, s.reload, s.cutStore, s.failStore, s.compact, s.revoke, s.replaceEndpoint,
+		s.crashEndpoint, s.breakStreams, s.refuse, s.losePeers,
+	}
+}
+
+func (s *soak) restart(n *process) {
+	n.start(s.t, binary)
+	for deadline := time.Now().Add(20 * time.Second); !s.ready(n) && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *soak) kill(node int, _ time.Duration, _ uint64) {
+	defer s.record.began("kill", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].end()
+	s.restart(s.nodes[node])
+}
+
+func (s *soak) stopGracefully(node int, _ time.Duration, _ uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.nodes[node]
+	over := s.record.began("stop", n.name)
+	n.signal(syscall.SIGTERM)
+	if !n.ended(10 * time.Second) {
+		s.t.Errorf("%s does not end", n.name)
+		n.end()
+	}
+	over()
+	defer s.record.began("start", n.name)()
+	s.restart(n)
+}
+
+func (s *soak) freeze(node int, lasts time.Duration, _ uint64) {
+	defer s.record.began("freeze", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].signal(syscall.SIGSTOP)
+	time.Sleep(lasts)
+	s.nodes[node].signal(syscall.SIGCONT)
+}
+
+func (s *soak) reload(node int, _ time.Duration, _ uint64) {
+	defer s.record.began("reload", s.nodes[node].name)()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node].signal(syscall.SIGHUP)
+}
+
+func (s *soak) cutStore(node int, lasts time.Duration, choice uint64) {
+	m := mode(1 + choice%uint64(modes-1))
+	defer s.record.began("store "+modeNames[m], s.nodes[node].name)()
+	s.storeProxies[node].set(m)
+	time.Sleep(3 * lasts)
+	s.storeProxies[node].set(reset) // what was silent ends
+	s.storeProxies[node].set(pass)
+}
+
+// losePeers loses datagrams between a node and the others, some or all in one direction.
+func (s *soak) losePeers(node int, lasts time.Duration, choice uint64) {
+	l := loss(1 + choice%uint64(losses-1))
+	defer s.record.began("datagrams "+lossNames[l], s.nodes[node].name)()
+	s.relays[node].set(l)
+	time.Sleep(2 * lasts)
+	s.relays[node].set(lossNone)
+}
+
+func (s *soak) failStore(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("store fails", "")()
+	s.store.Fail([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[choice%2])
+	time.Sleep(lasts)
+	s.store.Fail(0)
+}
+
+func (s *soak) compact(int, time.Duration, uint64) { s.store.Compact() }
+
+func (s *soak) revoke(_ int, _ time.Duration, choice uint64) {
+	s.configure(func() {
+		if len(s.keys) < 3 {
+			return
+		}
+		at := int(choice % uint64(len(s.keys)))
+		s.record.mu.Lock()
+		s.record.revoked[s.keys[at]] = time.Now()
+		s.record.mu.Unlock()
+		s.keys = append(s.keys[:at:at], s.keys[at+1:]...)
+	})
+}
+
+// replaceEndpoint starts a new one and has the old one leave.
+func (s *soak) replaceEndpoint(_ int, lasts time.Duration, choice uint64) {
+	s.mu.Lock()
+	at := int(choice % uint64(len(s.endpoints)))
+	old := s.endpoints[at]
+	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
+	s.addEndpoint(old.Service, at)
+	old.List(s.store, "draining")
+	s.left[old] = time.Now()
+	s.mu.Unlock()
+	time.Sleep(lasts + 2*time.Second)
+	s.store.Remove("servers/" + old.ID)
+}
+
+func (s *soak) crashEndpoint(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("endpoint crashes", "")()
+	s.mu.Lock()
+	at := int(choice % uint64(len(s.endpoints)))
+	old := s.endpoints[at]
+	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
+	s.addEndpoint(old.Service, at)
+	s.mu.Unlock()
+	old.Close()
+	time.Sleep(lasts)
+	s.store.Remove("servers/" + old.ID)
+}
+
+func (s *soak) pick(choice uint64) *platformtest.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[choice%uint64(len(s.endpoints))]
+}
+
+func (s *soak) breakStreams(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("streams break", "")()
+	e := s.pick(choice)
+	e.BreakAfter(2)
+	time.Sleep(lasts)
+	e.BreakAfter(0)
+}
+
+func (s *soak) refuse(_ int, lasts time.Duration, choice uint64) {
+	defer s.record.began("endpoint refuses", "")()
+	e := s.pick(choice)
+	e.Refuse(true)
+	time.Sleep(lasts)
+	e.Refuse(false)
+}
