--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -67,8 +67,8 @@
 // callerConn is a caller's connection that knows whether a request has begun to arrive.
 //
 // net/http takes a connection for idle until it has read a request's whole head. It would close one in between, when the
-// node leaves, and the request would be dispatched and cut off: seen once in 160 drawn days of seven nodes, within 30 ms of
-// the signal. Here such a connection is spared; one that is closed gives out no more bytes, so that a request
+// node leaves, and the request would be dispatched and cut off: seen once in 160 simulated days of seven nodes, within 30 ms
+// of the signal. Here such a connection is spared; one that is closed gives out no more bytes, so that a request
 // that crosses the closing is not read.
 type callerConn struct {
 	net.Conn
--- a/places/item.go
+++ b/places/item.go
@@ -27,7 +27,7 @@
 //
 // Requests of one tier are ordered by Within. Where organisations share a tier, the routes' tiers would count for nothing
 // otherwise: with them, mean worth on overloaded days rose from 0.603 to 0.614, 0.603 to 0.608 (two small deployments),
-// 0.295 to 0.299 and 0.261 to 0.268 (small twins of two large ones).
+// 0.295 to 0.299 and 0.261 to 0.268 (small copies of two large ones); 1 is all that callers wanted, on time.
 func (a *Ask) rank(now time.Time, start time.Duration) domain.Tier {
 	rank := ranks * (withinTiers*min(int(a.Tier), maxTier) + min(int(a.Within), withinTiers-1))
 	if a.late(now, start) {
--- a/places/options.go
+++ b/places/options.go
@@ -62,8 +62,9 @@
 	longPrompt = 16000
 	// lateWait is the longest predicted wait of a request that will miss its latency objective in any case, and lateMost how
 	// long it may really wait. It is served if a place is free, and else told soon when to come back, since what it waits
-	// for is taken from requests that can be on time: with 0.8 s and 1.7 s, and a reserve of 0.2, the scale days of small
-	// twins of the grown deployments had a mean worth of 0.231 and 0.245, with these 0.265 and 0.272.
+	// for is taken from requests that can be on time: with 0.8 s and 1.7 s, and a reserve of 0.2, overloaded days of small
+	// copies of two large deployments had a mean worth of 0.231 and 0.245 (1 is all that callers wanted, on time), with
+	// these 0.265 and 0.272.
 	lateWait = 50 * time.Millisecond
 	lateMost = 300 * time.Millisecond
 	// retryLeast and retryMost bound the time after which a refused caller is told to come back.
