--- a/coordinator/campaign.go
+++ b/coordinator/campaign.go
@@ -5,8 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"sync/atomic"
-	"time"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store/lease"
 )
 
@@ -36,7 +36,7 @@
 	defer close(c.done)
 	for ctx.Err() == nil {
 		if c.campaign(ctx) {
-			sleep(ctx, c.service.options.StepDown/2+rand.N(c.service.options.StepDown))
+			pacing.Sleep(ctx, c.service.options.StepDown/2+rand.N(c.service.options.StepDown))
 		}
 	}
 }
@@ -55,7 +55,7 @@
 	})
 	if err != nil {
 		o.Logger.Error().Err(err).Str("group", c.group).Msg("no campaign for the lease")
-		sleep(ctx, o.StepDown)
+		pacing.Sleep(ctx, o.StepDown)
 	}
 	return overtaken
 }
@@ -76,12 +76,3 @@
 	c.service.meters.overtaken.Inc()
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -12,6 +12,7 @@
 
 	"hawthornrill.example/hawthornrill/document"
 	"hawthornrill.example/hawthornrill/operatorapi"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 const (
@@ -102,7 +103,7 @@
 	defer cancel()
 	for err != nil && !operatorapi.IsNotAccepted(err) && ctx.Err() == nil {
 		_, _ = fmt.Fprintf(s.Err, "edit %s: %s; finding out\n", id, err)
-		sleep(ctx, settlePause)
+		pacing.Sleep(ctx, settlePause)
 		version, err = c.Settle(ctx, id, base)
 	}
 	switch {
@@ -129,12 +130,3 @@
 	}
 	return failure
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/document/digest.go
+++ b/document/digest.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 const (
@@ -29,7 +30,7 @@
 func (s *Service) antiEntropy(ctx context.Context) error {
 	s.bootstrap(ctx)
 	wait := s.nextComparison()
-	for sleep(ctx, wait) {
+	for pacing.Sleep(ctx, wait) {
 		differed := s.compareWithSomeone(ctx)
 		wait = s.nextComparison()
 		if differed {
--- a/document/follow.go
+++ b/document/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/peer"
@@ -101,15 +100,3 @@
 		s.options.Logger.Debug().Stringer("to", to).Err(err).Msg("announcement not sent")
 	}
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/document/storage.go
+++ b/document/storage.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store"
 )
 
@@ -264,14 +265,7 @@
 }
 
 // pause waits for a random time around the mean, or until the context ends.
-func pause(ctx context.Context, mean time.Duration) {
-	timer := time.NewTimer(jitter(mean))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+func pause(ctx context.Context, mean time.Duration) { pacing.Sleep(ctx, jitter(mean)) }
 
 // jitter returns a random duration between zero and twice the mean.
 func jitter(mean time.Duration) time.Duration {
--- a/document/supervise.go
+++ b/document/supervise.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store/budget"
 )
 
@@ -16,7 +17,7 @@
 	close(done)
 	collectAt := time.Now().Add(r.nextCollection())
 	collector := newCollector(r)
-	for sleep(ctx, r.service.options.Supervision) {
+	for pacing.Sleep(ctx, r.service.options.Supervision) {
 		if !r.service.bootstrapped.Load() {
 			continue
 		}
--- a/entrynode/idle.go
+++ b/entrynode/idle.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 // idleConns closes callers' connections that have been idle for longer than the configuration in force allows.
@@ -35,7 +37,7 @@
 }
 
 // run closes what has been idle for too long, until the context ends.
-func (i *idleConns) run(ctx context.Context) error { return every(ctx, idleSweep, i.sweep) }
+func (i *idleConns) run(ctx context.Context) error { return pacing.Every(ctx, idleSweep, i.sweep) }
 
 func (i *idleConns) sweep() {
 	limit := i.limit()
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -21,6 +21,7 @@
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gateway"
 	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -279,7 +280,7 @@
 const tidyEvery = time.Second
 
 func (n *Node) tidy(ctx context.Context) error {
-	return every(ctx, tidyEvery, func() {
+	return pacing.Every(ctx, tidyEvery, func() {
 		snapshot := n.directory.Current()
 		n.endpoints.Forget(func(id endpointID) bool { return snapshot.Endpoint(id) != nil })
 	})
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 // feed follows one topic. One goroutine runs it; the atomics may be read by others.
@@ -83,7 +84,7 @@
 		f.apply(d, change)
 		d.note(change, sent)
 		if change.Last > 0 {
-			pause(ctx, f.batchPause())
+			pacing.Sleep(ctx, f.batchPause())
 		}
 	}
 }
@@ -159,7 +160,7 @@
 			Dur("age_ms", f.Age(f.parts.Clock())).Msg("store lost")
 	}
 	most := min(retryFirst<<min(d.failures-1, 8), retryMost)
-	pause(ctx, most/2+rand.N(most))
+	pacing.Sleep(ctx, most/2+rand.N(most))
 }
 
 // keepUntil is until when entries that are missing now are kept.
@@ -169,15 +170,3 @@
 	}
 	return d.returned.Add(returnGrace)
 }
-
-// pause waits and reports whether the context still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -20,6 +20,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
@@ -188,7 +189,7 @@
 func (f *Follower) look(ctx context.Context) error {
 	configuration := f.feeds[Configuration]
 	var hurried boottime.Instant
-	for pause(ctx, lookEvery) {
+	for pacing.Sleep(ctx, lookEvery) {
 		now := f.parts.Clock()
 		for _, id := range f.parts.Directory.Sweep(now) {
 			f.parts.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again after an outage, removed")
@@ -217,7 +218,7 @@
 				wait = nodesRetry
 			}
 		}
-		if !pause(ctx, wait) {
+		if !pacing.Sleep(ctx, wait) {
 			return ctx.Err()
 		}
 	}
--- a/follow/registry.go
+++ b/follow/registry.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store"
 )
 
@@ -51,7 +52,7 @@
 			wait = registerRetry
 			a.Log.Warn().Err(err).Msg("node is not listed in the store")
 		}
-		if !pause(ctx, wait) {
+		if !pacing.Sleep(ctx, wait) {
 			a.leave(ctx)
 			return ctx.Err()
 		}
--- a/ledger/exchange.go
+++ b/ledger/exchange.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -54,7 +54,7 @@
 		}
 		last = err
 		r.meters.retries.Inc()
-		pause(ctx, r.options.RetryDelay)
+		pacing.Sleep(ctx, r.options.RetryDelay)
 	}
 	return none, fmt.Errorf("%w: %w", ErrUnknown, last)
 }
@@ -69,16 +69,6 @@
 	return peer.Call[Request, Reply](ctx, r.transport, at.home, x.method, x.request(at))
 }
 
-// pause waits, or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 var (
 	errNoAnswer   = errors.New("no answer in time")
 	errStale      = errors.New("the ledger table is changing")
--- a/ledger/run.go
+++ b/ledger/run.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 // The pause before an unfinished recovery goes on doubles from the first to the
@@ -25,25 +26,11 @@
 	r.tableChanged(r.self.DataCentre)
 	var group errgroup.Group
 	group.Go(func() error { return r.recoverOnChange(ctx) })
-	group.Go(func() error { return every(ctx, r.options.FenceTimeout/4, r.confirmAll) })
-	group.Go(func() error { return every(ctx, r.options.AuditInterval, r.audit) })
+	group.Go(func() error { return pacing.Every(ctx, r.options.FenceTimeout/4, func() { r.confirmAll(ctx) }) })
+	group.Go(func() error { return pacing.Every(ctx, r.options.AuditInterval, func() { r.audit(ctx) }) })
 	return group.Wait()
 }
 
-// every calls f at each interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			f(ctx)
-		}
-	}
-}
-
 // recoverOnChange works on the current recovery until it is done.
 func (r *Replica) recoverOnChange(ctx context.Context) error {
 	retry := time.NewTimer(0)
--- a/limits/reporter.go
+++ b/limits/reporter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -18,16 +19,7 @@
 // Run reports demand and applies the answers until the context ends, and then
 // returns its error.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(s.options.ReportEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.tick(time.Now())
-		}
-	}
+	return pacing.Every(ctx, s.options.ReportEvery, func() { s.tick(time.Now()) })
 }
 
 // tick looks after all accounts and sends the reports that are due, one message for
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
@@ -55,7 +56,7 @@
 			return
 		}
 		// An attempt that fails at once is not followed by the next at once.
-		if !sleep(ctx, s.options.ExchangeTimeout/2-time.Since(started)) {
+		if !pacing.Sleep(ctx, s.options.ExchangeTimeout/2-time.Since(started)) {
 			return
 		}
 	}
--- a/membership/join.go
+++ b/membership/join.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 const (
@@ -22,7 +23,7 @@
 			s.joined()
 			return
 		}
-		if !sleep(ctx, pause/2+s.jitter(pause)) {
+		if !pacing.Sleep(ctx, pause/2+s.jitter(pause)) {
 			return
 		}
 	}
--- a/membership/listloop.go
+++ b/membership/listloop.go
@@ -6,6 +6,7 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -19,7 +20,7 @@
 		if s.readsList() {
 			s.readList(ctx)
 		}
-		if !sleep(ctx, s.options.ListInterval/2+s.jitter(s.options.ListInterval)) {
+		if !pacing.Sleep(ctx, s.options.ListInterval/2+s.jitter(s.options.ListInterval)) {
 			return
 		}
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -78,7 +79,7 @@
 		if s.pingThroughOthers(askCtx, target) || !s.isSuspect(target) {
 			return true
 		}
-		if !sleep(ctx, time.Until(next)) {
+		if !pacing.Sleep(ctx, time.Until(next)) {
 			return true
 		}
 	}
--- a/membership/push.go
+++ b/membership/push.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -24,7 +25,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, pushDelay) {
+		if !pacing.Sleep(ctx, pushDelay) {
 			return
 		}
 		for s.pushOnce(ctx) {
--- a/membership/service.go
+++ b/membership/service.go
@@ -10,6 +10,7 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -142,7 +143,7 @@
 // tickLoop does the periodic work. The first tick comes at a random moment, so
 // that nodes started together do not act together.
 func (s *Service) tickLoop(ctx context.Context) {
-	if !sleep(ctx, s.jitter(s.options.ProbeInterval)) {
+	if !pacing.Sleep(ctx, s.jitter(s.options.ProbeInterval)) {
 		return
 	}
 	ticker := time.NewTicker(s.options.ProbeInterval)
@@ -204,15 +205,3 @@
 	defer s.mu.Unlock()
 	return time.Duration(s.random.Int64N(int64(d)))
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/ledger"
 	"hawthornrill.example/hawthornrill/limits"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/routing"
 	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/scheduler"
@@ -296,8 +297,8 @@
 	if err := n.options.Members.Leave(ctx); err != nil {
 		n.options.Log.Warn().Err(err).Msg("peers not told of leaving")
 	}
-	if err := sleep(ctx, n.options.NoticePeriod); err != nil {
-		return err
+	if !pacing.Sleep(ctx, n.options.NoticePeriod) {
+		return ctx.Err()
 	}
 	if err := n.scheduler.Drain(ctx); err != nil {
 		return fmt.Errorf("node: requests still in progress: %w", err)
@@ -315,16 +316,6 @@
 // Table returns the operators' table on this node.
 func (n *Node) Table() *agreed.Service { return n.config }
 
-// sleep waits for d, or returns the context's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // Callers registers the routes towards callers.
 func (n *Node) Callers(e *echo.Echo) { n.entry.Register(e) }
 
--- a/node/reports.go
+++ b/node/reports.go
@@ -9,6 +9,7 @@
 
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 const (
@@ -45,16 +46,7 @@
 
 // run reads reports until the context ends.
 func (r *reports) run(ctx context.Context) error {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			r.readAll(ctx)
-		}
-	}
+	return pacing.Every(ctx, reportEvery, func() { r.readAll(ctx) })
 }
 
 func (r *reports) readAll(ctx context.Context) {
--- a/peer/peertest/exchange.go
+++ b/peer/peertest/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
@@ -99,7 +100,7 @@
 // deliver carries the request to its handler, once or, on order, twice.
 func (e *exchange) deliver(ctx context.Context) {
 	action, delay := e.network.pass(e.from.self, e.to, e.method, false, len(e.payload))
-	if !action.Drop && !sleep(ctx, delay) {
+	if !action.Drop && !pacing.Sleep(ctx, delay) {
 		return
 	}
 	if action.Drop || e.network.isCut(e.from.self.Node, e.to.Node) {
@@ -152,7 +153,7 @@
 		return
 	}
 	action, delay := e.network.pass(from, e.from.self, e.method, true, len(r.payload))
-	if !action.Drop && !sleep(ctx, delay) {
+	if !action.Drop && !pacing.Sleep(ctx, delay) {
 		return
 	}
 	if action.Drop || ctx.Err() != nil || e.network.isCut(from.Node, e.from.self.Node) {
@@ -180,18 +181,3 @@
 	}
 	return fmt.Errorf("%w: %s", peer.ErrRemote, err.Error())
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/lease/acquire.go
+++ b/store/lease/acquire.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store"
 	"hawthornrill.example/hawthornrill/store/budget"
 )
@@ -114,11 +115,5 @@
 	_ = s.RevokeLease(ctx, id)
 }
 
-func pause(ctx context.Context, mean time.Duration) {
-	timer := time.NewTimer(rand.N(2*mean + 1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+// pause waits for a random time around the mean, or until the context ends.
+func pause(ctx context.Context, mean time.Duration) { pacing.Sleep(ctx, rand.N(2*mean+1)) }
--- a/store/memstore/call.go
+++ b/store/memstore/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/store"
 )
 
@@ -38,7 +39,7 @@
 
 // delayRead waits out the delay of a read; a lost answer is no answer.
 func (r runningCall) delayRead(ctx context.Context) error {
-	if !sleep(ctx, r.fault.Delay) {
+	if !pacing.Sleep(ctx, r.fault.Delay) {
 		return unavailable(ctx)
 	}
 	if r.fault.LoseAnswer {
@@ -73,18 +74,3 @@
 	}
 	return err
 }
-
-// sleep returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
