Entry node: one place follows callers' connections

idleConns and callerConn both followed net/http's states to know since when a connection is idle, and the first had a branch for connections of another type, which there are none of.

--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,10 +20,13 @@
 	closing atomic.Bool
 	// spared counts the connections that such a closing has spared and that are open still.
 	spared atomic.Int64
+
+	mu   sync.Mutex
+	open map[*callerConn]bool
 }
 
 func newCallerListener(l net.Listener, most int) *callerListener {
-	c := &callerListener{Listener: l}
+	c := &callerListener{Listener: l, open: make(map[*callerConn]bool)}
 	if most > 0 {
 		c.free = make(chan struct{}, most)
 	}
@@ -38,7 +43,11 @@
 		l.release()
 		return nil, err
 	}
-	return &callerConn{Conn: raw, listener: l, idle: true}, nil
+	c := &callerConn{Conn: raw, listener: l, idle: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = true
+	return c, nil
 }
 
 func (l *callerListener) release() {
@@ -47,6 +56,28 @@
 	}
 }
 
+// ended forgets a connection that is closed.
+func (l *callerListener) ended(c *callerConn) {
+	l.mu.Lock()
+	delete(l.open, c)
+	l.mu.Unlock()
+	l.release()
+}
+
+// sweep closes connections that have been idle for longer than the configuration in force allows; 0 allows any time.
+func (l *callerListener) sweep(limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	before := time.Now().Add(-limit - idleSlack)
+	for _, c := range conns {
+		_ = c.closeIfQuiet(before) // its caller may have closed it already
+	}
+}
+
 // sparedEvery is how often it is looked at whether the spared connections have ended; they do within an answer's time.
 const sparedEvery = 10 * time.Millisecond
 
@@ -75,8 +106,10 @@
 	listener *callerListener
 
 	mu sync.Mutex
-	// idle is true between requests, begun once bytes of the next one have been read.
+	// idle is true between requests, since the instant, which is zero before the first one; begun is true once bytes of
+	// the next one have been read.
 	idle   bool
+	since  time.Time
 	begun  bool
 	spared bool
 	closed bool
@@ -109,11 +142,11 @@
 	return c.end()
 }
 
-// closeIfQuiet closes the connection unless a request has begun to arrive.
-func (c *callerConn) closeIfQuiet() error {
+// closeIfQuiet closes the connection if it has been idle since before the instant, unless a request has begun to arrive.
+func (c *callerConn) closeIfQuiet(before time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.begun {
+	if !c.idle || c.begun || c.since.IsZero() || !c.since.Before(before) {
 		return nil
 	}
 	return c.end()
@@ -123,7 +156,7 @@
 func (c *callerConn) end() error {
 	if !c.closed {
 		c.closed = true
-		c.listener.release()
+		c.listener.ended(c)
 		if c.spared {
 			c.listener.spared.Add(-1)
 		}
@@ -145,8 +178,11 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.idle, c.begun = true, false
+		c.idle, c.begun, c.since = true, false, time.Now()
 	case http.StateActive:
 		c.idle = false
 	}
 }
+
+// observeCaller is the ConnState of the callers' server, all of whose connections are a callerListener's.
+func observeCaller(c net.Conn, state http.ConnState) { c.(*callerConn).observe(state) }
--- a/entrynode/callers_test.go
+++ b/entrynode/callers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -47,7 +48,7 @@
 			leave(server, listener)
 		}
 	}}, 0)
-	server.ConnState = func(c net.Conn, state http.ConnState) { c.(*callerConn).observe(state) }
+	server.ConnState = observeCaller
 	go func() { _ = server.Serve(listener) }()
 	c, err := net.Dial("tcp4", raw.Addr().String())
 	assert.NilError(t, err)
@@ -79,11 +80,11 @@
 
 func TestSweepLeavesAConnectionOnWhichARequestArrives(t *testing.T) {
 	near, far := net.Pipe()
-	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true}
+	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true, since: time.Now()}
 	go func() { _, _ = far.Write([]byte("G")) }()
 	_, err := c.Read(make([]byte, 1))
 	assert.NilError(t, err)
-	assert.NilError(t, c.closeIfQuiet())
+	assert.NilError(t, c.closeIfQuiet(time.Now().Add(time.Hour)))
 	go func() { _, _ = far.Write([]byte("E")) }()
 	_, err = c.Read(make([]byte, 1))
 	assert.NilError(t, err)
@@ -91,14 +92,41 @@
 
 func TestClosedConnectionGivesOutNoMoreBytes(t *testing.T) {
 	near, far := net.Pipe()
-	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true}
+	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true, since: time.Now()}
 	read := make(chan error, 1)
 	go func() {
 		_, err := c.Read(make([]byte, 1))
 		read <- err
 	}()
-	assert.NilError(t, c.closeIfQuiet())
+	assert.NilError(t, c.closeIfQuiet(time.Now().Add(time.Hour)))
 	assert.Assert(t, <-read != nil)
 	_, err := far.Write([]byte("x"))
 	assert.Assert(t, err != nil)
 }
+
+func TestSweepClosesWhatHasBeenIdleForLong(t *testing.T) {
+	tests := []struct {
+		name   string
+		conn   callerConn
+		limit  time.Duration
+		closed bool
+	}{
+		{"for long", callerConn{idle: true, since: time.Now().Add(-time.Hour)}, time.Minute, true},
+		{"not for so long", callerConn{idle: true, since: time.Now().Add(-time.Hour)}, 2 * time.Hour, false},
+		{"no limit", callerConn{idle: true, since: time.Now().Add(-time.Hour)}, 0, false},
+		{"a request in progress", callerConn{since: time.Now().Add(-time.Hour)}, time.Minute, false},
+		{"a request has begun", callerConn{idle: true, begun: true, since: time.Now().Add(-time.Hour)}, time.Minute, false},
+		{"no request yet", callerConn{idle: true}, time.Minute, false},
+	}
+	for i := range tests {
+		test := &tests[i]
+		l := newCallerListener(nil, 0)
+		c := &test.conn
+		c.Conn, _ = net.Pipe()
+		c.listener = l
+		l.open[c] = true
+		l.sweep(test.limit)
+		assert.Equal(t, c.closed, test.closed, test.name)
+		assert.Equal(t, len(l.open) == 0, test.closed, test.name)
+	}
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -49,7 +49,6 @@
 	desk      *places.Desk
 	endpoints *exchange.Client
 	gateway   *gateway.Gateway
-	idle      *idleConns
 	callers   *http.Server
 	ready     *http.Server
 	operators *http.Server
@@ -98,7 +97,6 @@
 		Log:       log,
 		Metrics:   n.metrics,
 	}, gateway.Options{KeyAge: n.keyAge(keyAgeMargin), BodyBytes: int64(bodyPart * float64(s.Host.MemoryMB) * (1 << 20))})
-	n.idle = newIdleConns(n.idleTimeout)
 	n.openServers()
 	return n, nil
 }
@@ -216,7 +214,7 @@
 		Handler:           n.gateway,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
-		ConnState:         n.idle.observe,
+		ConnState:         observeCaller,
 		ErrorLog:          quiet(n.log),
 	}
 	n.ready = &http.Server{Addr: n.settings.Listen.Ready, Handler: http.HandlerFunc(n.serveReady), ErrorLog: quiet(n.log)}
@@ -244,8 +242,8 @@
 	var group run.Group
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	n.add(&group, background, stop)
 	callers := newCallerListener(listener, n.settings.Host.callerConnections())
+	n.add(&group, background, stop, callers)
 	group.Add(func() error { return n.serveCallers(ctx, callers) }, func(error) { _ = n.callers.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callers.Addr).Msg("node started")
 	err = group.Run()
@@ -257,9 +255,12 @@
 }
 
 // add adds what runs in the background.
-func (n *Node) add(group *run.Group, ctx context.Context, stop func()) {
+func (n *Node) add(group *run.Group, ctx context.Context, stop func(), callers *callerListener) {
+	sweep := func(ctx context.Context) error {
+		return pacing.Every(ctx, idleSweep, func() { callers.sweep(n.idleTimeout()) })
+	}
 	background := []func(context.Context) error{
-		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.desk.Run, n.idle.run, n.tidy,
+		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.desk.Run, n.tidy, sweep,
 	}
 	for _, execute := range background {
 		group.Add(func() error { return execute(ctx) }, func(error) {
