Answers: one test of what ends a connection, one result of a whole answer

Whether anything can follow an answer on its connection stood twice in exchange, and passWhole worked out the same result of a place twice. Behaviour is as before.

--- a/endpoint/exchange/answer.go
+++ b/endpoint/exchange/answer.go
@@ -40,9 +40,6 @@
 	}
 }
 
-// Framed reports whether the body's end is marked, rather than only by the connection's.
-func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
-
 // Close gives the connection back if it can be used again, and closes it otherwise, which tells the endpoint to stop.
 func (a *Answer) Close() {
 	running := a.stop()
@@ -56,7 +53,7 @@
 
 // idle returns how long the connection may be idle; zero if it must not be used again.
 func (a *Answer) idle() time.Duration {
-	if a.Response.Close || !a.Framed() {
+	if lastOfItsConnection(a.Response) {
 		return 0
 	}
 	for _, part := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
@@ -73,6 +70,13 @@
 	return defaultIdle
 }
 
+// lastOfItsConnection reports whether nothing can follow the answer: it says so, or only the connection's end marks the
+// end of its body.
+func lastOfItsConnection(r *http.Response) bool {
+	marked := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	return r.Close || !marked
+}
+
 // maxDiscard bounds the body of an answer that is skipped.
 const maxDiscard = 256 << 10
 
@@ -80,7 +84,7 @@
 
 // discard reads the body of an answer to another request, so that the next one can be read.
 func discard(response *http.Response) error {
-	if response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) {
+	if lastOfItsConnection(response) {
 		return errUnmarkedEnd
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscard))
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -19,8 +19,10 @@
 		return d.broken(err)
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
+	blamed := failed && d.blamesFailure()
+	result := capacity.Result{Complete: !blamed, Unreachable: blamed}
 	if failed && t.canRepeat() && t.gateway.parts.Retries.Available(t.service) {
-		d.release(capacity.Result{Unreachable: d.blamesFailure(), Complete: !d.blamesFailure()})
+		d.release(result)
 		return d.again(errEndpointFailed, false)
 	}
 	if !head.Signed && !failed {
@@ -34,7 +36,7 @@
 			return step{done: true, abort: true, err: err}
 		}
 	}
-	d.release(capacity.Result{Complete: !(failed && d.blamesFailure()), Unreachable: failed && d.blamesFailure()})
+	d.release(result)
 	return step{done: true, status: answer.StatusCode}
 }
 
