Places: an ask is made ready for the router once

A decision encoded the ask for the router three times (forecast, choice, place) and counted all free places, which only a refusal tells of. Both are now done where they are needed.

--- a/places/ask.go
+++ b/places/ask.go
@@ -31,6 +31,9 @@
 	Excluded []domain.EndpointID
 	// Urgent asks continue an answer that has begun: they are not refused for a long queue.
 	Urgent bool
+
+	// routed is what the router sees, made once when the ask comes in.
+	routed *capacity.Ask
 }
 
 func (a *Ask) excludes(id domain.EndpointID) bool {
--- a/places/choose.go
+++ b/places/choose.go
@@ -16,7 +16,7 @@
 	if !p.draw(now, ask, d.options, fleet) || len(p.scratch) == 0 {
 		return nil
 	}
-	w := capacity.Waiting{Ask: ask.forRouter(), Arrived: now, FirstTokenDue: ask.FirstByteDue, Due: ask.Due, Pressing: true}
+	w := capacity.Waiting{Ask: ask.routed, Arrived: now, FirstTokenDue: ask.FirstByteDue, Due: ask.Due, Pressing: true}
 	at, ok := p.router.Choose(now, &w, p.scratch)
 	if !ok {
 		return nil
@@ -67,7 +67,7 @@
 	}
 }
 
-// other reports whether the ask could use another endpoint, full or not.
+// other reports whether there is an endpoint, full or not, that the ask could use and that is wanted.
 func (p *pool) other(ask *Ask, wanted func(*account) bool) bool {
 	for _, a := range p.list {
 		if !a.endpoint.Leaving && !ask.excludes(a.id()) && wanted(a) {
@@ -113,8 +113,8 @@
 	if ask.AnswerTokens < longAnswer {
 		return func(*account) bool { return true }
 	}
-	routed, left := ask.forRouter(), time.Duration(inTimePart*float64(ask.Due.Sub(now)))
-	return func(a *account) bool { return p.router.Forecast(now, &a.state, routed).Total <= left }
+	left := time.Duration(inTimePart * float64(ask.Due.Sub(now)))
+	return func(a *account) bool { return p.router.Forecast(now, &a.state, ask.routed).Total <= left }
 }
 
 // pick leaves up to n of the wanted candidates, by chance if there are more, and reports whether there are any. It looks
--- a/places/desk.go
+++ b/places/desk.go
@@ -105,8 +105,8 @@
 	d.follow()
 	now := time.Now()
 	p := d.pool(ask.Service)
-	usable, free := p.endpoints(ask)
-	if usable == 0 {
+	ask.routed = ask.forRouter()
+	if !p.other(ask, func(*account) bool { return true }) {
 		d.refused.Inc()
 		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: retryLeast}
 	}
@@ -117,7 +117,7 @@
 			return p.grant(d, now, ask, a), nil, nil
 		}
 	}
-	if refusal := p.refuse(now, ask, ahead, free); refusal != nil {
+	if refusal := p.refuse(now, ask, ahead); refusal != nil {
 		d.refused.Inc()
 		return nil, nil, refusal
 	}
@@ -127,7 +127,7 @@
 
 // refuse decides at arrival whether the ask would start too late: after its latency objective, or, if that is missed
 // already, so late that its caller may have left.
-func (p *pool) refuse(now time.Time, ask *Ask, ahead, free int) *Refusal {
+func (p *pool) refuse(now time.Time, ask *Ask, ahead int) *Refusal {
 	if ask.Urgent {
 		return nil
 	}
@@ -139,7 +139,7 @@
 	if wait <= bound {
 		return nil
 	}
-	return &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(now), Wait: wait, Ahead: ahead, Free: free}
+	return &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(now), Wait: wait, Ahead: ahead, Free: p.free()}
 }
 
 func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
--- a/places/place.go
+++ b/places/place.go
@@ -34,7 +34,7 @@
 		desk:     d,
 		pool:     p,
 		account:  a,
-		ask:      ask.forRouter(),
+		ask:      ask.routed,
 		granted:  now,
 		Load:     a.state.Requests,
 		Reported: d.reportedAt,
--- a/places/pool.go
+++ b/places/pool.go
@@ -77,18 +77,15 @@
 	}
 }
 
-// endpoints counts those that may take the ask, and the places free among all.
-func (p *pool) endpoints(ask *Ask) (usable, free int) {
+// free counts the places that nobody holds.
+func (p *pool) free() int {
+	n := 0
 	for _, a := range p.list {
-		if a.endpoint.Leaving {
-			continue
-		}
-		free += a.free()
-		if !ask.excludes(a.id()) {
-			usable++
+		if !a.endpoint.Leaving {
+			n += a.free()
 		}
 	}
-	return usable, free
+	return n
 }
 
 // outstanding counts this node's own requests.
