Ledger: a member that heard of nobody after a change of its table asks again at once

The reason was not logged; with a line for it: 'the home reaches too few members'.

Cause: a member asks the others for its table's epoch once after a change. If that question is not answered in 50 ms, and the others report the table settled meanwhile, recovery ends and the next question comes with the round of confirmAll, up to 15 s later; until then it refuses to decide about every key it is home of. A member alone in its table had the same before its first look at the store, though it already counted as ready.

Ruled out: the time limit of a claim (5 s, the failures came after half a second); records of two lost copies (status unknown, another reason in the line).

Mended: recovery goes on (50 ms doubling) until the member may decide, and Ready says so. The demo waits until all nodes are ready at the same time.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -240,13 +240,25 @@
 }
 
 func (d *Demo) awaitReady(ctx context.Context) error {
+	for {
+		err := d.notReady()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// notReady returns why the first node that is not ready is not, nil if all are at
+// once: one that joins later changes what the earlier ones may decide.
+func (d *Demo) notReady() error {
 	for _, node := range d.daemons {
-		for node.Node().Ready() != nil {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("%s is not ready: %w", node.Addresses().Callers, node.Node().Ready())
-			case <-time.After(readyPoll):
-			}
+		if err := node.Node().Ready(); err != nil {
+			return fmt.Errorf("%s is not ready: %w", node.Addresses().Callers, err)
 		}
 	}
 	return nil
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -18,7 +18,7 @@
 			t.Parallel()
 			d, err := deployment.ByName(name)
 			assert.NilError(t, err)
-			running, err := Start(context.Background(), Options{Deployment: d, Log: zerolog.Nop()})
+			running, err := Start(context.Background(), Options{Deployment: d, Log: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)})
 			assert.NilError(t, err)
 			defer func() { assert.Check(t, running.Stop()) }()
 			assert.NilError(t, running.Sample(context.Background(), t.Output()))
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -27,11 +27,21 @@
 	if err != nil {
 		r.closeAttempt(t, attempt)
 		r.meters.countError(err)
+		r.logUndecided(t, err)
 		return Claim{}, err
 	}
 	return r.takeClaim(t, attempt, fingerprint, reply), nil
 }
 
+// logUndecided says why a key's history is unknown: its caller is only told that
+// it is.
+func (r *Replica) logUndecided(t target, err error) {
+	if !errors.Is(err, ErrUnknown) {
+		return
+	}
+	r.options.Logger.Warn().Err(err).Stringer("key", t.key).Uint64("epoch", r.epoch()).Msg("claim not decided")
+}
+
 // openAttempt begins a new attempt for a key.
 func (r *Replica) openAttempt(t target) uint64 {
 	attempt := r.attempts.Add(1)
--- a/ledger/fence.go
+++ b/ledger/fence.go
@@ -58,6 +58,14 @@
 	return heard < len(members)/2
 }
 
+// decides reports whether enough members have been heard to decide about keys.
+func (r *Replica) decides() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.history.Load()
+	return h != nil && !r.fenced(h, time.Now())
+}
+
 // confirmAll asks the members that have not been heard of lately.
 func (r *Replica) confirmAll(ctx context.Context) {
 	h := r.history.Load()
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -94,15 +94,18 @@
 	if !r.protectAll(ctx, x.epoch) {
 		return true
 	}
-	return !r.reportSettled(ctx, x.epoch)
+	return !r.reportSettled(ctx, x.epoch) || !r.decides()
 }
 
 // pendingMembers returns the current recovery and who is to be asked, or nil if
-// all is done.
+// all is done. A member that has heard of too few others goes on: the table may be
+// settled by the others' word before it has heard of any, and it would decide about
+// no key until the next round of confirmAll, up to a quarter of Options.FenceTimeout
+// later.
 func (r *Replica) pendingMembers() (*recovery, []domain.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.recovery == nil || r.recovery.reported {
+	if r.recovery == nil || r.recovery.reported && !r.fenced(r.recovery.history, time.Now()) {
 		return nil, nil
 	}
 	var members []domain.Member
