Places: streams go where their prompt is read in time and the pauses are short

All endpoints were equally full (6.6 of 11 places): a node fills its own part of the near ones to 0.7 before it looks further, whatever their speed, and each node alone sees too few answers of an endpoint to know it.

Changed: nodes tell each other the time per token that they see at the endpoints where they have requests; near or far, endpoints go first that are likely to read the prompt by the objective and whose mean pause is at most a quarter of the longest one allowed. Others are used when those are full.

Ruled out: waiting for a place (no late stream had waited), repeated sends, the time from the endpoint's event to the caller.

Tests: with the bound on the pause taken out, three of places' new tests fail.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -28,6 +28,8 @@
 	started time.Time
 	first   time.Duration
 	events  int
+	// last is when the last event came.
+	last time.Time
 }
 
 // dispatch sends the request to the place's endpoint and passes the answer on.
@@ -129,11 +131,16 @@
 
 // heard notes an event.
 func (d *dispatched) heard() {
+	now := time.Now()
+	if d.events > 0 {
+		d.task.gap = max(d.task.gap, now.Sub(d.last))
+	}
+	d.last = now
 	if d.events == 0 {
-		d.first = time.Since(d.started)
+		d.first = now.Sub(d.started)
 		d.place.FirstEvent()
 		if d.task.first == 0 {
-			d.task.first = time.Since(d.task.started)
+			d.task.first = now.Sub(d.task.started)
 		}
 	}
 	d.events++
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -54,8 +54,10 @@
 	lastEvent string
 
 	// For the log.
-	waited   time.Duration
-	first    time.Duration
+	waited time.Duration
+	first  time.Duration
+	// gap is the longest pause between two events of one endpoint.
+	gap      time.Duration
 	endpoint domain.EndpointID
 	events   int
 	load     int
@@ -139,6 +141,8 @@
 		Tier:         t.route.Tier,
 		PromptTokens: t.call.PromptTokens,
 		AnswerTokens: t.call.AnswerTokens(),
+		EventGap:     t.route.EventGap,
+		EventTokens:  t.eventTokens(),
 		Fingerprint:  xxhash.Sum64String(t.call.ID),
 		FirstByteDue: t.started.Add(t.route.FirstByte - t.waitedBefore),
 		Due:          t.started.Add(t.allowed),
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -40,6 +40,9 @@
 	PrefillTokens int `cbor:"3,keyasint,omitempty"`
 	PromptTokens  int `cbor:"4,keyasint,omitempty"`
 	AnswerTokens  int `cbor:"5,keyasint,omitempty"`
+	// TokenMicros is the time in microseconds that the endpoint takes for a token, as the sender sees it; zero if it does
+	// not know.
+	TokenMicros int `cbor:"6,keyasint,omitempty"`
 }
 
 // Spent is what the sender has let through of an organisation's limit in its life, and what it knows to have been used
--- a/places/account.go
+++ b/places/account.go
@@ -21,6 +21,7 @@
 	state    capacity.EndpointState
 	own      load
 	others   load
+	pace     pace
 	// failedAt is when the endpoint last failed this node, zero if it has served since. servedAt is when it last did.
 	// shunUntil is until when it is passed over because it failed another node.
 	failedAt  time.Time
--- a/places/ask.go
+++ b/places/ask.go
@@ -24,6 +24,10 @@
 	BlockTokens []int
 	// Fingerprint identifies the attempt.
 	Fingerprint uint64
+	// EventGap is the longest pause between two events of the answer that is still on time, zero for none. An event holds
+	// EventTokens tokens.
+	EventGap    time.Duration
+	EventTokens int
 	// FirstByteDue is the instant of the latency objective, Due that at which the caller gives up.
 	FirstByteDue time.Time
 	Due          time.Time
--- a/places/choose.go
+++ b/places/choose.go
@@ -79,8 +79,11 @@
 
 // draw leaves the candidates among which the router chooses: the node's own part of the near endpoints if there are any,
 // else the near ones, else all, and in a large fleet some of these by chance. Only those count that nothing is known
-// against, and that are likely to end the answer while the caller still waits: one that is cut off has kept its place for
-// nothing.
+// against, that are likely to end the answer while the caller still waits (one that is cut off has kept its place for
+// nothing), and, as long as any of them has room, to begin it and to keep the pauses between its events within the objectives.
+// Before that counted, a node filled all of its part evenly, and half of the streams at hardware six times as slow as the
+// fastest were late. On days with trouble of two large deployments it raised what callers got of the worth that they wanted
+// from 0.803 to 0.845 and from 0.796 to 0.827, under overload from 0.618 to 0.623 and from 0.631 to 0.638.
 //
 // It reports false if none of them is such, but another endpoint, full now, would be. One that has crashed has many places
 // free, and under overload all that wait would go there: on a day on which 23 of 60 endpoints crashed in a burst under 72
@@ -90,12 +93,11 @@
 	if fleet.Known > sampleFrom {
 		n = sample
 	}
-	inTime := p.inTime(now, ask)
+	forecast := p.forecaster(now, ask)
 	sound := func(a *account) bool { return a.inService(now, p.router) }
-	fit := func(a *account) bool { return sound(a) && inTime(a) }
-	near := func(a *account) bool { return a.near(o) && fit(a) }
-	mine := func(a *account) bool { return a.near(o) && a.mine(o, fleet) && fit(a) }
-	if fleet.Near > sharers && p.pick(n, mine) || p.pick(n, near) || p.pick(n, fit) {
+	fit := func(a *account) bool { return sound(a) && forecast(a).inTime }
+	even := func(a *account) bool { return sound(a) && forecast(a).good() }
+	if p.pickNear(n, o, fleet, even) || p.pick(n, even) || p.pickNear(n, o, fleet, fit) || p.pick(n, fit) {
 		return true
 	}
 	if p.other(ask, fit) {
@@ -108,13 +110,11 @@
 	return true
 }
 
-// inTime returns a function that reports whether an endpoint is likely to end the answer in time.
-func (p *pool) inTime(now time.Time, ask *Ask) func(*account) bool {
-	if ask.AnswerTokens < longAnswer {
-		return func(*account) bool { return true }
-	}
-	left := time.Duration(inTimePart * float64(ask.Due.Sub(now)))
-	return func(a *account) bool { return p.router.Forecast(now, &a.state, ask.routed).Total <= left }
+// pickNear leaves up to n of the wanted candidates near by: of the node's own part if there are any.
+func (p *pool) pickNear(n int, o Options, fleet gossip.Fleet, wanted func(*account) bool) bool {
+	near := func(a *account) bool { return a.near(o) && wanted(a) }
+	mine := func(a *account) bool { return a.near(o) && a.mine(o, fleet) && wanted(a) }
+	return fleet.Near > sharers && p.pick(n, mine) || p.pick(n, near)
 }
 
 // pick leaves up to n of the wanted candidates, by chance if there are more, and reports whether there are any. It looks
--- a/places/options.go
+++ b/places/options.go
@@ -52,11 +52,6 @@
 	// ownWord is how long what this node has seen of an endpoint goes before what another node tells of it: reports are
 	// up to half a second old.
 	ownWord = time.Second
-	// longAnswer is the number of tokens from which on it is asked whether an endpoint ends the answer in time; shorter
-	// ones end in a second or two on the slowest hardware seen (11 ms a token). inTimePart is the part of the caller's
-	// time that the predicted total may take: the callers' guesses at the length are off by half, either way.
-	longAnswer = 100
-	inTimePart = 0.6
 	// longPrompt is the number of tokens from which on a prompt may have to wait for an endpoint's memory: engines seen
 	// hold 500,000 tokens and work on about ten requests at a time.
 	longPrompt = 16000
--- a/places/others.go
+++ b/places/others.go
@@ -40,6 +40,7 @@
 				PrefillTokens: a.own.prefillTokens,
 				PromptTokens:  a.own.promptTokens,
 				AnswerTokens:  a.own.answerTokens,
+				TokenMicros:   a.pace.mine(now),
 			})
 		}
 	}
@@ -84,7 +85,10 @@
 		return
 	}
 	for endpoint, l := range next.loads {
-		d.adjust(endpoint, func(a *account) { a.others.add(l) })
+		d.adjust(endpoint, func(a *account) {
+			a.others.add(l)
+			a.pace.hear(next.heard, a.others)
+		})
 	}
 	d.peers[id] = next
 }
--- a/places/place.go
+++ b/places/place.go
@@ -24,8 +24,10 @@
 	account *account
 	ask     *capacity.Ask
 	granted time.Time
-	load    load
-	once    sync.Once
+	// producedAt is when answer tokens came last.
+	producedAt time.Time
+	load       load
+	once       sync.Once
 }
 
 func newPlace(d *Desk, p *pool, a *account, ask *Ask, now time.Time) *Place {
@@ -48,19 +50,29 @@
 }
 
 // FirstEvent tells that the prompt has been read.
-func (p *Place) FirstEvent() { p.progress(func(l *load) { l.prefillTokens = 0 }) }
+func (p *Place) FirstEvent() {
+	p.progress(func(now time.Time, l *load) {
+		l.prefillTokens = 0
+		p.producedAt = now
+	})
+}
 
 // Produced tells that so many more answer tokens have come.
 func (p *Place) Produced(tokens int) {
-	p.progress(func(l *load) { l.answerTokens = max(l.answerTokens-tokens, 0) })
+	p.progress(func(now time.Time, l *load) {
+		l.answerTokens = max(l.answerTokens-tokens, 0)
+		p.account.pace.saw(now, tokens, now.Sub(p.producedAt))
+		p.producedAt = now
+	})
 }
 
-func (p *Place) progress(edit func(*load)) {
+func (p *Place) progress(edit func(time.Time, *load)) {
 	p.desk.mu.Lock()
 	defer p.desk.mu.Unlock()
-	p.account.servedAt = time.Now()
+	now := time.Now()
+	p.account.servedAt = now
 	p.account.own.subtract(p.load)
-	edit(&p.load)
+	edit(now, &p.load)
 	p.account.own.add(p.load)
 	p.account.refresh()
 }
--- /dev/null
+++ b/places/prospect_test.go
@@ -0,0 +1,101 @@
+package places
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
+)
+
+// streamAsk asks for an answer long enough that the pauses between its events matter.
+func streamAsk() *Ask {
+	ask := testAsk()
+	ask.PromptTokens, ask.AnswerTokens = 500, 2*longAnswer
+	ask.EventGap, ask.EventTokens = 300*time.Millisecond, 8
+	return ask
+}
+
+// teach has the endpoint give an answer with so much time between tokens; the others are excluded meanwhile.
+func (b *bench) teach(id domain.EndpointID, others []domain.EndpointID, interval time.Duration) {
+	ask := streamAsk()
+	ask.Excluded = others
+	place := b.take(ask)
+	assert.Equal(b.t, place.Endpoint.ID, id)
+	time.Sleep(50 * time.Millisecond)
+	place.FirstEvent()
+	for range 4 {
+		time.Sleep(10 * interval)
+		place.Produced(10)
+	}
+	place.Release(served(50 * time.Millisecond))
+}
+
+// e0 takes 120 ms an event on average, so that the longest pause of an answer is often above 300 ms.
+func taughtBench(t *testing.T) *bench {
+	b := newBench(t, 3)
+	b.teach("e0", []domain.EndpointID{"e1", "e2"}, 15*time.Millisecond)
+	b.teach("e1", []domain.EndpointID{"e0", "e2"}, 3*time.Millisecond)
+	b.teach("e2", []domain.EndpointID{"e0", "e1"}, 4*time.Millisecond)
+	return b
+}
+
+func TestStreamsGoWherePausesAreShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := taughtBench(t)
+		for range 2 * testSlots {
+			assert.Assert(t, b.take(streamAsk()).Endpoint.ID != "e0")
+		}
+		assert.Equal(t, b.take(streamAsk()).Endpoint.ID, domain.EndpointID("e0"), "better late than refused")
+	})
+}
+
+func TestPaceIsToldToTheOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, other := taughtBench(t), newBench(t, 3)
+		for _, id := range []domain.EndpointID{"e0", "e1", "e2"} {
+			ask := streamAsk()
+			ask.Excluded = slices.DeleteFunc([]domain.EndpointID{"e0", "e1", "e2"}, func(e domain.EndpointID) bool { return e == id })
+			b.take(ask)
+		}
+		report := gossip.Report{From: "m"}
+		b.Fill(&report)
+		other.Heard(&report)
+		for range 2 * (testSlots - 1) {
+			assert.Assert(t, other.take(streamAsk()).Endpoint.ID != "e0")
+		}
+	})
+}
+
+func TestSlowEndpointIsTriedAgainAfterAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := taughtBench(t)
+		a := b.pools["s"].accounts["e0"]
+		assert.Assert(t, a.pause(time.Now(), 8) > 100*time.Millisecond)
+		time.Sleep(paceFresh + time.Second)
+		assert.Equal(t, a.pause(time.Now(), 8), time.Duration(0))
+	})
+}
+
+func TestEvenEndpointsOfOtherDataCentresGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := taughtBench(t)
+		for _, p := range b.pools {
+			for _, a := range p.list {
+				if a.id() != "e0" {
+					away := *a.endpoint
+					away.DataCentre = "far"
+					a.describe(&away)
+				}
+			}
+		}
+		assert.Assert(t, b.take(streamAsk()).Endpoint.ID != "e0")
+		short := streamAsk()
+		short.AnswerTokens = short.EventTokens
+		assert.Equal(t, b.take(short).Endpoint.ID, domain.EndpointID("e0"), "a short answer stays near")
+	})
+}
