Follow: in a large data centre one node follows the endpoints for the others

Changed: where 8 nodes or more share a data centre, the one that confirms the configuration follows the endpoints too and puts the changes of the last two seconds into its reports to them; a gap, a silence of 0.6 s, a lost store, or another node that knows of something later sends a node to the store itself. What a store's answer says is left aside if it is older than what was passed on, so that a leaving endpoint does not come back.

Tests: a missed change, an old answer, a lost store, entries kept after an outage, a successor's first change, a silent teller, small data centres.

--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -4,6 +4,7 @@
 
 // Endpoint is one life of an endpoint. It is immutable; a change makes a new value.
 type Endpoint struct {
+	_ struct{} `cbor:",toarray"`
 	// ID names this life. Its address may later belong to another endpoint, so that every send names the ID.
 	ID      domain.EndpointID
 	Service string
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -68,6 +68,8 @@
 		Clock:     boottime.Now,
 		Accepted:  func(table *routetable.Table) { n.limits.Prepare(table.Organisations) },
 		Confirms:  func() bool { return n.mesh.Confirms() },
+		PassesOn:  func() bool { return n.mesh.PassesOn() },
+		PassedOn:  func() bool { return n.mesh.PassedOn() },
 		Fleet:     n.fleet,
 		Listed:    n.announcer.Listed,
 		Log:       log,
@@ -178,6 +180,7 @@
 	}
 	_, last := n.follower.Revision(follow.Endpoints)
 	report.Endpoints = uint64(last)
+	report.Changes, report.PassesOn = n.follower.PassOn()
 	n.desk.Fill(report)
 	n.limits.Fill(report)
 }
@@ -190,6 +193,7 @@
 	if sent > 0 {
 		word.Confirmed = sent.Add(-report.Age)
 	}
+	n.follower.TakePassedOn(report.Changes)
 	n.follower.Relay(word)
 }
 
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,19 @@
 	aheadSince atomic.Int64
 
 	// failing is true between the first failed call and the next good one, returned is when that was.
-	failing  bool
+	failing  atomic.Bool
 	failures int
 	returned boottime.Instant
+
+	// mu orders changes from the store and from peers.
+	mu sync.Mutex
+	// whole is true once all of the topic is known, until its history is lost. since is the revision after which passedOn
+	// tells of changes.
+	whole    bool
+	since    Revision
+	passedOn []passedOn
+	// byPeers is true while changes are taken from a peer instead of the store.
+	byPeers atomic.Bool
 }
 
 // run follows the topic until the context ends.
@@ -55,8 +66,7 @@
 		return false
 	}
 	d.succeed()
-	f.replace(d, change)
-	d.note(change, sent)
+	d.replace(change, sent)
 	f.parts.Log.Info().Stringer("topic", d.topic).Uint64("revision", uint64(change.Revision)).
 		Int("endpoints", len(change.Endpoints)).Dur("took_ms", f.parts.Clock().Sub(sent)).Msg("store read in full")
 	return true
@@ -66,10 +76,12 @@
 func (d *feed) watch(ctx context.Context) {
 	f := d.follower
 	for ctx.Err() == nil {
+		d.awaitPeers(ctx)
 		sent := f.parts.Clock()
 		change, err := d.watchOnce(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
+			d.setWhole(false)
 			f.parts.Log.Warn().Stringer("topic", d.topic).Uint64("revision", d.revision.Load()).
 				Msg("store history is gone, reading in full")
 			return
@@ -81,14 +93,42 @@
 			continue
 		}
 		d.succeed()
-		f.apply(d, change)
-		d.note(change, sent)
+		d.apply(change, sent)
 		if change.Last > 0 {
 			pacing.Sleep(ctx, f.batchPause())
 		}
 	}
 }
 
+// replace makes what was loaded the whole truth.
+func (d *feed) replace(change Change, sent boottime.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follower.replace(d, change)
+	d.note(change, sent)
+	d.whole, d.since, d.passedOn = true, change.Revision, nil
+}
+
+// apply brings a change from the store in. One that is older than what peers have passed on meanwhile says nothing new.
+func (d *feed) apply(change Change, sent boottime.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.topic == Endpoints && uint64(change.Revision) < d.revision.Load() {
+		return
+	}
+	d.follower.apply(d, change)
+	if d.topic == Endpoints && change.Last > 0 {
+		d.keepToPassOn(change)
+	}
+	d.note(change, sent)
+}
+
+func (d *feed) setWhole(whole bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.whole = whole
+}
+
 // note keeps how far the topic is known.
 func (d *feed) note(change Change, sent boottime.Instant) {
 	d.revision.Store(max(uint64(change.Revision), d.revision.Load()))
@@ -110,11 +150,12 @@
 
 // wait chooses how long the next watch waits and how long its answer may take.
 func (d *feed) wait() (wait, timeout time.Duration) {
-	if d.urgent.Swap(false) || d.failing {
+	f := d.follower
+	if d.urgent.Swap(false) || d.failing.Load() {
 		return probeWait, probeTimeout
 	}
 	wait = longWait
-	if d.topic == Configuration && d.follower.mustConfirm() {
+	if d.topic == Configuration && f.mustConfirm() || d.topic == Endpoints && f.parts.PassesOn() {
 		wait = confirmWait
 	}
 	return wait, wait + watchSlack
@@ -130,11 +171,10 @@
 
 func (d *feed) succeed() {
 	d.failures = 0
-	if !d.failing {
+	if !d.failing.Swap(false) {
 		d.aheadSince.Store(0)
 		return
 	}
-	d.failing = false
 	f := d.follower
 	now := f.parts.Clock()
 	d.returned = now
@@ -154,8 +194,7 @@
 	f := d.follower
 	f.failed.Inc()
 	d.failures++
-	if !d.failing {
-		d.failing = true
+	if !d.failing.Swap(true) {
 		f.parts.Log.Warn().Err(err).Stringer("topic", d.topic).Str("call", call).
 			Dur("age_ms", f.Age(f.parts.Clock())).Msg("store lost")
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -33,6 +33,10 @@
 	Accepted func(*routetable.Table)
 	// Confirms tells whether this node is one of those that confirm the configuration for the others.
 	Confirms func() bool
+	// PassesOn tells whether this node is the one that passes changes of the endpoints on to those of its data centre, and
+	// PassedOn whether another one does so for this node.
+	PassesOn func() bool
+	PassedOn func() bool
 	// Fleet returns the number of nodes, and whether a listed one is silent.
 	Fleet func() (nodes int, silent bool)
 	// Listed is closed once this node is listed. The list is read after that, so that of two nodes that start at a time
@@ -115,6 +119,9 @@
 
 // batchPause is how long changes are collected before the store is asked for more.
 func (f *Follower) batchPause() time.Duration {
+	if f.parts.PassesOn() {
+		return passOnPause
+	}
 	nodes, _ := f.parts.Fleet()
 	return min(batchPause+time.Duration(nodes)*batchPauseNode, batchPauseMost)
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -96,12 +96,13 @@
 			return Change{}, ctx.Err()
 		case <-timer.C:
 			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.deaf {
+			deaf, revision := s.deaf, s.revision
+			s.mu.Unlock()
+			if deaf {
 				<-ctx.Done()
 				return Change{}, ctx.Err()
 			}
-			return Change{Revision: s.revision}, nil
+			return Change{Revision: revision}, nil
 		case <-wake:
 		}
 	}
@@ -127,12 +128,20 @@
 
 // follower runs a follower for a test under synctest.
 func follower(t *testing.T, s Source, confirms bool) *Follower {
+	return roleFollower(t, s, role{confirms: confirms})
+}
+
+// role is what a follower does for the other nodes, and what they do for it.
+type role struct{ confirms, passesOn, passedOn bool }
+
+func roleFollower(t *testing.T, s Source, r role) *Follower {
 	start := time.Now()
 	listed := make(chan struct{})
 	close(listed)
 	f := New(Parts{
 		Source: s, Directory: directory.New(), Clock: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(start)) },
-		Accepted: func(*routetable.Table) {}, Confirms: func() bool { return confirms },
+		Accepted: func(*routetable.Table) {}, Confirms: func() bool { return r.confirms },
+		PassesOn: func() bool { return r.passesOn }, PassedOn: func() bool { return r.passedOn },
 		Fleet: func() (int, bool) { return 3, false }, Listed: listed, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/follow/passon_test.go
@@ -0,0 +1,118 @@
+package follow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// knows reports whether a follower lists the endpoint.
+func (f *Follower) knows(id domain.EndpointID) bool {
+	return f.parts.Directory.Current().Endpoint(id) != nil
+}
+
+// tell carries the sender's reports to the receiver for so many tenths of a second.
+func tell(from, to *Follower, tenths int) {
+	for range tenths {
+		time.Sleep(100 * time.Millisecond)
+		changes, reliable := from.PassOn()
+		if reliable {
+			to.TakePassedOn(changes)
+		}
+		_, last := from.Revision(Endpoints)
+		to.Relay(Word{Version: 1, Endpoints: last, Confirmed: to.parts.Clock()})
+	}
+}
+
+func TestChangesArePassedOnWithoutCallsToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unused := newFakeStore(), newFakeStore()
+		one := roleFollower(t, s, role{confirms: true, passesOn: true})
+		other := roleFollower(t, unused, role{passedOn: true})
+		tell(one, other, 5)
+		before := unused.calls
+		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
+		tell(one, other, 5)
+		assert.Assert(t, other.knows("b") && !other.knows("a"))
+		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true, "c": true} })
+		tell(one, other, 100)
+		assert.Assert(t, other.knows("c"))
+		assert.Equal(t, unused.calls, before, "the store was asked")
+	})
+}
+
+func TestMissedChangeIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		one := roleFollower(t, s, role{confirms: true, passesOn: true})
+		other := roleFollower(t, s, role{passedOn: true})
+		tell(one, other, 5)
+		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
+		time.Sleep(passOnFor + time.Second) // no report of it arrives
+		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true, "c": true} })
+		tell(one, other, 5)
+		assert.Assert(t, other.knows("b") && other.knows("c") && !other.knows("a"))
+	})
+}
+
+func TestStoreAnswerOlderThanWhatWasPassedOnIsLeftAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := roleFollower(t, newFakeStore(), role{passedOn: true})
+		leaving := &directory.Endpoint{ID: "a", Service: "s", Leaving: true}
+		other.TakePassedOn([]directory.Change{{After: 1, Last: 9, Revision: 9, Listed: []*directory.Endpoint{leaving}}})
+		stays := &directory.Endpoint{ID: "a", Service: "s"}
+		other.feeds[Endpoints].apply(Change{Revision: 5, Last: 5, Endpoints: []*directory.Endpoint{stays}}, 0)
+		assert.Assert(t, other.parts.Directory.Current().Endpoint("a").Leaving)
+		other.TakePassedOn([]directory.Change{{After: 1, Last: 7, Revision: 7, Listed: []*directory.Endpoint{stays}}})
+		assert.Assert(t, other.parts.Directory.Current().Endpoint("a").Leaving, "an old report changes nothing either")
+	})
+}
+
+func TestNodeThatLosesTheStoreIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		one := roleFollower(t, s, role{confirms: true, passesOn: true})
+		time.Sleep(time.Second)
+		_, reliable := one.PassOn()
+		assert.Assert(t, reliable)
+		s.set(func() { s.deaf = true })
+		time.Sleep(2*confirmWait + 2*watchSlack)
+		_, reliable = one.PassOn()
+		assert.Assert(t, !reliable, "its watch has not been answered")
+	})
+}
+
+func TestEntriesThatLapsedWithTheStoreAreKeptByThoseToldToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		one := roleFollower(t, s, role{confirms: true, passesOn: true})
+		other := roleFollower(t, newFakeStore(), role{passedOn: true})
+		tell(one, other, 5)
+		s.change(Endpoints, func() { s.down = true; s.endpoints = map[string]bool{} })
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = false })
+		tell(one, other, 12)
+		assert.Assert(t, other.knows("a"))
+		tell(one, other, 30)
+		assert.Assert(t, !other.knows("a"))
+	})
+}
+
+// A node that has taken changes from a peer and then passes changes on itself tells them as following on the last one
+// taken: who missed that one must ask the store.
+func TestSuccessorTellsOfChangesAfterThoseItTook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := roleFollower(t, newFakeStore(), role{passesOn: true})
+		d := other.feeds[Endpoints]
+		other.TakePassedOn([]directory.Change{{After: 1, Last: 9, Revision: 9, Removed: []domain.EndpointID{"a"}}})
+		d.apply(Change{Revision: 12, Last: 12, Endpoints: []*directory.Endpoint{{ID: "b", Service: "s"}}}, 0)
+		changes, _ := other.PassOn()
+		assert.Equal(t, len(changes), 1)
+		assert.Equal(t, changes[0].After, uint64(9))
+	})
+}
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "time"
+
 // Fleet counts the nodes: those that may be alive, this one included, those heard from lately, and both for this data
 // centre.
 type Fleet struct {
@@ -38,3 +40,30 @@
 	}
 	return before < confirmers
 }
+
+const (
+	// passOnFrom is the number of nodes of a data centre from which on one follows the endpoints for the others. With fewer
+	// there is little to save.
+	passOnFrom = 8
+	// passOnFresh is how old the last report of that one may be: five of its reports.
+	passOnFresh = 600 * time.Millisecond
+)
+
+// PassesOn reports whether this node is to pass changes of the endpoints on to the others of its data centre.
+func (m *Mesh) PassesOn() bool { return m.Fleet().Near >= passOnFrom && m.Confirms() }
+
+// PassedOn reports whether a node of the data centre passes changes of the endpoints on to this one.
+func (m *Mesh) PassedOn() bool {
+	if m.PassesOn() {
+		return false
+	}
+	now := m.parts.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.passesOn && p.centre == m.parts.DataCentre && !p.silent && !p.leaving && now.Sub(p.heardAt) <= passOnFresh {
+			return true
+		}
+	}
+	return false
+}
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -94,6 +94,8 @@
 	centre  domain.DataCentre
 	silent  bool
 	leaving bool
+	// passesOn is true if the peer follows the endpoints for its data centre.
+	passesOn bool
 	// dueAt is when the next report to the peer is due.
 	dueAt boottime.Instant
 }
@@ -188,12 +190,18 @@
 		m.parts.Log.Info().Str("peer", string(report.From)).Uint64("life", report.Life).Msg("peer heard")
 	}
 	p.life, p.sentAt, p.heardAt, p.address = report.Life, report.SentAt, m.parts.Clock(), from
-	p.silent, p.leaving, p.centre = false, report.Leaving, report.DataCentre
+	p.silent, p.leaving, p.centre, p.passesOn = false, report.Leaving, report.DataCentre, report.PassesOn
 	return true
 }
 
+// target is a peer to be told.
+type target struct {
+	address string
+	near    bool
+}
+
 // due returns the peers that are to be told now: those listed and those heard of lately.
-func (m *Mesh) due() map[domain.NodeID]string {
+func (m *Mesh) due() map[domain.NodeID]target {
 	now := m.parts.Clock()
 	listed := m.parts.Peers()
 	m.mu.Lock()
@@ -201,17 +209,17 @@
 	m.learn(listed)
 	m.forget(now, listed)
 	near, far := m.pauses()
-	due := make(map[domain.NodeID]string)
+	due := make(map[domain.NodeID]target)
 	for id, p := range m.peers {
 		if now < p.dueAt {
 			continue
 		}
-		pause := far
-		if p.centre == m.parts.DataCentre {
+		pause, isNear := far, p.centre == m.parts.DataCentre
+		if isNear {
 			pause = near
 		}
 		p.dueAt = now.Add(pause*9/10 + rand.N(pause/5))
-		due[id] = p.address
+		due[id] = target{p.address, isNear}
 	}
 	return due
 }
@@ -263,18 +271,23 @@
 }
 
 // report sends one report to each target.
-func (m *Mesh) report(targets map[domain.NodeID]string) {
+func (m *Mesh) report(targets map[domain.NodeID]target) {
 	if len(targets) == 0 {
 		return
 	}
 	report := Report{From: m.parts.Self, Life: m.parts.Life, DataCentre: m.parts.DataCentre}
 	m.parts.Fill(&report)
-	for id, address := range targets {
+	changes := report.Changes
+	for id, to := range targets {
+		report.Changes = nil
+		if to.near {
+			report.Changes = changes
+		}
 		report.SentAt = m.parts.Clock()
 		report.Echo, report.EchoLife = m.echo(id)
 		datagram, err := encoding.Marshal(report)
 		if err == nil {
-			err = m.parts.Transport.Send(address, datagram)
+			err = m.parts.Transport.Send(to.address, datagram)
 		}
 		if err != nil {
 			m.dropped.Inc()
--- a/gossip/mesh_test.go
+++ b/gossip/mesh_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -77,6 +78,8 @@
 	*Mesh
 	mu     sync.Mutex
 	bounds []time.Duration
+	// tellers are the nodes that passed changes on.
+	tellers map[domain.NodeID]bool
 }
 
 // fleet runs so many meshes, the data centres by turns.
@@ -93,16 +96,23 @@
 	var running sync.WaitGroup
 	members := make([]*member, size)
 	for i, a := range addresses {
-		m := &member{}
+		m := &member{tellers: make(map[domain.NodeID]bool)}
 		m.Mesh = New(Parts{
 			Self: a.Node, DataCentre: a.DataCentre, Life: uint64(i + 1), Transport: port{net, a.HostPort}, Clock: clock,
 			Peers: func() []Address { return addresses },
-			Fill:  func(*Report) {},
-			Heard: func(_ *Report, sent boottime.Instant) {
+			Fill: func(r *Report) {
+				if r.PassesOn = m.PassesOn(); r.PassesOn {
+					r.Changes = []directory.Change{{After: 1, Last: 2, Revision: 2}}
+				}
+			},
+			Heard: func(r *Report, sent boottime.Instant) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
 				if sent > 0 {
-					m.mu.Lock()
 					m.bounds = append(m.bounds, clock().Sub(sent))
-					m.mu.Unlock()
+				}
+				if len(r.Changes) > 0 {
+					m.tellers[r.From] = true
 				}
 			},
 			Log: zerolog.Nop(), Metrics: metrics.NewSet(),
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -28,6 +29,10 @@
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
 	Spent []Spent `cbor:"9,keyasint,omitempty"`
+	// PassesOn is true if the sender follows the endpoints for the nodes of its data centre, Changes are the latest of them;
+	// only these nodes are told.
+	PassesOn bool               `cbor:"14,keyasint,omitempty"`
+	Changes  []directory.Change `cbor:"15,keyasint,omitempty"`
 	// Leaving is true once the sender takes no more requests.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
