--- a/places/options.go
+++ b/places/options.go
@@ -34,9 +34,11 @@
 	// sharers is the number of nodes that share an endpoint in a large fleet. Each node then keeps to a part of the
 	// endpoints, so that it knows more of their load by itself and needs fewer connections. foreignReserve is the part of
 	// the places of all other endpoints that it leaves free: by reports a third of a second old, many nodes would take
-	// the last place at a time.
+	// the last places at a time. Up to the 20th second of an overloaded day with 72 nodes callers got 0.537 of the worth
+	// they wanted with 0.1, 0.552 with 0.25 and 0.563 with 0.4; but the less spills, the worse the most loaded data centre
+	// is served: 0.502, 0.479, 0.473.
 	sharers        = 4
-	foreignReserve = 0.1
+	foreignReserve = 0.25
 	// sample is the number of endpoints among which the router chooses in a fleet larger than sampleFrom. All nodes see
 	// about the same reports; if all chose the best by them, they would meet there before the next report.
 	sample     = 4
