Places, follow: names that say what they hold; the test's store looks for a change when a wait ends

TestMissedChangeIsAskedFor failed in 13 of 60 runs: the fake store answered a wait that ended at the instant of a change with the newest revision and without the change, which the platform's store does not. Behaviour of the product is unchanged.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -33,11 +33,11 @@
 
 	// mu orders changes from the store and from peers.
 	mu sync.Mutex
-	// whole is true once all of the topic is known, until its history is lost. since is the revision after which passedOn
-	// tells of changes.
-	whole    bool
-	since    Revision
-	passedOn []passedOn
+	// whole is true once all of the topic is known, until its history is lost. since is the revision after which the
+	// next change told to peers holds.
+	whole bool
+	since Revision
+	told  []toldChange
 	// byPeers is true while changes are taken from a peer instead of the store.
 	byPeers atomic.Bool
 }
@@ -106,7 +106,7 @@
 	defer d.mu.Unlock()
 	d.follower.replace(d, change)
 	d.note(change, sent)
-	d.whole, d.since, d.passedOn = true, change.Revision, nil
+	d.whole, d.since, d.told = true, change.Revision, nil
 }
 
 // apply brings a change from the store in. One that is older than what peers have passed on meanwhile says nothing new.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -6,7 +6,8 @@
 //
 // Calls to the store cost and a whole fleet makes them, so that only some nodes of each data centre confirm the
 // configuration every two seconds. The others take their word (Relay), wait long for changes, and ask the store
-// themselves as soon as that word stops or tells of something that their own watch does not.
+// themselves as soon as that word stops or tells of something that their own watch does not. In a large data centre they
+// take the changes of the endpoints from that node too (TakePassedOn).
 package follow
 
 import (
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -96,11 +96,16 @@
 			return Change{}, ctx.Err()
 		case <-timer.C:
 			s.mu.Lock()
+			change, _, done, err := s.look(topic, after)
 			deaf, revision := s.deaf, s.revision
 			s.mu.Unlock()
-			if deaf {
+			switch {
+			case deaf:
 				<-ctx.Done()
 				return Change{}, ctx.Err()
+			case done:
+				// The change came at the instant at which the wait ended.
+				return change, err
 			}
 			return Change{Revision: revision}, nil
 		case <-wake:
--- a/follow/passon.go
+++ b/follow/passon.go
@@ -23,8 +23,8 @@
 	passOnPause = 200 * time.Millisecond
 )
 
-// passedOn is a change to be told to peers.
-type passedOn struct {
+// toldChange is a change that is told to peers.
+type toldChange struct {
 	change directory.Change
 	at     boottime.Instant
 	// keepUntil is until when removed endpoints are kept.
@@ -34,21 +34,21 @@
 // keepToPassOn keeps a change for the peers. The feed's lock is held.
 func (d *feed) keepToPassOn(change Change) {
 	now := d.follower.parts.Clock()
-	d.forgetPassedOn(now)
+	d.forgetTold(now)
 	told := directory.Change{
 		After: uint64(d.since), Last: uint64(change.Last), Revision: uint64(change.Revision),
 		Listed: change.Endpoints, Removed: change.Removed,
 	}
 	d.since = change.Last
 	if len(told.Listed)+len(told.Removed) <= passOnMost {
-		d.passedOn = append(d.passedOn, passedOn{told, now, d.keepUntil()})
+		d.told = append(d.told, toldChange{told, now, d.keepUntil()})
 	}
 }
 
-// forgetPassedOn drops what the peers must have heard. The feed's lock is held.
-func (d *feed) forgetPassedOn(now boottime.Instant) {
-	for len(d.passedOn) > 0 && now.Sub(d.passedOn[0].at) > passOnFor {
-		d.passedOn = d.passedOn[1:]
+// forgetTold drops what the peers must have heard. The feed's lock is held.
+func (d *feed) forgetTold(now boottime.Instant) {
+	for len(d.told) > 0 && now.Sub(d.told[0].at) > passOnFor {
+		d.told = d.told[1:]
 	}
 }
 
@@ -62,8 +62,8 @@
 	now := f.parts.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetPassedOn(now)
-	for _, p := range d.passedOn {
+	d.forgetTold(now)
+	for _, p := range d.told {
 		change := p.change
 		change.KeepFor = max(p.keepUntil.Sub(now), 0)
 		changes = append(changes, change)
--- a/places/choose.go
+++ b/places/choose.go
@@ -96,8 +96,8 @@
 	forecast := p.forecaster(now, ask)
 	sound := func(a *account) bool { return a.inService(now, p.router) }
 	fit := func(a *account) bool { return sound(a) && forecast(a).inTime }
-	even := func(a *account) bool { return sound(a) && forecast(a).good() }
-	if p.pickNear(n, o, fleet, even) || p.pick(n, even) || p.pickNear(n, o, fleet, fit) || p.pick(n, fit) {
+	good := func(a *account) bool { return sound(a) && forecast(a).good() }
+	if p.pickNear(n, o, fleet, good) || p.pick(n, good) || p.pickNear(n, o, fleet, fit) || p.pick(n, fit) {
 		return true
 	}
 	if p.other(ask, fit) {
--- a/places/others.go
+++ b/places/others.go
@@ -40,7 +40,7 @@
 				PrefillTokens: a.own.prefillTokens,
 				PromptTokens:  a.own.promptTokens,
 				AnswerTokens:  a.own.answerTokens,
-				TokenMicros:   a.pace.mine(now),
+				TokenMicros:   a.pace.ownMicros(now),
 			})
 		}
 	}
--- a/places/pace.go
+++ b/places/pace.go
@@ -42,8 +42,8 @@
 	p.told, p.tellers, p.toldAt = float64(others.tokenMicros)/float64(others.tellers)/1e6, others.tellers, now
 }
 
-// mine is this node's own view in microseconds, zero if it has none.
-func (p *pace) mine(now time.Time) int {
+// ownMicros is this node's own view in microseconds, zero if it has none.
+func (p *pace) ownMicros(now time.Time) int {
 	if p.own.samples == 0 || now.Sub(p.ownAt) > paceFresh {
 		return 0
 	}
--- a/places/prospect.go
+++ b/places/prospect.go
@@ -20,20 +20,20 @@
 
 // prospect is what an endpoint would probably make of an answer.
 type prospect struct {
-	// inTime: it ends while the caller still waits. prompt: it begins by the objective for the first byte. even: no pause
+	// inTime: it ends while the caller still waits. punctual: it begins by the objective for the first byte. even: no pause
 	// between its events is too long.
-	inTime bool
-	prompt bool
-	even   bool
+	inTime   bool
+	punctual bool
+	even     bool
 }
 
 // good reports whether nothing is to be feared.
-func (p prospect) good() bool { return p.inTime && p.prompt && p.even }
+func (p prospect) good() bool { return p.inTime && p.punctual && p.even }
 
 // forecaster returns a function that tells an endpoint's prospect of the ask.
 func (p *pool) forecaster(now time.Time, ask *Ask) func(*account) prospect {
 	if ask.AnswerTokens <= ask.EventTokens && ask.PromptTokens < slowPrompt {
-		return func(*account) prospect { return prospect{inTime: true, prompt: true, even: true} }
+		return func(*account) prospect { return prospect{inTime: true, punctual: true, even: true} }
 	}
 	first := time.Duration(promptPart * float64(ask.FirstByteDue.Sub(now)))
 	late := ask.late(now, p.start(ask))
@@ -42,9 +42,9 @@
 	return func(a *account) prospect {
 		f := p.router.Forecast(now, &a.state, ask.routed)
 		return prospect{
-			inTime: ask.AnswerTokens < longAnswer || f.Total <= left,
-			prompt: late || f.FirstToken <= first,
-			even:   ask.AnswerTokens <= ask.EventTokens || ask.EventGap <= 0 || a.pause(now, ask.EventTokens) <= longest,
+			inTime:   ask.AnswerTokens < longAnswer || f.Total <= left,
+			punctual: late || f.FirstToken <= first,
+			even:     ask.AnswerTokens <= ask.EventTokens || ask.EventGap <= 0 || a.pause(now, ask.EventTokens) <= longest,
 		}
 	}
 }
