Gateway: request lines say what was thought of the endpoint's time per token

The endpoint is chosen by it since streams go where pauses are short, and a late answer could not be explained without: 0 means that nothing was known. The bound on an endpoint's silence has a name of its own, no longer that of callers' patience.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,7 +43,7 @@
 	d := &dispatched{task: t, place: place, ctx: ctx, cancel: cancel, started: time.Now()}
 	d.watch()
 	defer d.unwatch()
-	t.endpoint, t.load = place.Endpoint.ID, place.Load
+	t.endpoint, t.load, t.tokenTime = place.Endpoint.ID, place.Load, place.TokenTime
 	if !place.Reported.IsZero() {
 		t.loadAge = time.Since(place.Reported)
 	}
@@ -112,11 +112,11 @@
 	if !t.route.Repeatable() || t.offers()+1 >= t.route.MaxEndpoints {
 		return
 	}
-	d.stall = time.AfterFunc(t.patience(), func() { d.cancel(errStalled) })
+	d.stall = time.AfterFunc(t.silenceAllowed(), func() { d.cancel(errStalled) })
 }
 
-// patience is how long the endpoint may be silent.
-func (t *task) patience() time.Duration {
+// silenceAllowed is how long the endpoint may be silent.
+func (t *task) silenceAllowed() time.Duration {
 	if t.route.Kind != routetable.Stream {
 		return max(stallFactor*t.route.FirstByte, leastTryAgain)
 	}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -62,6 +62,8 @@
 	events   int
 	load     int
 	loadAge  time.Duration
+	// tokenTime is what the endpoint was thought to take for a token.
+	tokenTime time.Duration
 }
 
 func newTask(g *Gateway, w http.ResponseWriter, r *http.Request) *task {
--- a/places/place.go
+++ b/places/place.go
@@ -18,6 +18,8 @@
 	// report of another node came that counts in it, zero if there is none.
 	Load     int
 	Reported time.Time
+	// TokenTime is what the endpoint was thought to take for a token, zero if nothing was known.
+	TokenTime time.Duration
 
 	desk    *Desk
 	pool    *pool
@@ -32,14 +34,15 @@
 
 func newPlace(d *Desk, p *pool, a *account, ask *Ask, now time.Time) *Place {
 	return &Place{
-		Endpoint: a.endpoint,
-		desk:     d,
-		pool:     p,
-		account:  a,
-		ask:      ask.routed,
-		granted:  now,
-		Load:     a.state.Requests,
-		Reported: d.reportedAt,
+		Endpoint:  a.endpoint,
+		desk:      d,
+		pool:      p,
+		account:   a,
+		ask:       ask.routed,
+		granted:   now,
+		Load:      a.state.Requests,
+		Reported:  d.reportedAt,
+		TokenTime: a.pace.token(now),
 		load: load{
 			requests:      1,
 			prefillTokens: ask.PromptTokens,
--- a/places/prospect_test.go
+++ b/places/prospect_test.go
@@ -76,6 +76,9 @@
 		b := taughtBench(t)
 		a := b.pools["s"].accounts["e0"]
 		assert.Assert(t, a.pause(time.Now(), 8) > 100*time.Millisecond)
+		ask := streamAsk()
+		ask.Excluded = []domain.EndpointID{"e1", "e2"}
+		assert.Equal(t, b.take(ask).TokenTime, a.pace.token(time.Now()), "what was thought of it goes with the place")
 		time.Sleep(paceFresh + time.Second)
 		assert.Equal(t, a.pause(time.Now(), 8), time.Duration(0))
 	})
