--- a/follow/feed.go
+++ b/follow/feed.go
@@ -81,7 +81,7 @@
 		change, err := d.watchOnce(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
-			d.setWhole(false)
+			d.lose()
 			f.parts.Log.Warn().Stringer("topic", d.topic).Uint64("revision", d.revision.Load()).
 				Msg("store history is gone, reading in full")
 			return
@@ -123,10 +123,11 @@
 	d.note(change, sent)
 }
 
-func (d *feed) setWhole(whole bool) {
+// lose notes that the topic is no longer known in full.
+func (d *feed) lose() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.whole = whole
+	d.whole = false
 }
 
 // note keeps how far the topic is known.
--- a/places/pace.go
+++ b/places/pace.go
@@ -21,13 +21,16 @@
 	toldAt  time.Time
 }
 
+// seen reports whether this node has seen the pace lately.
+func (p *pace) seen(now time.Time) bool { return p.own.samples > 0 && now.Sub(p.ownAt) <= paceFresh }
+
 // saw takes a sample of this node's: tokens that came within a time.
 func (p *pace) saw(now time.Time, tokens int, within time.Duration) {
 	if tokens <= 0 || within <= 0 {
 		return
 	}
 	sample := within.Seconds() / float64(tokens)
-	if now.Sub(p.ownAt) > paceFresh {
+	if !p.seen(now) {
 		p.own = mean{value: sample}
 	}
 	p.own.add(sample)
@@ -44,7 +47,7 @@
 
 // ownMicros is this node's own view in microseconds, zero if it has none.
 func (p *pace) ownMicros(now time.Time) int {
-	if p.own.samples == 0 || now.Sub(p.ownAt) > paceFresh {
+	if !p.seen(now) {
 		return 0
 	}
 	return int(p.own.value * 1e6)
@@ -53,7 +56,7 @@
 // token returns the time for a token, zero if nothing is known.
 func (p *pace) token(now time.Time) time.Duration {
 	var sum, weight float64
-	if p.own.samples > 0 && now.Sub(p.ownAt) <= paceFresh {
+	if p.seen(now) {
 		weight = float64(min(p.own.samples, ownSamples)) / ownSamples
 		sum = p.own.value * weight
 	}
--- a/tokenlimit/limiter.go
+++ b/tokenlimit/limiter.go
@@ -152,7 +152,8 @@
 		if a.spent == 0 && used == 0 {
 			continue
 		}
-		// Whole numbers, rounded to the safe side, take three to five bytes each instead of nine.
+		// Whole numbers take three to five bytes each instead of nine. What a new life takes over is rounded to the safe
+		// side; the total can't drift, since the receiver counts by its difference from the last one told.
 		report.Spent = append(report.Spent, gossip.Spent{
 			Organisation: id, Total: math.Round(a.spent), Used: math.Ceil(used), Level: math.Floor(a.level),
 		})
