Fault matrix: the step 'apply' comes by whichever way a node gets the new version

The cell's fault never began, so that it said nothing.

Cause: a new version reaches a node by its watch of the store and by an announcement of a peer, at one instant of virtual time. Ruled out: a node that does not get the version (all had it in each failed trial), slow machines (virtual time).

Now: the step comes when such a node has got the version from a peer or from the store, whichever is first. As strict: the fault happens in each trial, at the same point of the change.

--- a/node/matrix_control_test.go
+++ b/node/matrix_control_test.go
@@ -22,15 +22,22 @@
 	}
 }
 
+// newVersionReaches matches the moment in which a node other than the entry gets
+// the new version: from a peer, or from the store. Which of the two is first is not
+// decided, since both happen at one instant.
+func newVersionReaches(x *trial, e event) bool {
+	fromPeer := e.name == "document.pull"+suffixAfter
+	fromStore := e.name == eventGet+suffixAfter && strings.Contains(e.key, agreed.DocumentName+"/part/")
+	return e.node != x.entry && (fromPeer || fromStore)
+}
+
 // controlSteps are the steps of a change of configuration and of a node's life.
 func controlSteps() []*step {
 	return []*step{
 		{name: "edit", at: editKey(eventGet), run: (*trial).runEdit},
 		{name: "accept", at: editKey(eventSwap), run: (*trial).runEdit},
 		{name: "hand on", at: atEntry("document.announce"), run: (*trial).runEdit},
-		{name: "apply", run: (*trial).runEdit, at: func(x *trial, e event) bool {
-			return e.node != x.entry && e.name == "document.pull"+suffixAfter
-		}},
+		{name: "apply", run: (*trial).runEdit, at: newVersionReaches},
 		{name: "join", run: (*trial).runJoin, at: func(x *trial, e event) bool {
 			return e.node == x.home && e.name == eventSwap && strings.Contains(e.key, "ledger")
 		}},
--- a/node/observe_test.go
+++ b/node/observe_test.go
@@ -98,7 +98,9 @@
 
 func (s gatedStore) Get(ctx context.Context, key string) (store.Entry, error) {
 	s.gate.note(eventGet, key, 0)
-	return through(ctx, s, func() (store.Entry, error) { return s.Store.Get(ctx, key) })
+	entry, err := through(ctx, s, func() (store.Entry, error) { return s.Store.Get(ctx, key) })
+	s.gate.note(eventGet+suffixAfter, key, 0)
+	return entry, err
 }
 
 func (s gatedStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
