Follow, gossip: the configuration is handed on by peers

Now: in a data centre of 8 nodes or more the node that follows the store hands the document to each peer whose own reports name an earlier version, until they don't. Anywhere else a node that stays behind for 1.2 s is told by one other at a time. The document goes unread, so that the folder's decoder stays the only one. No version goes back, whoever tells of it.

Tests failed first: TestConfigurationIsPassedOnWithoutCallsToTheStore, TestNodeCutOffFromTheStoreTakesALaterConfiguration, TestNodeThatStaysBehindIsToldByAnother.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -177,6 +177,7 @@
 	if table := n.follower.Table(); table != nil {
 		report.Version = table.Version
 		report.Age = n.follower.Age(boottime.Now())
+		report.Document = n.follower.Document()
 	}
 	_, last := n.follower.Revision(follow.Endpoints)
 	report.Endpoints = uint64(last)
@@ -193,6 +194,7 @@
 	if sent > 0 {
 		word.Confirmed = sent.Add(-report.Age)
 	}
+	n.follower.TakeConfiguration(report.From, report.Version, report.Document)
 	n.follower.TakePassedOn(report.Changes)
 	n.follower.Relay(word)
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -7,11 +7,13 @@
 // Calls to the store cost and a whole fleet makes them, so that only some nodes of each data centre confirm the
 // configuration every two seconds. The others take their word (Relay), wait long for changes, and ask the store
 // themselves as soon as that word stops or tells of something that their own watch does not. In a large data centre they
-// take the changes of the endpoints from that node too (TakePassedOn).
+// take the changes of the endpoints from that node too (TakePassedOn), and the configuration; a node that can't reach the
+// store takes a later configuration from any other one (TakeConfiguration).
 package follow
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,10 +53,14 @@
 type Follower struct {
 	parts     Parts
 	feeds     [topics]*feed
-	table     atomic.Pointer[routetable.Table]
+	inForce   atomic.Pointer[configuration]
 	nodes     atomic.Pointer[[]Peer]
 	confirmed atomic.Int64
 	relayed   relayed
+	// accepting makes configurations from the store and from peers follow one another.
+	accepting sync.Mutex
+	// unread is the version of the last passed-on configuration that could not be read, under accepting.
+	unread uint64
 
 	calls, failed, reloads, rejected *metrics.Counter
 }
@@ -79,7 +85,12 @@
 }
 
 // Table returns the configuration in force, nil before the first.
-func (f *Follower) Table() *routetable.Table { return f.table.Load() }
+func (f *Follower) Table() *routetable.Table {
+	if c := f.inForce.Load(); c != nil {
+		return c.table
+	}
+	return nil
+}
 
 // Nodes returns the nodes as last listed, this one included.
 func (f *Follower) Nodes() []Peer { return *f.nodes.Load() }
@@ -131,7 +142,7 @@
 func (f *Follower) replace(d *feed, change Change) {
 	f.reject(change.Rejected)
 	if d.topic == Configuration {
-		f.accept(change.Table)
+		f.acceptFromStore(change)
 		return
 	}
 	f.parts.Directory.Replace(f.parts.Clock(), change.Endpoints, d.keepUntil())
@@ -140,7 +151,7 @@
 // apply brings a change in.
 func (f *Follower) apply(d *feed, change Change) {
 	f.reject(change.Rejected)
-	f.accept(change.Table)
+	f.acceptFromStore(change)
 	if len(change.Endpoints)+len(change.Removed) > 0 {
 		f.parts.Directory.Apply(f.parts.Clock(), change.Endpoints, change.Removed, d.keepUntil())
 		f.logEndpoints(change)
@@ -165,24 +176,9 @@
 	}
 }
 
-// accept puts a configuration into force unless a later one is.
-func (f *Follower) accept(table *routetable.Table) {
-	if table == nil {
-		return
-	}
-	current := f.table.Load()
-	if current != nil && table.Version <= current.Version {
-		return
-	}
-	f.parts.Accepted(table)
-	f.table.Store(table)
-	f.parts.Log.Info().Uint64("version", table.Version).Int("routes", table.Routes()).
-		Int("organisations", len(table.Organisations)).Msg("configuration in force")
-}
-
 // confirm notes that the knowledge of the configuration was complete at the instant.
 func (f *Follower) confirm(at boottime.Instant) {
-	if f.table.Load() == nil {
+	if f.Table() == nil {
 		return
 	}
 	for {
--- a/follow/passon.go
+++ b/follow/passon.go
@@ -9,9 +9,10 @@
 	"hawthornrill.example/hawthornrill/pacing"
 )
 
-// In a large data centre one node follows the endpoints in the store and tells the others of each change, since a watch at
-// each node makes as many calls a change as there are nodes. The others go on with the store as soon as that node falls
-// silent, loses the store, or tells of something that does not follow on what they know.
+// In a large data centre one node follows the store and tells the others of each change, since a watch at each node makes
+// as many calls a change as there are nodes. The others go on with the store as soon as that node falls silent, loses the
+// store, or tells of something that does not follow on what they know, and ask it once its word of the configuration is
+// too old (look).
 
 const (
 	// passOnFor is for how long a change is told: some twenty reports within a data centre, of which some may be lost.
@@ -53,12 +54,12 @@
 }
 
 // PassOn returns the latest changes of the endpoints for the peers of the data centre, and whether they may rely on this
-// node for them: it follows the store by itself and is in touch with it.
+// node for them and for the configuration: it follows the store by itself and is in touch with it.
 func (f *Follower) PassOn() (changes []directory.Change, reliable bool) {
-	d := f.feeds[Endpoints]
-	if !f.parts.PassesOn() || d.failing.Load() || d.byPeers.Load() {
+	if !f.parts.PassesOn() || !f.feeds[Configuration].inTouch() || !f.feeds[Endpoints].inTouch() {
 		return nil, false
 	}
+	d := f.feeds[Endpoints]
 	now := f.parts.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -105,9 +106,12 @@
 	d.since = change.Last
 }
 
+// inTouch reports whether the node follows the topic in the store by itself, and its last call was answered.
+func (d *feed) inTouch() bool { return !d.failing.Load() && !d.byPeers.Load() }
+
 // awaitPeers waits while a peer passes the topic's changes on, until the store is to be asked.
 func (d *feed) awaitPeers(ctx context.Context) {
-	if d.topic != Endpoints || !d.follower.parts.PassedOn() {
+	if !d.follower.parts.PassedOn() {
 		return
 	}
 	d.byPeers.Store(true)
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -25,7 +25,7 @@
 // Relay takes a peer's word. Its knowledge of the same version confirms this node's. Where it knows of something later
 // and this node's own watch does not tell of it for a while, that watch is given up and the store asked at once.
 func (f *Follower) Relay(word Word) {
-	table := f.table.Load()
+	table := f.Table()
 	if table == nil {
 		return
 	}
--- a/follow/source.go
+++ b/follow/source.go
@@ -38,8 +38,9 @@
 	Revision Revision
 	// Last is the revision of the last change told, 0 if there is none.
 	Last Revision
-	// Table is the newest configuration, nil if it did not change.
-	Table *routetable.Table
+	// Table is the newest configuration, nil if it did not change, and Document the same as the operators wrote it.
+	Table    *routetable.Table
+	Document []byte
 	// Endpoints were listed or changed, Removed are listed no more.
 	Endpoints []*directory.Endpoint
 	Removed   []domain.EndpointID
@@ -63,6 +64,8 @@
 	// Watch waits until something changes in the topic after the revision, at most for wait, and returns an empty change
 	// if nothing did. It returns ErrCompacted if the history is gone.
 	Watch(ctx context.Context, topic Topic, after Revision, wait time.Duration) (Change, error)
+	// Table decodes a document that a node had from the store.
+	Table(document []byte) (*routetable.Table, error)
 	// Nodes returns the nodes as they are listed. Old allows a list that is seconds old, which costs less.
 	Nodes(ctx context.Context, old bool) ([]Peer, error)
 }
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -94,8 +94,12 @@
 	centre  domain.DataCentre
 	silent  bool
 	leaving bool
-	// passesOn is true if the peer follows the endpoints for its data centre.
+	// passesOn is true if the peer follows the store for its data centre.
 	passesOn bool
+	// version is the peer's configuration, behindSince when it was first seen to be earlier than this node's, zero if it
+	// is not.
+	version     uint64
+	behindSince boottime.Instant
 	// dueAt is when the next report to the peer is due.
 	dueAt boottime.Instant
 }
@@ -191,6 +195,7 @@
 	}
 	p.life, p.sentAt, p.heardAt, p.address = report.Life, report.SentAt, m.parts.Clock(), from
 	p.silent, p.leaving, p.centre, p.passesOn = false, report.Leaving, report.DataCentre, report.PassesOn
+	p.version = report.Version
 	return true
 }
 
@@ -277,12 +282,15 @@
 	}
 	report := Report{From: m.parts.Self, Life: m.parts.Life, DataCentre: m.parts.DataCentre}
 	m.parts.Fill(&report)
-	changes := report.Changes
+	changes, document := report.Changes, report.Document
 	for id, to := range targets {
-		report.Changes = nil
+		report.Changes, report.Document = nil, nil
 		if to.near {
 			report.Changes = changes
 		}
+		if len(document) <= documentMost && m.lacksConfiguration(id, &report) {
+			report.Document = document
+		}
 		report.SentAt = m.parts.Clock()
 		report.Echo, report.EchoLife = m.echo(id)
 		datagram, err := encoding.Marshal(report)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -29,8 +29,10 @@
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
 	Spent []Spent `cbor:"9,keyasint,omitempty"`
-	// PassesOn is true if the sender follows the endpoints for the nodes of its data centre, Changes are the latest of them;
-	// only these nodes are told.
+	// Document is the sender's configuration as the operators wrote it, for a receiver that lacks it.
+	Document []byte `cbor:"16,keyasint,omitempty"`
+	// PassesOn is true if the sender follows the store for the nodes of its data centre, Changes are the latest of the
+	// endpoints; only these nodes are told.
 	PassesOn bool               `cbor:"14,keyasint,omitempty"`
 	Changes  []directory.Change `cbor:"15,keyasint,omitempty"`
 	// Leaving is true once the sender takes no more requests.
