--- a/entrynode/callers_test.go
+++ b/entrynode/callers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -104,6 +105,49 @@
 	assert.Assert(t, err != nil)
 }
 
+// pipeListener accepts one end of a pipe at once.
+type pipeListener struct{ net.Listener }
+
+func (pipeListener) Accept() (net.Conn, error) {
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+func TestFurtherConnectionsWaitAtTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newCallerListener(pipeListener{}, 2)
+		accepted := make(chan net.Conn, 3)
+		go func() {
+			for range 3 {
+				c, _ := l.Accept()
+				accepted <- c
+			}
+		}()
+		synctest.Wait()
+		assert.Equal(t, len(accepted), 2)
+		assert.NilError(t, (<-accepted).Close())
+		synctest.Wait()
+		assert.Equal(t, len(accepted), 2, "the third takes the place of the one that has ended")
+	})
+}
+
+// closedWhileRead is a connection that gets closed at the instant at which its bytes arrive.
+type closedWhileRead struct {
+	net.Conn
+	close func() error
+}
+
+func (c closedWhileRead) Read(p []byte) (int, error) { return len(p), c.close() }
+
+func TestBytesThatCrossTheClosingAreNotRead(t *testing.T) {
+	near, _ := net.Pipe()
+	c := &callerConn{listener: newCallerListener(nil, 0), idle: true, since: time.Now()}
+	c.Conn = closedWhileRead{near, func() error { return c.closeIfQuiet(time.Now().Add(time.Hour)) }}
+	n, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, n, 0)
+}
+
 func TestSweepClosesWhatHasBeenIdleForLong(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -70,12 +71,17 @@
 	url       string
 	gateway   *Gateway
 	sends     atomic.Int64
+	retries   retrybudget.Options
+	bodyBytes int64
 }
 
+// manyRetries is a budget that no test uses up.
+var manyRetries = retrybudget.Options{Ratio: 1, Slack: 100, Window: time.Minute}
+
 const testKeyAge = 5 * time.Second
 
 func newFixture(t testing.TB, edit func(*routetable.Route), endpoints ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, knowledge: &testKnowledge{}, directory: directory.New()}
+	f := &fixture{t: t, knowledge: &testKnowledge{}, directory: directory.New(), retries: manyRetries}
 	f.clock.Store(int64(time.Hour))
 	route := routetable.Route{
 		Name: "r", Host: "h.example", Prefix: "/r/", Kind: routetable.Stream, Resumable: true, Timeout: time.Minute,
@@ -121,13 +127,13 @@
 		Knowledge: f.knowledge,
 		Directory: f.directory,
 		Limits:    limits,
-		Retries:   retrybudget.New(retrybudget.Options{Ratio: 1, Slack: 100, Window: time.Minute}, f.now, one),
+		Retries:   retrybudget.New(f.retries, f.now, one),
 		Places:    places.New(places.Options{}, f.directory, alone, set),
 		Endpoints: exchange.New(exchange.Options{}, set),
 		Clock:     f.now,
 		Log:       zerolog.Nop(),
 		Metrics:   set,
-	}, Options{KeyAge: testKeyAge})
+	}, Options{KeyAge: testKeyAge, BodyBytes: f.bodyBytes})
 	f.clock.Add(int64(time.Hour)) // a new life's limits begin as used up
 	f.gateway = g
 	server := httptest.NewServer(g)
@@ -162,6 +168,32 @@
 	return result{Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err}
 }
 
+// atSecondLook calls change when the knowledge is asked for its age for the second time: right before the send.
+func (f *fixture) atSecondLook(change func()) {
+	looks := 0
+	f.knowledge.asked = func() {
+		if looks++; looks == 2 {
+			change()
+		}
+	}
+}
+
+// takeKeysAway puts a configuration without keys that work into force.
+func (f *fixture) takeKeysAway() {
+	organisations := slices.Clone(f.knowledge.table.Organisations)
+	organisations[0].Keys = []string{"another"}
+	table, err := routetable.New(2, nil, nil, organisations, routetable.Limits{})
+	assert.NilError(f.t, err)
+	f.knowledge.table = table
+}
+
+// leaves lists the endpoint as leaving.
+func (f *fixture) leaves(id domain.EndpointID) {
+	e := *f.directory.Current().Endpoint(id)
+	e.Leaving = true
+	f.directory.Apply(0, []*directory.Endpoint{&e}, nil, 0)
+}
+
 // events writes events and flushes.
 func events(w http.ResponseWriter, from, to int) {
 	w.Header().Set("X-Signed", "yes")
@@ -174,5 +206,3 @@
 
 // broken ends the connection in the middle of an answer.
 func broken() { panic(http.ErrAbortHandler) }
-
-type directoryEndpoint = directory.Endpoint
