Limits: each side of a cut uses its part of what is left, not of the whole

Cause: when a data centre is cut off, each side may use the part of a limit that belongs to its nodes. What both sides had used before was held against each side's part in full: with a third of the nodes, a third of the limit used was all of its part, and every request was refused until the window had passed.

Now: what was used before counts with the side's part, what was used since counts in full; the two sides' parts of what is left sum up to it. A life that has been alone for a window adds what a peer then tells to its own use: it had replaced it before, and lost it, up to 1.4 times the limit in the new test.

Ruled out: clocks or late reports (counts per node and second), the tier order.

Tests failed first: TestCutLeavesEachSideItsPartOfWhatIsFree, TestLimitHoldsOverACut (nodes that first hear each other after a cut). TestLimitHoldsOverARestartOfNodesThatHearEachOther is the one that was missing for a new life's assumption.

--- a/tokenlimit/account.go
+++ b/tokenlimit/account.go
@@ -23,6 +23,8 @@
 // account is one organisation's use of its limit, over all nodes as far as this node knows.
 type account struct {
 	used window
+	// apart is what of it was used since some nodes have not been heard.
+	apart window
 	// before is what is thought to have been let through in the window before the instant since, which this node does
 	// not know. It leaves the window evenly.
 	before float64
@@ -58,13 +60,17 @@
 // advance brings the account to the instant.
 func (a *account) advance(now boottime.Instant, length time.Duration) {
 	a.used.advance(now, length)
+	a.apart.advance(now, length)
 	a.level = min(a.level+a.rate*now.Sub(a.filledAt).Seconds(), a.depth)
 	a.filledAt = now
 }
 
 // use counts an amount; a negative one takes back.
-func (a *account) use(amount float64) {
+func (a *account) use(amount float64, apart bool) {
 	a.used.add(amount)
+	if apart {
+		a.apart.add(amount)
+	}
 	a.level = min(max(a.level-amount, -a.depth), a.depth)
 }
 
@@ -73,3 +79,14 @@
 	left := 1 - now.Sub(a.since).Seconds()/length.Seconds()
 	return a.used.sum + a.before*max(left, 0)
 }
+
+// excess is by how much a cost is over the part of the limit that the nodes heard may use. What was used before the others
+// fell silent is known to both sides, and each has its part of what that leaves: the sides' parts sum up to the whole, so
+// that together they keep to the limit. When that use was held in full against the part of each, an organisation that had
+// used a third of its limit was refused altogether by a third of the nodes for as long as the window lasts.
+func (a *account) excess(now boottime.Instant, length time.Duration, cost, part float64) float64 {
+	before := a.total(now, length) - a.apart.sum
+	limit := part * a.limit
+	// A request larger than the limit is let through when nothing else was.
+	return max(part*before+a.apart.sum+min(cost, limit)-limit, min(cost, a.depth)-a.level)
+}
--- a/tokenlimit/limiter.go
+++ b/tokenlimit/limiter.go
@@ -4,8 +4,8 @@
 // node counts what it lets through and, as reports come in, what the others do. What is let through beyond the limit is
 // at most what the other nodes let through within one report's time, for which the operators leave room.
 //
-// Guarantees under failure. A node that does not hear some of the others uses only the part of the limit that belongs
-// to the nodes that it hears, so that the two sides of a partition together keep to the limit. A new life does not
+// Guarantees under failure. A node that does not hear some of the others uses only the part of what is left of the limit
+// that belongs to the nodes that it hears, so that the two sides of a partition together keep to the limit. A new life does not
 // begin with an unused limit: until a peer tells what was used, all of it but a part of the burst counts as used, evenly over the
 // window before.
 package tokenlimit
@@ -44,6 +44,8 @@
 	mu       sync.Mutex
 	accounts map[domain.OrganisationID]*account
 	peers    map[domain.NodeID]*peerTotals
+	// apart is true while some nodes are not heard.
+	apart bool
 
 	admitted *metrics.Counter
 	refused  *metrics.Counter
@@ -73,25 +75,33 @@
 	if o.Rate <= 0 {
 		return true, 0
 	}
-	fleet := l.parts.Fleet()
+	part := part(l.parts.Fleet())
 	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.separate(part < 1)
 	a := l.account(o.ID)
 	a.refresh(now, o, l.parts.Window)
-	limit := a.limit * part(fleet)
-	// A request larger than the limit is let through when nothing else was.
-	excess := max(a.total(now, l.parts.Window)+min(cost, limit)-limit, min(cost, a.depth)-a.level)
-	if excess > 0 {
+	if excess := a.excess(now, l.parts.Window, cost, part); excess > 0 {
 		l.refused.Inc()
-		return false, time.Duration(excess / (a.rate * part(fleet)) * float64(time.Second))
+		return false, time.Duration(excess / (a.rate * part) * float64(time.Second))
 	}
-	a.use(cost)
+	a.use(cost, l.apart)
 	a.spent += cost
 	l.admitted.Inc()
 	return true, 0
 }
 
+// separate notes whether some nodes are not heard. The lock is held.
+func (l *Limiter) separate(apart bool) {
+	if l.apart && !apart {
+		for _, a := range l.accounts {
+			a.apart = window{}
+		}
+	}
+	l.apart = apart
+}
+
 // part is the part of the limit that the nodes heard may use.
 func part(fleet gossip.Fleet) float64 {
 	if fleet.Known <= 0 {
@@ -109,7 +119,7 @@
 	defer l.mu.Unlock()
 	if a, ok := l.accounts[o.ID]; ok {
 		a.advance(l.parts.Clock(), l.parts.Window)
-		a.use(-cost)
+		a.use(-cost, l.apart)
 		a.spent -= cost
 	}
 }
@@ -162,9 +172,11 @@
 
 // Heard counts what a peer has let through since its last report.
 func (l *Limiter) Heard(report *gossip.Report) {
+	apart := part(l.parts.Fleet()) < 1
 	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.separate(apart)
 	p, known := l.peers[report.From]
 	if !known || p.life != report.Life {
 		p = &peerTotals{life: report.Life, spent: make(map[domain.OrganisationID]float64)}
@@ -180,7 +192,7 @@
 		// What was used before this life heard of anybody is covered by what is adopted.
 		if ok && (known || a.adopted) {
 			a.advance(now, l.parts.Window)
-			a.use(more)
+			a.use(more, l.apart)
 		}
 	}
 	if report.Version > 0 {
@@ -189,15 +201,21 @@
 	l.forget(now)
 }
 
-// adopt takes over what a peer knows to have been used, in place of what was assumed at the start of this life.
+// adopt takes over what a peer knows to have been used, in place of what was assumed at the start of this life. A life that
+// has been alone for a window assumes nothing any more: it was cut off from the peer, whose use comes on top of its own.
 func (l *Limiter) adopt(now boottime.Instant, told map[domain.OrganisationID]gossip.Spent) {
+	alone := now.Sub(l.started) >= l.parts.Window
 	for id, a := range l.accounts {
 		if a.adopted {
 			continue
 		}
 		a.adopted = true
 		a.advance(now, l.parts.Window)
-		a.before, a.since = min(a.total(now, l.parts.Window), max(told[id].Used-a.used.sum, 0)), now
+		if alone {
+			a.use(told[id].Used, l.apart)
+		} else {
+			a.before, a.since = min(a.total(now, l.parts.Window), max(told[id].Used-a.used.sum, 0)), now
+		}
 		a.level = a.depth
 		if s, ok := told[id]; ok {
 			a.level = min(s.Level, a.depth)
--- a/tokenlimit/limiter_test.go
+++ b/tokenlimit/limiter_test.go
@@ -71,6 +71,20 @@
 	return used
 }
 
+// drainWith drains both nodes again and again for some time, with reports in between.
+func (n *node) drainWith(other *node, d time.Duration) float64 {
+	const step = 50 * time.Millisecond
+	used := 0.0
+	for range d / step {
+		n.tell(other)
+		used += other.drain()
+		other.tell(n)
+		used += n.drain()
+		*n.clock = n.clock.Add(step)
+	}
+	return used
+}
+
 func TestBoundsAtOnceAndInAWindow(t *testing.T) {
 	clock := start()
 	n := newNode("a", 1, clock, 1)
@@ -105,6 +119,20 @@
 	}
 }
 
+func TestLimitHoldsOverARestartOfNodesThatHearEachOther(t *testing.T) {
+	for kill := 500 * time.Millisecond; kill < testWindow-time.Second; kill += 500 * time.Millisecond {
+		clock := start()
+		a, b := newNode("a", 1, clock, 2), newNode("b", 1, clock, 2)
+		*clock = clock.Add(2 * testWindow)
+		used := a.drainWith(b, kill)
+		const down = time.Second
+		*clock = clock.Add(down)
+		a, b = newNode("a", 2, clock, 2), newNode("b", 2, clock, 2)
+		used += a.drainWith(b, testWindow-kill-down)
+		assert.Assert(t, used <= 1100, "killed after %v: %v", kill, used)
+	}
+}
+
 func TestNodesShareOneLimit(t *testing.T) {
 	clock := start()
 	a, b := newNode("a", 1, clock, 2), newNode("b", 1, clock, 2)
@@ -129,6 +157,60 @@
 	assert.Assert(t, used <= 1000, "%v", used)
 }
 
+// What both sides knew to be used when they were cut off from each other is not counted in full against the part of either.
+func TestCutLeavesEachSideItsPartOfWhatIsFree(t *testing.T) {
+	clock := start()
+	a, b := newNode("a", 1, clock, 2), newNode("b", 1, clock, 2)
+	*clock = clock.Add(2 * testWindow)
+	a.tell(b)
+	b.tell(a)
+	assert.Equal(t, a.drainWith(b, time.Second), 390.0)
+	*clock = clock.Add(3 * time.Second)
+	a.fleet.Heard, b.fleet.Heard = 1, 1
+	assert.Equal(t, a.drain(), 300.0)
+	assert.Equal(t, b.drain(), 300.0)
+	*clock = clock.Add(time.Second)
+	assert.Equal(t, a.drain()+b.drain(), 0.0)
+}
+
+// Whenever two sides are cut off from each other, and for however long, no window has more than the limit.
+func TestLimitHoldsOverACut(t *testing.T) {
+	const step = 250 * time.Millisecond
+	for used := time.Duration(0); used < testWindow; used += time.Second {
+		for cut := time.Second; cut < 2*testWindow; cut += 3 * time.Second {
+			clock := start()
+			a, b := newNode("a", 1, clock, 2), newNode("b", 1, clock, 2)
+			*clock = clock.Add(2 * testWindow)
+			steps := []float64{a.drainWith(b, used)} // without any, they hear each other only after the cut
+			a.fleet.Heard, b.fleet.Heard = 1, 1
+			for range cut / step {
+				steps = append(steps, a.drain()+b.drain())
+				*clock = clock.Add(step)
+			}
+			a.fleet.Heard, b.fleet.Heard = 2, 2
+			for range 2 * testWindow / step {
+				steps = append(steps, a.drainWith(b, step))
+			}
+			for i := range steps[1:] {
+				last := min(i+int(testWindow/step), len(steps)-1)
+				assert.Assert(t, sumOf(steps[i+1:last]) <= 1010, "used %v, cut %v, from step %d: %v", used, cut, i+1, steps[i+1:last])
+			}
+			if used < testWindow {
+				last := min(int((testWindow-used)/step), len(steps))
+				assert.Assert(t, sumOf(steps[:last]) <= 1010, "used %v, cut %v: %v", used, cut, steps[:last])
+			}
+		}
+	}
+}
+
+func sumOf(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum
+}
+
 func TestRestartedNodeAdoptsWhatPeersKnow(t *testing.T) {
 	clock := start()
 	a, b := newNode("a", 1, clock, 2), newNode("b", 1, clock, 2)
