Gossip: what a node sends in reports is bounded in bytes a second

Cause: every node tells every other one, at pauses that stop growing at 450 ms, with a report that grows with the endpoints.

Now: 200 KB a second within the data centre and 120 KB to the others, which at up to 72 nodes changes nothing; beyond, reports are further apart. Each says how far, and counts for three such pauses (10 s at the most). The node that passes changes on is not bound within its data centre.

Ruled out: the processor (20 to 26 in 100 of a core at 300 nodes), the store (not overloaded).

--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -45,8 +45,10 @@
 	// passOnFrom is the number of nodes of a data centre from which on one follows the endpoints for the others. With fewer
 	// there is little to save.
 	passOnFrom = 8
-	// passOnFresh is how old the last report of that one may be: five of its reports.
-	passOnFresh = 600 * time.Millisecond
+	// passOnFresh is how old the last report of that one may be: five of its reports in a data centre of some 20 nodes, and
+	// passOnMissed pauses between them in one that is so large that they are further apart.
+	passOnFresh  = 600 * time.Millisecond
+	passOnMissed = 2
 )
 
 // PassesOn reports whether this node is to pass changes of the endpoints on to the others of its data centre.
@@ -61,7 +63,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.passesOn && p.centre == m.parts.DataCentre && !p.silent && !p.leaving && now.Sub(p.heardAt) <= passOnFresh {
+		fresh := now.Sub(p.heardAt) <= max(passOnFresh, passOnMissed*p.every)
+		if p.passesOn && p.centre == m.parts.DataCentre && !p.silent && !p.leaving && fresh {
 			return true
 		}
 	}
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -24,15 +24,7 @@
 
 // Times of the mesh.
 const (
-	// reportEvery is the pause between reports to the nodes of the same data centre, and perNear what each of them adds,
-	// so that a node sends below three hundred reports a second in a data centre of any size.
-	reportEvery = 60 * time.Millisecond
-	perNear     = 3 * time.Millisecond
-	// perFar is what each node of another data centre adds to the pause between reports to those, up to farMost: bytes
-	// between data centres cost, and their nodes share fewer endpoints with this one.
-	perFar  = 12 * time.Millisecond
-	farMost = 450 * time.Millisecond
-	// FreshFor is how long a peer's report counts as its state: two reports may be lost.
+	// FreshFor is how long a peer's report counts as its state at the least: two reports may be lost.
 	FreshFor = 1400 * time.Millisecond
 	// ForgetAfter is how long a silent peer that the store does not list is remembered.
 	ForgetAfter = 10 * time.Second
@@ -82,6 +74,10 @@
 	mu    sync.Mutex
 	peers map[domain.NodeID]*peer
 
+	// pace, nearEvery and farEvery belong to the goroutine that runs Run.
+	pace                pace
+	nearEvery, farEvery time.Duration
+
 	sent, received, bytes, dropped *metrics.Counter
 }
 
@@ -102,6 +98,8 @@
 	behindSince boottime.Instant
 	// dueAt is when the next report to the peer is due.
 	dueAt boottime.Instant
+	// every is the pause between its reports to this node, freshFor how long the last one counts.
+	every, freshFor time.Duration
 }
 
 // New returns a mesh. Run must run.
@@ -195,7 +193,7 @@
 	}
 	p.life, p.sentAt, p.heardAt, p.address = report.Life, report.SentAt, m.parts.Clock(), from
 	p.silent, p.leaving, p.centre, p.passesOn = false, report.Leaving, report.DataCentre, report.PassesOn
-	p.version = report.Version
+	p.version, p.every, p.freshFor = report.Version, report.Every, report.FreshFor()
 	return true
 }
 
@@ -209,12 +207,14 @@
 func (m *Mesh) due() map[domain.NodeID]target {
 	now := m.parts.Clock()
 	listed := m.parts.Peers()
+	passesOn := m.PassesOn()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.learn(listed)
 	m.forget(now, listed)
-	near, far := m.pauses()
+	near, far := m.pauses(passesOn)
 	due := make(map[domain.NodeID]target)
+	m.nearEvery, m.farEvery = near, far
 	for id, p := range m.peers {
 		if now < p.dueAt {
 			continue
@@ -242,7 +242,7 @@
 func (m *Mesh) forget(now boottime.Instant, listed []Address) {
 	for id, p := range m.peers {
 		silence := now.Sub(p.heardAt)
-		if silence > FreshFor && !p.silent {
+		if silence > max(p.freshFor, FreshFor) && !p.silent {
 			p.silent = true
 			m.parts.Log.Warn().Str("peer", string(id)).Dur("silence_ms", silence).Msg("peer silent")
 		}
@@ -252,19 +252,6 @@
 	}
 }
 
-// pauses returns those between reports to the nodes of this data centre and to the others.
-func (m *Mesh) pauses() (near, far time.Duration) {
-	local := 0
-	for _, p := range m.peers {
-		if p.centre == m.parts.DataCentre {
-			local++
-		}
-	}
-	near = reportEvery + time.Duration(local)*perNear
-	far = min(reportEvery+time.Duration(len(m.peers)-local)*perFar, farMost)
-	return near, max(near, far)
-}
-
 // encoding writes numbers in as few bytes as hold them.
 var encoding = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode())
 
@@ -283,10 +270,11 @@
 	report := Report{From: m.parts.Self, Life: m.parts.Life, DataCentre: m.parts.DataCentre}
 	m.parts.Fill(&report)
 	changes, document := report.Changes, report.Document
+	size := 0
 	for id, to := range targets {
-		report.Changes, report.Document = nil, nil
+		report.Changes, report.Document, report.Every = nil, nil, m.farEvery
 		if to.near {
-			report.Changes = changes
+			report.Changes, report.Every = changes, m.nearEvery
 		}
 		if len(document) <= documentMost && m.lacksConfiguration(id, &report) {
 			report.Document = document
@@ -304,7 +292,9 @@
 		}
 		m.sent.Inc()
 		m.bytes.Add(len(datagram))
+		size = len(datagram)
 	}
+	m.pace.saw(size)
 }
 
 func (m *Mesh) echo(id domain.NodeID) (boottime.Instant, uint64) {
--- a/gossip/mesh_test.go
+++ b/gossip/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,7 +86,9 @@
 	// times it was told, by whom.
 	version       atomic.Uint64
 	documentBytes atomic.Int64
-	given         map[domain.NodeID]int
+	// padding is a number of bytes that its reports have beside.
+	padding atomic.Int64
+	given   map[domain.NodeID]int
 }
 
 // fleet runs so many meshes, the data centres by turns.
@@ -108,6 +111,9 @@
 			Self: a.Node, DataCentre: a.DataCentre, Life: uint64(i + 1), Transport: port{net, a.HostPort}, Clock: clock,
 			Peers: func() []Address { return addresses },
 			Fill: func(r *Report) {
+				if n := m.padding.Load(); n > 0 {
+					r.Failed = []domain.EndpointID{domain.EndpointID(strings.Repeat("x", int(n)))}
+				}
 				r.Version, r.Document = m.version.Load(), make([]byte, m.documentBytes.Load())
 				if r.PassesOn = m.PassesOn(); r.PassesOn {
 					r.Changes = []directory.Change{{After: 1, Last: 2, Revision: 2}}
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -35,10 +35,21 @@
 	// endpoints; only these nodes are told.
 	PassesOn bool               `cbor:"14,keyasint,omitempty"`
 	Changes  []directory.Change `cbor:"15,keyasint,omitempty"`
+	// Every is the pause between the sender's reports to the receiver.
+	Every time.Duration `cbor:"17,keyasint,omitempty"`
 	// Leaving is true once the sender takes no more requests.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
+// missed is how many pauses a report may be late by: two reports may be lost.
+const missed = 3
+
+// FreshFor is how long the report counts as its sender's state, whatever the sender says no longer than a silent peer is
+// remembered.
+func (r *Report) FreshFor() time.Duration {
+	return min(max(FreshFor, missed*min(r.Every, ForgetAfter)), ForgetAfter)
+}
+
 // Load is what the sender has outstanding at an endpoint.
 type Load struct {
 	Endpoint domain.EndpointID `cbor:"1,keyasint"`
--- a/places/others.go
+++ b/places/others.go
@@ -9,8 +9,9 @@
 
 // peerLoads is what a peer has outstanding.
 type peerLoads struct {
-	heard time.Time
-	loads map[domain.EndpointID]load
+	heard    time.Time
+	freshFor time.Duration
+	loads    map[domain.EndpointID]load
 }
 
 func (d *Desk) othersAt(id domain.EndpointID) load {
@@ -53,7 +54,7 @@
 	now := time.Now()
 	d.follow()
 	d.expire(now)
-	next := &peerLoads{heard: now, loads: make(map[domain.EndpointID]load, len(report.Loads))}
+	next := &peerLoads{heard: now, freshFor: report.FreshFor(), loads: make(map[domain.EndpointID]load, len(report.Loads))}
 	for _, l := range report.Loads {
 		next.loads[l.Endpoint] = loadOf(l)
 	}
@@ -68,7 +69,7 @@
 // expire drops the reports of silent peers.
 func (d *Desk) expire(now time.Time) {
 	for id, p := range d.peers {
-		if now.Sub(p.heard) > gossip.FreshFor {
+		if now.Sub(p.heard) > p.freshFor {
 			d.replace(id, nil)
 		}
 	}
