Follow: peers that lack a change too don't keep a node from asking the store

Cause: a node that hears of a later change asks the store once it has heard so for 0.5 s and the time for which it collects changes, 1.3 s from 67 nodes on. A word of a peer that is not ahead ended that after 1 s. In a fleet of 17 nodes or more with others that lack the change like this node, it never asked on that ground. Found by reading, looking for what let one of 300 nodes send to an endpoint 4.2 s after that had said that it leaves (changes of more than 40 endpoints are not passed on, so that all nodes but one of a data centre wait on this ground then); not shown yet to be the cause of that.

Now: only twice the patience ends it.

Test failed first: TestPeersThatAreBehindTooDoNotKeepANodeFromAsking (3, 17, 69 and 300 nodes).

--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -158,7 +159,11 @@
 }
 
 // role is what a follower does for the other nodes, and what they do for it.
-type role struct{ confirms, passesOn, passedOn bool }
+type role struct {
+	confirms, passesOn, passedOn bool
+	// nodes is the number of nodes, 3 if it is zero.
+	nodes int
+}
 
 func roleFollower(t *testing.T, s Source, r role) *Follower {
 	start := time.Now()
@@ -168,7 +173,7 @@
 		Source: s, Directory: directory.New(), Clock: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(start)) },
 		Accepted: func(*routetable.Table) {}, Confirms: func() bool { return r.confirms },
 		PassesOn: func() bool { return r.passesOn }, PassedOn: func() bool { return r.passedOn },
-		Fleet: func() (int, bool) { return 3, false }, Listed: listed, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Fleet: func() (int, bool) { return cmp.Or(r.nodes, 3), false }, Listed: listed, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -308,6 +313,23 @@
 	}
 }
 
+// In a large fleet some peers may lack a change like this node, and say so all the time.
+func TestPeersThatAreBehindTooDoNotKeepANodeFromAsking(t *testing.T) {
+	for _, nodes := range []int{3, 17, 69, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			f := roleFollower(t, s, role{passedOn: true, nodes: nodes})
+			s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
+			for range 10 * int((newerPatience+batchPauseMost)/time.Second+1) {
+				f.Relay(Word{Version: 1, Endpoints: 2, Confirmed: f.parts.Clock()})
+				f.Relay(Word{Version: 1, Endpoints: 1, Confirmed: f.parts.Clock()})
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Assert(t, f.knows("b"), "%d nodes", nodes)
+		})
+	}
+}
+
 func TestRemovalWhileOnlyThisNodeWasCutOffIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -45,18 +45,20 @@
 func (f *Follower) compare(topic Topic, ahead bool) {
 	r := &f.relayed
 	now := f.parts.Clock()
+	patience := newerPatience + f.batchPause()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	since := &r.since[topic]
 	switch {
 	case !ahead:
-		// Another peer may be ahead; its next word says so again.
-		if *since != 0 && now.Sub(*since) > 2*newerPatience {
+		// Another peer may be ahead, and its next word says so again: it must have the time to. With a second for that, less
+		// than the patience in a fleet of 17 nodes or more, peers that lacked a change too kept a node from ever asking.
+		if *since != 0 && now.Sub(*since) > 2*patience {
 			*since = 0
 		}
 	case *since == 0:
 		*since = now
-	case now.Sub(*since) > newerPatience+f.batchPause():
+	case now.Sub(*since) > patience:
 		*since = 0
 		f.parts.Log.Warn().Stringer("topic", topic).Msg("a peer knows of a later change, asking the store")
 		f.feeds[topic].hurry()
