Follow: a node asks the store for the first change that it misses, not for each that it hears of early

Cause: the change before let the wait go on after the change had come: a next one, 1.3 to 2.6 s later and known to peers elsewhere a moment earlier, was taken for the first still missing.

Now: the first change that peers know of and this node does not is remembered with its version or revision; the wait ends when this node has it.

Ruled out: slower passing on (the passer's reports are as before at this size).

Tests failed first: TestChangesThatArriveInTimeAreNotAskedFor (21 calls, now none); TestPeersThatAreBehindTooDoNotKeepANodeFromAsking still holds.

--- a/follow/passon_test.go
+++ b/follow/passon_test.go
@@ -48,6 +48,26 @@
 	})
 }
 
+// Of each change peers elsewhere know a little earlier; that is no reason to ask.
+func TestChangesThatArriveInTimeAreNotAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unused := newFakeStore(), newFakeStore()
+		one := roleFollower(t, s, role{confirms: true, passesOn: true})
+		other := roleFollower(t, unused, role{passedOn: true, nodes: 69})
+		tell(one, other, 5)
+		before := unused.asked()
+		for revision := Revision(2); revision < 22; revision++ {
+			s.change(Endpoints, func() {})
+			for range 3 {
+				other.Relay(Word{Version: 1, Endpoints: revision, Confirmed: other.parts.Clock()})
+				time.Sleep(100 * time.Millisecond)
+			}
+			tell(one, other, 12)
+		}
+		assert.Equal(t, unused.asked(), before, "the store was asked")
+	})
+}
+
 func TestMissedChangeIsAskedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -16,10 +16,17 @@
 	Endpoints Revision
 }
 
-// relayed remembers since when peers know of something that this node does not.
+// relayed remembers what peers know of that this node does not.
 type relayed struct {
 	mu    sync.Mutex
-	since [topics]boottime.Instant
+	ahead [topics]ahead
+}
+
+// ahead is the first change of a topic, a version or a revision, that peers know of and this node does not, and since when;
+// zero if there is none.
+type ahead struct {
+	change uint64
+	since  boottime.Instant
 }
 
 // Relay takes a peer's word. Its knowledge of the same version confirms this node's. Where it knows of something later
@@ -32,34 +39,33 @@
 	if word.Version == table.Version && word.Confirmed > 0 {
 		f.confirm(word.Confirmed)
 	}
-	f.compare(Configuration, word.Version > table.Version)
+	f.compare(Configuration, table.Version, word.Version)
 	known, _ := f.Revision(Endpoints)
-	ahead := word.Endpoints > known
-	if ahead {
+	if word.Endpoints > known {
 		f.feeds[Endpoints].aheadSince.CompareAndSwap(0, int64(f.parts.Clock()))
 	}
-	f.compare(Endpoints, ahead)
+	f.compare(Endpoints, uint64(known), uint64(word.Endpoints))
 }
 
-// compare notes whether a peer is ahead in a topic.
-func (f *Follower) compare(topic Topic, ahead bool) {
+// compare asks the store when a change that a peer told of has been unknown to this node for too long. Words of peers that
+// lack it too say nothing: when they ended the wait after a second, less than the patience in a fleet of 17 nodes or
+// more, a node whose neighbours were as far behind never asked. Nor does a later change begin it anew, or go on with it once
+// the first has come.
+func (f *Follower) compare(topic Topic, known, told uint64) {
 	r := &f.relayed
 	now := f.parts.Clock()
-	patience := newerPatience + f.batchPause()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	since := &r.since[topic]
+	a := &r.ahead[topic]
+	if known >= a.change {
+		*a = ahead{}
+	}
 	switch {
-	case !ahead:
-		// Another peer may be ahead, and its next word says so again: it must have the time to. With a second for that, less
-		// than the patience in a fleet of 17 nodes or more, peers that lacked a change too kept a node from ever asking.
-		if *since != 0 && now.Sub(*since) > 2*patience {
-			*since = 0
-		}
-	case *since == 0:
-		*since = now
-	case now.Sub(*since) > patience:
-		*since = 0
+	case told <= known:
+	case a.since == 0:
+		*a = ahead{told, now}
+	case now.Sub(a.since) > newerPatience+f.batchPause():
+		*a = ahead{}
 		f.parts.Log.Warn().Stringer("topic", topic).Msg("a peer knows of a later change, asking the store")
 		f.feeds[topic].hurry()
 	}
