Reading once more: one static membership, derived state in gossip, shared fixtures

- membership.StaticView: three examples had each written a view of nodes that all stay alive.
- gossip: how long a peer's report counts follows from its pause, and is kept no more beside it; the pause of a target goes with the target instead of by two fields of the mesh that one function set for the next.
- Tests: a stream in two parts (three copies) and a pair of followers of which one passes on (three copies) are fixtures; calls are counted under the lock.
All assertions are as they were.

Behaviour is as before.

--- a/document/example_test.go
+++ b/document/example_test.go
@@ -11,29 +11,19 @@
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
 
-// alive is a membership of nodes that all stay alive.
-type alive []domain.Member
-
-func (a alive) Current() *membership.Snapshot {
-	s := &membership.Snapshot{}
-	for _, m := range a {
-		s.Peers = append(s.Peers, membership.Peer{Member: m})
-	}
-	return s
-}
-
 // What one node writes is soon in force on the other.
 func Example() {
 	network := peertest.NewNetwork()
 	defer network.Close()
 	store := memstore.New(memstore.Options{})
-	members := alive{{Node: "palermo-1", DataCentre: "palermo"}, {Node: "palermo-2", DataCentre: "palermo"}}
+	members := []domain.Member{{Node: "palermo-1", DataCentre: "palermo"}, {Node: "palermo-2", DataCentre: "palermo"}}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	inForce := make(chan string, 1)
 	var nodes []*document.Service
 	for _, m := range members {
-		node, err := document.New(document.Options{Transport: network.Node(m), Members: members, Store: store.NewClient()})
+		view := membership.NewStaticView(m, members...)
+		node, err := document.New(document.Options{Transport: network.Node(m), Members: view, Store: store.NewClient()})
 		if err != nil {
 			panic(err)
 		}
--- a/examples/nightly/main.go
+++ b/examples/nightly/main.go
@@ -32,7 +32,7 @@
 	defer stop()
 	network, store := peertest.NewNetwork(), memstore.New(memstore.Options{})
 	defer network.Close()
-	members := roster{{Node: "palermo-1", DataCentre: "palermo"}, {Node: "catania-1", DataCentre: "catania"}}
+	members := []domain.Member{{Node: "catania-1", DataCentre: "catania"}, {Node: "palermo-1", DataCentre: "palermo"}}
 	done := make(chan string)
 	var workers []*worker
 	for _, m := range members {
@@ -62,9 +62,10 @@
 	job       chan string
 }
 
-func newWorker(self domain.Member, members roster, network *peertest.Network, store *memstore.Store) (*worker, error) {
+func newWorker(self domain.Member, members []domain.Member, network *peertest.Network, store *memstore.Store) (*worker, error) {
 	w := &worker{self: self, store: store.NewClient(), job: make(chan string, 1)}
-	documents, err := document.New(document.Options{Transport: network.Node(self), Members: members, Store: w.store})
+	view := membership.NewStaticView(self, members...)
+	documents, err := document.New(document.Options{Transport: network.Node(self), Members: view, Store: w.store})
 	if err != nil {
 		return nil, err
 	}
@@ -105,15 +106,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// roster is a membership of nodes that all stay alive.
-type roster []domain.Member
-
-// Current implements membership.View.
-func (r roster) Current() *membership.Snapshot {
-	s := &membership.Snapshot{}
-	for _, m := range r {
-		s.Peers = append(s.Peers, membership.Peer{Member: m})
-	}
-	return s
-}
--- a/follow/configuration_test.go
+++ b/follow/configuration_test.go
@@ -10,18 +10,15 @@
 
 func TestConfigurationIsPassedOnWithoutCallsToTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, unused := newFakeStore(), newFakeStore()
-		one := roleFollower(t, s, role{confirms: true, passesOn: true})
-		other := roleFollower(t, unused, role{passedOn: true})
-		tell(one, other, 5)
-		before := unused.calls
+		s, unused, one, other := passingPair(t, 3)
+		before := unused.asked()
 		for version := uint64(2); version < 6; version++ {
 			s.change(Configuration, func() { s.version = version })
 			tell(one, other, 20)
 			assert.Equal(t, other.Table().Version, version)
 		}
 		tell(one, other, 600)
-		assert.Equal(t, unused.calls, before, "the store was asked")
+		assert.Equal(t, unused.asked(), before, "the store was asked")
 	})
 }
 
--- a/follow/passon_test.go
+++ b/follow/passon_test.go
@@ -31,30 +31,34 @@
 	}
 }
 
+// passingPair returns a follower of the first store that passes on what it learns to another, in a fleet of so many nodes,
+// that has its own store and has begun to rely on it.
+func passingPair(t *testing.T, nodes int) (s, unused *fakeStore, one, other *Follower) {
+	s, unused = newFakeStore(), newFakeStore()
+	one = roleFollower(t, s, role{confirms: true, passesOn: true})
+	other = roleFollower(t, unused, role{passedOn: true, nodes: nodes})
+	tell(one, other, 5)
+	return s, unused, one, other
+}
+
 func TestChangesArePassedOnWithoutCallsToTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, unused := newFakeStore(), newFakeStore()
-		one := roleFollower(t, s, role{confirms: true, passesOn: true})
-		other := roleFollower(t, unused, role{passedOn: true})
-		tell(one, other, 5)
-		before := unused.calls
+		s, unused, one, other := passingPair(t, 3)
+		before := unused.asked()
 		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true} })
 		tell(one, other, 5)
 		assert.Assert(t, other.knows("b") && !other.knows("a"))
 		s.change(Endpoints, func() { s.endpoints = map[string]bool{"b": true, "c": true} })
 		tell(one, other, 100)
 		assert.Assert(t, other.knows("c"))
-		assert.Equal(t, unused.calls, before, "the store was asked")
+		assert.Equal(t, unused.asked(), before, "the store was asked")
 	})
 }
 
 // Of each change peers elsewhere know a little earlier; that is no reason to ask.
 func TestChangesThatArriveInTimeAreNotAskedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, unused := newFakeStore(), newFakeStore()
-		one := roleFollower(t, s, role{confirms: true, passesOn: true})
-		other := roleFollower(t, unused, role{passedOn: true, nodes: 69})
-		tell(one, other, 5)
+		s, unused, one, other := passingPair(t, 69)
 		before := unused.asked()
 		for revision := Revision(2); revision < 22; revision++ {
 			s.change(Endpoints, func() {})
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -204,5 +204,18 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// inTwoParts answers with the first two events, then does what breaks the answer off; asked for what follows the second, it
+// answers with the third.
+func inTwoParts(breakOff func(http.ResponseWriter)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Last") == "2" {
+			events(w, 3, 3)
+			return
+		}
+		events(w, 1, 2)
+		breakOff(w)
+	}
+}
+
 // broken ends the connection in the middle of an answer.
 func broken() { panic(http.ErrAbortHandler) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,16 +20,11 @@
 const threeEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
 
 func TestStreamGoesOnAtAnotherEndpoint(t *testing.T) {
-	serve := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("X-Last") == "2" {
-			events(w, 3, 3)
-			return
-		}
-		events(w, 1, 2)
+	serve := inTwoParts(func(w http.ResponseWriter) {
 		_, _ = io.WriteString(w, "id: 3\nda") // torn
 		_ = http.NewResponseController(w).Flush()
 		broken()
-	}
+	})
 	f := newFixture(t, nil, serve, serve)
 	got := f.call(nil)
 	assert.NilError(t, got.Err)
@@ -76,15 +71,10 @@
 
 func TestStreamGoesOnThoughKeysAreOld(t *testing.T) {
 	var f *fixture
-	serve := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("X-Last") == "2" {
-			events(w, 3, 3)
-			return
-		}
-		events(w, 1, 2)
+	serve := inTwoParts(func(http.ResponseWriter) {
 		f.knowledge.age.Store(int64(testKeyAge + time.Second))
 		broken()
-	}
+	})
 	f = newFixture(t, nil, serve, serve)
 	got := f.call(nil)
 	assert.NilError(t, got.Err)
--- a/gateway/send_test.go
+++ b/gateway/send_test.go
@@ -98,14 +98,9 @@
 }
 
 func TestStreamThatEndsWithinAnEventGoesOnElsewhere(t *testing.T) {
-	serve := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("X-Last") == "2" {
-			events(w, 3, 3)
-			return
-		}
-		events(w, 1, 2)
+	serve := inTwoParts(func(w http.ResponseWriter) {
 		_, _ = io.WriteString(w, "id: 3\nda") // and a proper end of the connection's message
-	}
+	})
 	f := newFixture(t, nil, serve, serve)
 	got := f.call(nil)
 	assert.NilError(t, got.Err)
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -74,9 +74,8 @@
 	mu    sync.Mutex
 	peers map[domain.NodeID]*peer
 
-	// pace, nearEvery and farEvery belong to the goroutine that runs Run.
-	pace                pace
-	nearEvery, farEvery time.Duration
+	// pace belongs to the goroutine that runs Run.
+	pace pace
 
 	sent, received, bytes, dropped *metrics.Counter
 }
@@ -98,8 +97,8 @@
 	behindSince boottime.Instant
 	// dueAt is when the next report to the peer is due.
 	dueAt boottime.Instant
-	// every is the pause between its reports to this node, freshFor how long the last one counts.
-	every, freshFor time.Duration
+	// every is the pause between its reports to this node.
+	every time.Duration
 }
 
 // New returns a mesh. Run must run.
@@ -193,7 +192,7 @@
 	}
 	p.life, p.sentAt, p.heardAt, p.address = report.Life, report.SentAt, m.parts.Clock(), from
 	p.silent, p.leaving, p.centre, p.passesOn = false, report.Leaving, report.DataCentre, report.PassesOn
-	p.version, p.every, p.freshFor = report.Version, report.Every, report.FreshFor()
+	p.version, p.every = report.Version, report.Every
 	return true
 }
 
@@ -201,6 +200,8 @@
 type target struct {
 	address string
 	near    bool
+	// every is the pause between reports to it.
+	every time.Duration
 }
 
 // due returns the peers that are to be told now: those listed and those heard of lately.
@@ -214,17 +215,16 @@
 	m.forget(now, listed)
 	near, far := m.pauses(passesOn)
 	due := make(map[domain.NodeID]target)
-	m.nearEvery, m.farEvery = near, far
 	for id, p := range m.peers {
 		if now < p.dueAt {
 			continue
 		}
-		pause, isNear := far, p.centre == m.parts.DataCentre
-		if isNear {
-			pause = near
+		to := target{p.address, p.centre == m.parts.DataCentre, far}
+		if to.near {
+			to.every = near
 		}
-		p.dueAt = now.Add(pause*9/10 + rand.N(pause/5))
-		due[id] = target{p.address, isNear}
+		p.dueAt = now.Add(to.every*9/10 + rand.N(to.every/5))
+		due[id] = to
 	}
 	return due
 }
@@ -242,7 +242,7 @@
 func (m *Mesh) forget(now boottime.Instant, listed []Address) {
 	for id, p := range m.peers {
 		silence := now.Sub(p.heardAt)
-		if silence > max(p.freshFor, FreshFor) && !p.silent {
+		if silence > freshFor(p.every) && !p.silent {
 			p.silent = true
 			m.parts.Log.Warn().Str("peer", string(id)).Dur("silence_ms", silence).Msg("peer silent")
 		}
@@ -272,9 +272,9 @@
 	changes, document := report.Changes, report.Document
 	size := 0
 	for id, to := range targets {
-		report.Changes, report.Document, report.Every = nil, nil, m.farEvery
+		report.Changes, report.Document, report.Every = nil, nil, to.every
 		if to.near {
-			report.Changes, report.Every = changes, m.nearEvery
+			report.Changes = changes
 		}
 		if len(document) <= documentMost && m.lacksConfiguration(id, &report) {
 			report.Document = document
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -44,10 +44,13 @@
 // missed is how many pauses a report may be late by: two reports may be lost.
 const missed = 3
 
-// FreshFor is how long the report counts as its sender's state, whatever the sender says no longer than a silent peer is
-// remembered.
-func (r *Report) FreshFor() time.Duration {
-	return min(max(FreshFor, missed*min(r.Every, ForgetAfter)), ForgetAfter)
+// FreshFor is how long the report counts as its sender's state.
+func (r *Report) FreshFor() time.Duration { return freshFor(r.Every) }
+
+// freshFor is how long a report counts of a sender that sends one each so often, whatever it says no longer than a silent
+// peer is remembered.
+func freshFor(every time.Duration) time.Duration {
+	return min(max(FreshFor, missed*min(every, ForgetAfter)), ForgetAfter)
 }
 
 // Load is what the sender has outstanding at an endpoint.
--- a/limits/example_test.go
+++ b/limits/example_test.go
@@ -11,13 +11,6 @@
 	"hawthornrill.example/hawthornrill/peer/peertest"
 )
 
-// alone is a membership of one node.
-type alone struct{ self domain.Member }
-
-func (a alone) Current() *membership.Snapshot {
-	return &membership.Snapshot{Self: a.self, Peers: []membership.Peer{{Member: a.self}}}
-}
-
 // An organisation that may have two requests in flight gets a third one when another has ended.
 func Example() {
 	network := peertest.NewNetwork()
@@ -27,7 +20,7 @@
 	table := config.NewStaticView(&config.Snapshot{
 		Organisations: map[domain.OrganisationID]*config.Organisation{drafts.ID: drafts},
 	})
-	service := limits.New(limits.Options{Transport: network.Node(self), Membership: alone{self}, Config: table})
+	service := limits.New(limits.Options{Transport: network.Node(self), Membership: membership.NewStaticView(self, self), Config: table})
 	defer service.Close()
 	first, err := service.Admit(drafts, 100, 50)
 	fmt.Println("first:", err)
