--- a/config/agreed/bench_test.go
+++ b/config/agreed/bench_test.go
@@ -51,7 +51,7 @@
 
 func newBenchFleet(b *testing.B, count int, each func(*document.Options)) *benchFleet {
 	f := &benchFleet{network: peertest.NewNetwork(), store: memstore.New(memstore.Options{}), inForce: make(chan config.Revision, count)}
-	view := &members{}
+	view := &membership.Snapshot{}
 	for i := range count {
 		m := domain.Member{Node: domain.NodeID(fmt.Sprintf("node-%03d", i)), Incarnation: 1, DataCentre: "taf"}
 		view.Peers = append(view.Peers, membership.Peer{Member: m})
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	for _, p := range view.Peers {
-		options := document.Options{Transport: f.network.Node(p.Member), Members: view, Store: f.store.NewClient(), Supervision: 10 * time.Millisecond}
+		options := document.Options{Transport: f.network.Node(p.Member), Members: membership.NewStaticView(view), Store: f.store.NewClient(), Supervision: 10 * time.Millisecond}
 		each(&options)
 		documents, err := document.New(options)
 		assert.NilError(b, err)
--- a/config/agreed/service_test.go
+++ b/config/agreed/service_test.go
@@ -18,17 +18,13 @@
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
 
-type members membership.Snapshot
-
-func (m *members) Current() *membership.Snapshot { return (*membership.Snapshot)(m) }
-
 // inBubble runs a test with nodes that have no table yet.
 func inBubble(t *testing.T, count int, test func(t *testing.T, nodes []*Service)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := peertest.NewNetwork()
 		defer network.Close()
 		platform := memstore.New(memstore.Options{})
-		view := &members{}
+		view := &membership.Snapshot{}
 		for i := range count {
 			m := domain.Member{Node: domain.NodeID(rune('a' + i)), Incarnation: 1, DataCentre: "palermo"}
 			view.Peers = append(view.Peers, membership.Peer{Member: m})
@@ -37,7 +33,7 @@
 		var group errgroup.Group
 		var nodes []*Service
 		for _, p := range view.Peers {
-			documents, err := document.New(document.Options{Transport: network.Node(p.Member), Members: view, Store: platform.NewClient()})
+			documents, err := document.New(document.Options{Transport: network.Node(p.Member), Members: membership.NewStaticView(view), Store: platform.NewClient()})
 			assert.NilError(t, err)
 			node, err := New(documents, Options{})
 			assert.NilError(t, err)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -39,10 +39,6 @@
 	breakNext bool
 }
 
-type members membership.Snapshot
-
-func (m *members) Current() *membership.Snapshot { return (*membership.Snapshot)(m) }
-
 // RoundTrip hands a request to its node.
 func (x *site) RoundTrip(r *http.Request) (*http.Response, error) {
 	recorder := httptest.NewRecorder()
@@ -61,7 +57,7 @@
 		platform := memstore.New(memstore.Options{})
 		x := &site{t: t, directory: t.TempDir(), handlers: make(map[string]http.Handler)}
 		assert.NilError(t, os.WriteFile(x.path("key"), []byte(testKey+"\n"), 0o600))
-		view := &members{}
+		view := &membership.Snapshot{}
 		for i := range 3 {
 			m := domain.Member{Node: domain.NodeID(fmt.Sprintf("n%d", i)), Incarnation: 1, DataCentre: "palermo"}
 			view.Peers = append(view.Peers, membership.Peer{Member: m})
@@ -70,7 +66,7 @@
 		var group errgroup.Group
 		for i, p := range view.Peers {
 			client := platform.NewClient()
-			documents, err := document.New(document.Options{Transport: network.Node(p.Member), Members: view, Store: client})
+			documents, err := document.New(document.Options{Transport: network.Node(p.Member), Members: membership.NewStaticView(view), Store: client})
 			assert.NilError(t, err)
 			table, err := agreed.New(documents, agreed.Options{})
 			assert.NilError(t, err)
--- a/document/example_test.go
+++ b/document/example_test.go
@@ -22,7 +22,7 @@
 	inForce := make(chan string, 1)
 	var nodes []*document.Service
 	for _, m := range members {
-		view := membership.NewStaticView(m, members...)
+		view := membership.NewStaticView(membership.AllAlive(m, members...))
 		node, err := document.New(document.Options{Transport: network.Node(m), Members: view, Store: store.NewClient()})
 		if err != nil {
 			panic(err)
--- a/examples/nightly/main.go
+++ b/examples/nightly/main.go
@@ -64,7 +64,7 @@
 
 func newWorker(self domain.Member, members []domain.Member, network *peertest.Network, store *memstore.Store) (*worker, error) {
 	w := &worker{self: self, store: store.NewClient(), job: make(chan string, 1)}
-	view := membership.NewStaticView(self, members...)
+	view := membership.NewStaticView(membership.AllAlive(self, members...))
 	documents, err := document.New(document.Options{Transport: network.Node(self), Members: view, Store: w.store})
 	if err != nil {
 		return nil, err
--- a/limits/example_test.go
+++ b/limits/example_test.go
@@ -20,7 +20,7 @@
 	table := config.NewStaticView(&config.Snapshot{
 		Organisations: map[domain.OrganisationID]*config.Organisation{drafts.ID: drafts},
 	})
-	service := limits.New(limits.Options{Transport: network.Node(self), Membership: membership.NewStaticView(self, self), Config: table})
+	service := limits.New(limits.Options{Transport: network.Node(self), Membership: membership.NewStaticView(membership.AllAlive(self, self)), Config: table})
 	defer service.Close()
 	first, err := service.Admit(drafts, 100, 50)
 	fmt.Println("first:", err)
--- a/load/virtual/fleet.go
+++ b/load/virtual/fleet.go
@@ -122,7 +122,7 @@
 	options := node.Options{
 		Transport:      f.network.Node(m),
 		Store:          f.store.NewClient(),
-		Members:        &members{snapshot: &membership.Snapshot{Self: m, Peers: f.peers}},
+		Members:        &members{membership.NewStaticView(&membership.Snapshot{Self: m, Peers: f.peers})},
 		Adapters:       adapters{f},
 		Log:            zerolog.Nop(),
 		Metrics:        metrics.NewSet(),
--- a/load/virtual/members.go
+++ b/load/virtual/members.go
@@ -10,10 +10,7 @@
 )
 
 // members is a view in which everyone is alive.
-type members struct{ snapshot *membership.Snapshot }
-
-// Current implements membership.View.
-func (m *members) Current() *membership.Snapshot { return m.snapshot }
+type members struct{ *membership.StaticView }
 
 // Run implements node.Members.
 func (m *members) Run(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
--- a/membership/static.go
+++ b/membership/static.go
@@ -2,21 +2,24 @@
 
 import "hawthornrill.example/hawthornrill/domain"
 
-// StaticView is a View of members that all stay alive, for programs whose nodes never change, and for tests.
+// StaticView is a View that does not change, for programs whose nodes never do, and for tests.
 type StaticView struct {
-	snapshot Snapshot
+	snapshot *Snapshot
 }
 
 var _ View = (*StaticView)(nil)
 
-// NewStaticView returns the view that self has of the members, itself among them, sorted by node.
-func NewStaticView(self domain.Member, members ...domain.Member) *StaticView {
-	v := &StaticView{snapshot: Snapshot{Self: self}}
+// NewStaticView returns a view of one snapshot, which must not be changed afterwards.
+func NewStaticView(s *Snapshot) *StaticView { return &StaticView{s} }
+
+// Current implements View.
+func (v *StaticView) Current() *Snapshot { return v.snapshot }
+
+// AllAlive returns the snapshot that self has of the members, itself among them, sorted by node and all alive.
+func AllAlive(self domain.Member, members ...domain.Member) *Snapshot {
+	s := &Snapshot{Self: self}
 	for _, m := range members {
-		v.snapshot.Peers = append(v.snapshot.Peers, Peer{Member: m})
+		s.Peers = append(s.Peers, Peer{Member: m})
 	}
-	return v
+	return s
 }
-
-// Current implements View.
-func (v *StaticView) Current() *Snapshot { return &v.snapshot }
--- a/node/decision_bench_test.go
+++ b/node/decision_bench_test.go
@@ -12,6 +12,7 @@
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/limits"
+	"hawthornrill.example/hawthornrill/membership"
 	"hawthornrill.example/hawthornrill/peer/peertest"
 	"hawthornrill.example/hawthornrill/routing"
 )
@@ -61,7 +62,7 @@
 	defer network.Close()
 	self := domain.Member{Node: "n", Incarnation: 1, DataCentre: "d"}
 	transport := network.Node(self)
-	members := newOneMember(self)
+	members := membership.NewStaticView(membership.AllAlive(self, self))
 	quotas := limits.New(limits.Options{Transport: transport, Membership: members, Config: view})
 	defer quotas.Close()
 	places := capacity.New(capacity.Options{
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -15,15 +15,6 @@
 	"hawthornrill.example/hawthornrill/store/memstore"
 )
 
-// oneMember is a view with nobody but the node itself.
-type oneMember struct{ snapshot *membership.Snapshot }
-
-func newOneMember(self domain.Member) oneMember {
-	return oneMember{&membership.Snapshot{Self: self, Peers: []membership.Peer{{Member: self}}}}
-}
-
-func (m oneMember) Current() *membership.Snapshot { return m.snapshot }
-
 // TestLeavingBeforeJoining has a node leave a table that does not exist yet, as one
 // does that stops before it has joined: nothing is written.
 func TestLeavingBeforeJoining(t *testing.T) {
@@ -34,7 +25,7 @@
 		store := memstore.New(memstore.Options{})
 		documents, err := document.New(document.Options{
 			Transport: network.Node(self),
-			Members:   newOneMember(self),
+			Members:   membership.NewStaticView(membership.AllAlive(self, self)),
 			Store:     store.NewClient(),
 		})
 		assert.NilError(t, err)
--- a/routing/quarantine/quarantine_test.go
+++ b/routing/quarantine/quarantine_test.go
@@ -74,11 +74,6 @@
 	assert.Equal(t, s.Len(), 1)
 }
 
-// view is a membership in which all are alive.
-type view membership.Snapshot
-
-func (v *view) Current() *membership.Snapshot { return (*membership.Snapshot)(v) }
-
 // cluster is two data centres of three nodes.
 type cluster struct {
 	network  *peertest.Network
@@ -97,7 +92,7 @@
 			peers = append(peers, membership.Peer{Member: m})
 		}
 		for _, p := range peers {
-			s := New(Options{Transport: c.network.Node(p.Member), Membership: &view{Self: p.Member, Peers: peers}})
+			s := New(Options{Transport: c.network.Node(p.Member), Membership: membership.NewStaticView(&membership.Snapshot{Self: p.Member, Peers: peers})})
 			c.services = append(c.services, s)
 		}
 		for _, s := range c.services {
--- a/sizing/config_bench_test.go
+++ b/sizing/config_bench_test.go
@@ -63,7 +63,7 @@
 	f.stop = stop
 	for i := range nodes {
 		documents, err := document.New(document.Options{
-			Transport: f.network.Node(limitsMember(i)), Members: fixedView{&membership.Snapshot{Self: limitsMember(i), Peers: peers}},
+			Transport: f.network.Node(limitsMember(i)), Members: membership.NewStaticView(&membership.Snapshot{Self: limitsMember(i), Peers: peers}),
 			Store: f.store.NewClient(), AntiEntropy: time.Hour, Supervision: 10 * time.Millisecond,
 		})
 		assert.NilError(b, err)
--- a/sizing/limits_bench_test.go
+++ b/sizing/limits_bench_test.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	network := peertest.NewNetwork()
 	defer network.Close()
-	view := fixedView{&membership.Snapshot{Self: limitsMember(0)}}
+	view := &membership.Snapshot{Self: limitsMember(0)}
 	for i := range limitsNodes {
 		view.Peers = append(view.Peers, membership.Peer{Member: limitsMember(i)})
 	}
@@ -60,7 +60,7 @@
 	services := make([]*limits.Service, limitsNodes)
 	for i := range services {
 		services[i] = limits.New(limits.Options{
-			Transport: network.Node(limitsMember(i)), Membership: view, Config: table,
+			Transport: network.Node(limitsMember(i)), Membership: membership.NewStaticView(view), Config: table,
 			ReportEvery: limits.DefaultReportEvery / limitsCompress,
 			QuietEvery:  limits.DefaultQuietEvery / limitsCompress,
 			IdleAfter:   limits.DefaultIdleAfter / limitsCompress,
@@ -95,8 +95,3 @@
 	assert.Equal(b, len(view.Current().Organisations), organisations)
 	return view
 }
-
-// fixedView is a membership that does not change.
-type fixedView struct{ *membership.Snapshot }
-
-func (v fixedView) Current() *membership.Snapshot { return v.Snapshot }
--- a/sizing/ownership_bench_test.go
+++ b/sizing/ownership_bench_test.go
@@ -61,7 +61,7 @@
 	for i := range ownershipNodes {
 		s := capacity.New(capacity.Options{
 			Transport:  network.Node(limitsMember(i)),
-			Membership: fixedView{&membership.Snapshot{Self: limitsMember(i), Peers: peers}},
+			Membership: membership.NewStaticView(&membership.Snapshot{Self: limitsMember(i), Peers: peers}),
 			Config:     config.NewStaticView(snapshot),
 		})
 		owned := len(s.Owned())
