Endpoints: an incarnation begins empty; entries of another writer name no endpoint

Cause: an endpoint may start again under its name, and the code knew an endpoint by its name alone: outstanding requests, learned speed, failures, idle connections and reports of peers went on counting for the new start. Ruled out: a second check of the start at each place where something is kept of an endpoint; instead all that is kept goes by the incarnation's name. Before and after: the new tests use types that were not there, so that they could not run before; with the check for a late entry taken out TestRestartedEndpointIsAnotherIncarnation fails.

--- a/directory/change.go
+++ b/directory/change.go
@@ -18,4 +18,6 @@
 	Listed  []*Endpoint
 	Removed []domain.EndpointID
 	KeepFor time.Duration
+	// Unusable are listed with entries that can't be used. They are out at once.
+	Unusable []domain.EndpointID
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,7 +1,9 @@
 // Package directory holds the endpoints in service, as the platform's store lists them.
 //
 // A listed endpoint that leaves is out of the snapshot at once. Only an entry that went missing while the store was out
-// of reach is kept for a while after the store has returned, since entries lapse with the store and come back.
+// of reach is kept for a while after the store has returned, since entries lapse with the store and come back. An entry
+// that can't be used takes the endpoint out at once, outage or not. An endpoint that has restarted under its ID is another
+// incarnation: the one before is out at once, and what is told of it later changes nothing.
 package directory
 
 import (
@@ -28,7 +30,8 @@
 // Snapshot is the list at one time, immutable.
 type Snapshot struct {
 	services map[string][]*Endpoint
-	byID     map[domain.EndpointID]*Endpoint
+	// byIncarnation holds each endpoint under its Incarnation.
+	byIncarnation map[domain.EndpointID]*Endpoint
 }
 
 // New returns an empty directory.
@@ -51,11 +54,13 @@
 // Service returns the endpoints of a service, in the order of their names.
 func (s *Snapshot) Service(name string) []*Endpoint { return s.services[name] }
 
-// Endpoint returns the endpoint, or nil.
-func (s *Snapshot) Endpoint(id domain.EndpointID) *Endpoint { return s.byID[id] }
+// Endpoint returns the endpoint with this incarnation, or nil.
+func (s *Snapshot) Endpoint(incarnation domain.EndpointID) *Endpoint {
+	return s.byIncarnation[incarnation]
+}
 
 // Len returns the number of endpoints.
-func (s *Snapshot) Len() int { return len(s.byID) }
+func (s *Snapshot) Len() int { return len(s.byIncarnation) }
 
 // Apply brings in listed endpoints and takes out removed ones. Those removed before keepUntil are kept until then; a
 // keepUntil in the past removes at once.
@@ -63,8 +68,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range listed {
-		d.endpoints[e.ID] = e
-		delete(d.missing, e.ID)
+		d.list(e)
 	}
 	for _, id := range removed {
 		d.remove(now, id, keepUntil)
@@ -79,8 +83,7 @@
 	present := make(map[domain.EndpointID]bool, len(listed))
 	for _, e := range listed {
 		present[e.ID] = true
-		d.endpoints[e.ID] = e
-		delete(d.missing, e.ID)
+		d.list(e)
 	}
 	for id := range d.endpoints {
 		if !present[id] {
@@ -90,6 +93,20 @@
 	d.publish()
 }
 
+// Drop takes endpoints out at once whose entries can't be used.
+func (d *Directory) Drop(ids []domain.EndpointID) {
+	if len(ids) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range ids {
+		delete(d.endpoints, id)
+		delete(d.missing, id)
+	}
+	d.publish()
+}
+
 // Sweep drops missing endpoints whose time is over, and returns them.
 func (d *Directory) Sweep(now boottime.Instant) []domain.EndpointID {
 	d.mu.Lock()
@@ -108,6 +125,22 @@
 	return gone
 }
 
+// list takes an entry, unless it is of an earlier incarnation. One that does not tell its start is taken to be of the
+// incarnation that is listed.
+func (d *Directory) list(e *Endpoint) {
+	listed := d.endpoints[e.ID]
+	delete(d.missing, e.ID)
+	if e.outdated(listed) {
+		return
+	}
+	if e.Born == 0 && listed != nil && listed.Born != 0 {
+		same := *e
+		same.Born = listed.Born
+		e = &same
+	}
+	d.endpoints[e.ID] = e
+}
+
 func (d *Directory) remove(now boottime.Instant, id domain.EndpointID, keepUntil boottime.Instant) {
 	e, ok := d.endpoints[id]
 	if !ok {
@@ -124,9 +157,9 @@
 }
 
 func (d *Directory) publish() {
-	s := &Snapshot{services: make(map[string][]*Endpoint), byID: make(map[domain.EndpointID]*Endpoint, len(d.endpoints))}
-	for id, e := range d.endpoints {
-		s.byID[id] = e
+	s := &Snapshot{services: make(map[string][]*Endpoint), byIncarnation: make(map[domain.EndpointID]*Endpoint, len(d.endpoints))}
+	for _, e := range d.endpoints {
+		s.byIncarnation[e.Incarnation()] = e
 		s.services[e.Service] = append(s.services[e.Service], e)
 	}
 	for _, list := range s.services {
@@ -141,7 +174,7 @@
 
 // Each calls visit with every endpoint.
 func (s *Snapshot) Each(visit func(*Endpoint)) {
-	for _, e := range s.byID {
+	for _, e := range s.byIncarnation {
 		visit(e)
 	}
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -45,3 +45,36 @@
 	assert.Equal(t, len(d.Sweep(20)), 1)
 	assert.Equal(t, names(d), "ac", "one that is listed again stays")
 }
+
+func incarnation(born int64, leaving bool) *Endpoint {
+	return &Endpoint{ID: "a", Service: "s", Born: born, Leaving: leaving}
+}
+
+func TestRestartedEndpointIsAnotherIncarnation(t *testing.T) {
+	d := New()
+	first, second := incarnation(1000, true), incarnation(2000, false)
+	d.Apply(1, []*Endpoint{first}, nil, 0)
+	d.Apply(2, []*Endpoint{second}, nil, 0)
+	assert.Assert(t, d.Current().Endpoint(first.Incarnation()) == nil, "the earlier one is out at once")
+	assert.Equal(t, d.Current().Endpoint(second.Incarnation()), second)
+	d.Apply(3, []*Endpoint{first}, nil, 0)
+	assert.Equal(t, d.Current().Endpoint(second.Incarnation()), second, "a late entry of the earlier one changes nothing")
+	assert.Equal(t, d.Current().Len(), 1)
+	d.Replace(4, []*Endpoint{first}, 0)
+	assert.Equal(t, d.Current().Endpoint(second.Incarnation()), second)
+}
+
+func TestEntryWithoutStartIsOfTheListedIncarnation(t *testing.T) {
+	d := New()
+	d.Apply(1, []*Endpoint{incarnation(1000, false)}, nil, 0)
+	d.Apply(2, []*Endpoint{incarnation(0, true)}, nil, 0)
+	assert.Assert(t, d.Current().Endpoint(incarnation(1000, false).Incarnation()).Leaving)
+}
+
+func TestUnusableEndpointIsOutAlsoDuringAnOutage(t *testing.T) {
+	d := New()
+	d.Apply(1, listed("a", "b"), nil, 0)
+	d.Replace(2, nil, 20)
+	d.Drop([]domain.EndpointID{"a"})
+	assert.Equal(t, names(d), "b")
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -145,6 +145,7 @@
 		f.acceptFromStore(change)
 		return
 	}
+	f.parts.Directory.Drop(change.Unusable)
 	f.parts.Directory.Replace(f.parts.Clock(), change.Endpoints, d.keepUntil())
 }
 
@@ -152,23 +153,27 @@
 func (f *Follower) apply(d *feed, change Change) {
 	f.reject(change.Rejected)
 	f.acceptFromStore(change)
+	f.parts.Directory.Drop(change.Unusable)
 	if len(change.Endpoints)+len(change.Removed) > 0 {
 		f.parts.Directory.Apply(f.parts.Clock(), change.Endpoints, change.Removed, d.keepUntil())
 		f.logEndpoints(change)
 	}
 }
 
-// reject logs entries that can't be read. The last good ones stay in force.
+// rejectedLines bounds the lines in the log for the entries of one answer that can't be used; the counter counts all.
+const rejectedLines = 10
+
+// reject logs entries that can't be used.
 func (f *Follower) reject(errs []error) {
-	for _, err := range errs {
-		f.rejected.Inc()
-		f.parts.Log.Error().Err(err).Msg("store entry can't be read")
+	f.rejected.Add(len(errs))
+	for _, err := range errs[:min(len(errs), rejectedLines)] {
+		f.parts.Log.Error().Err(err).Int("entries", len(errs)).Msg("store entry can't be used")
 	}
 }
 
 func (f *Follower) logEndpoints(change Change) {
 	for _, e := range change.Endpoints {
-		f.parts.Log.Info().Str("endpoint", string(e.ID)).Str("service", e.Service).Bool("leaving", e.Leaving).
+		f.parts.Log.Info().Str("endpoint", string(e.ID)).Str("service", e.Service).Bool("leaving", e.Leaving).Int64("born", e.Born).
 			Uint64("revision", uint64(change.Revision)).Msg("endpoint listed")
 	}
 	for _, id := range change.Removed {
@@ -232,12 +237,13 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	f.calls.Inc()
-	nodes, err := f.parts.Source.Nodes(ctx, len(f.Nodes()) > 0)
+	list, err := f.parts.Source.Nodes(ctx, len(f.Nodes()) > 0)
 	if err != nil {
 		f.failed.Inc()
 		return err
 	}
-	f.nodes.Store(&nodes)
-	f.parts.Log.Info().Int("nodes", len(nodes)).Msg("list of nodes read")
+	f.reject(list.Rejected)
+	f.nodes.Store(&list.Nodes)
+	f.parts.Log.Info().Int("nodes", len(list.Nodes)).Msg("list of nodes read")
 	return nil
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -20,7 +21,10 @@
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
-var errDown = errors.New("store is down")
+var (
+	errDown  = errors.New("store is down")
+	errEntry = errors.New("entry of another writer")
+)
 
 // fakeStore is a Source in memory.
 type fakeStore struct {
@@ -29,6 +33,8 @@
 	version   uint64
 	changed   map[Topic]Revision
 	endpoints map[string]bool
+	// unusable are listed with entries that can't be used.
+	unusable []domain.EndpointID
 	// oldest is the revision before which history is gone.
 	oldest Revision
 	down   bool
@@ -73,7 +79,14 @@
 		c.Table, _ = s.Table(c.Document)
 		return c
 	}
+	for _, id := range s.unusable {
+		c.Unusable = append(c.Unusable, id)
+		c.Rejected = append(c.Rejected, errEntry)
+	}
 	for id := range s.endpoints {
+		if slices.Contains(s.unusable, domain.EndpointID(id)) {
+			continue
+		}
 		c.Endpoints = append(c.Endpoints, &directory.Endpoint{ID: domain.EndpointID(id), Service: "s"})
 	}
 	return c
@@ -151,7 +164,9 @@
 	return Change{}, s.wake, false, nil
 }
 
-func (s *fakeStore) Nodes(context.Context, bool) ([]Peer, error) { return []Peer{{Node: "n"}}, nil }
+func (s *fakeStore) Nodes(context.Context, bool) (NodeList, error) {
+	return NodeList{Nodes: []Peer{{Node: "n"}}}, nil
+}
 
 // follower runs a follower for a test under synctest.
 func follower(t *testing.T, s Source, confirms bool) *Follower {
--- a/follow/passon.go
+++ b/follow/passon.go
@@ -38,10 +38,10 @@
 	d.forgetTold(now)
 	told := directory.Change{
 		After: uint64(d.since), Last: uint64(change.Last), Revision: uint64(change.Revision),
-		Listed: change.Endpoints, Removed: change.Removed,
+		Listed: change.Endpoints, Removed: change.Removed, Unusable: change.Unusable,
 	}
 	d.since = change.Last
-	if len(told.Listed)+len(told.Removed) <= passOnMost {
+	if len(told.Listed)+len(told.Removed)+len(told.Unusable) <= passOnMost {
 		d.told = append(d.told, toldChange{told, now, d.keepUntil()})
 	}
 }
@@ -98,6 +98,7 @@
 func (d *feed) takePassedOn(c directory.Change) {
 	f := d.follower
 	now := f.parts.Clock()
+	f.parts.Directory.Drop(c.Unusable)
 	f.parts.Directory.Apply(now, c.Listed, c.Removed, now.Add(c.KeepFor))
 	change := Change{Revision: Revision(c.Revision), Last: Revision(c.Last), Endpoints: c.Listed, Removed: c.Removed}
 	f.logEndpoints(change)
--- a/follow/passon_test.go
+++ b/follow/passon_test.go
@@ -156,3 +156,18 @@
 		assert.Equal(t, changes[0].After, uint64(9))
 	})
 }
+
+func TestUnusableEntryIsOutAtOnceAndPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unused, one, other := passingPair(t, 3)
+		before := unused.asked()
+		s.change(Endpoints, func() { s.unusable = []domain.EndpointID{"a"} })
+		tell(one, other, 5)
+		assert.Assert(t, !one.knows("a") && !other.knows("a"))
+		assert.Equal(t, one.rejected.Get(), uint64(1))
+		s.change(Endpoints, func() { s.unusable = nil })
+		tell(one, other, 5)
+		assert.Assert(t, one.knows("a") && other.knows("a"), "an entry that can be used names it again")
+		assert.Equal(t, unused.asked(), before)
+	})
+}
--- a/follow/source.go
+++ b/follow/source.go
@@ -44,7 +44,16 @@
 	// Endpoints were listed or changed, Removed are listed no more.
 	Endpoints []*directory.Endpoint
 	Removed   []domain.EndpointID
-	// Rejected are entries that could not be read; the last good ones stay in force.
+	// Unusable are endpoints whose entries can't be used. They are out of service at once, whatever they said before.
+	Unusable []domain.EndpointID
+	// Rejected says of each entry that could not be used why. Of the configuration the last good one stays in force.
+	Rejected []error
+}
+
+// NodeList is the nodes that are listed.
+type NodeList struct {
+	Nodes []Peer
+	// Rejected says of each entry that could not be used why. The others hold.
 	Rejected []error
 }
 
@@ -67,5 +76,5 @@
 	// Table decodes a document that a node had from the store.
 	Table(document []byte) (*routetable.Table, error)
 	// Nodes returns the nodes as they are listed. Old allows a list that is seconds old, which costs less.
-	Nodes(ctx context.Context, old bool) ([]Peer, error)
+	Nodes(ctx context.Context, old bool) (NodeList, error)
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,11 +43,11 @@
 	d := &dispatched{task: t, place: place, ctx: ctx, cancel: cancel, started: time.Now()}
 	d.watch()
 	defer d.unwatch()
-	t.endpoint, t.load, t.tokenTime = place.Endpoint.ID, place.Load, place.TokenTime
+	t.endpoint, t.load, t.tokenTime = place.Endpoint.Incarnation(), place.Load, place.TokenTime
 	if !place.Reported.IsZero() {
 		t.loadAge = time.Since(place.Reported)
 	}
-	t.tried = append(t.tried, place.Endpoint.ID)
+	t.tried = append(t.tried, place.Endpoint.Incarnation())
 	answer, err := t.gateway.parts.Endpoints.Send(ctx, t.exchangeRequest(place))
 	if err != nil {
 		return d.failed(err)
@@ -84,7 +84,7 @@
 	protocol := t.gateway.parts.Protocol
 	protocol.WriteDispatch(head, dispatch)
 	return &exchange.Request{
-		Endpoint: place.Endpoint.ID,
+		Endpoint: place.Endpoint.Incarnation(),
 		Address:  place.Endpoint.Address,
 		Method:   t.request.Method,
 		Target:   t.request.RequestURI,
@@ -238,7 +238,7 @@
 		return t.giveUp(errTimeout)
 	}
 	t.gateway.metrics.retries.Inc()
-	t.gateway.parts.Log.Info().Str("request", t.call.ID).Str("endpoint", string(d.place.Endpoint.ID)).
+	t.gateway.parts.Log.Info().Str("request", t.call.ID).Str("endpoint", string(d.place.Endpoint.Incarnation())).
 		Bool("not_sent", notSent).Int("sends", t.sends).Str("last_event", t.lastEvent).AnErr("cause", err).
 		Msg("attempt failed, trying another endpoint")
 	return step{err: err}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -128,7 +128,7 @@
 		place.Release(notUsed)
 		return step{done: true, refusal: refusal}
 	}
-	if e := t.gateway.parts.Directory.Current().Endpoint(place.Endpoint.ID); e == nil || e.Leaving {
+	if e := t.gateway.parts.Directory.Current().Endpoint(place.Endpoint.Incarnation()); e == nil || e.Leaving {
 		// It left while the request waited.
 		place.Release(notUsed)
 		return step{}
--- a/places/account.go
+++ b/places/account.go
@@ -48,9 +48,9 @@
 		return
 	}
 	a.endpoint = e
-	a.state.ID = e.ID
+	a.state.ID = e.Incarnation()
 	a.state.Row = &config.EndpointRow{
-		ID: e.ID, DataCentre: e.DataCentre, Address: e.Address, Generation: e.Service, Weight: fullWeight, Limit: e.Slots,
+		ID: e.Incarnation(), DataCentre: e.DataCentre, Address: e.Address, Generation: e.Service, Weight: fullWeight, Limit: e.Slots,
 	}
 	a.state.Limit = e.Slots
 	a.state.Leaving = e.Leaving
@@ -140,7 +140,7 @@
 		return false
 	}
 	const buckets = 1 << 16
-	hash := xxhash.Sum64String(string(o.Node) + "/" + string(a.id()))
+	hash := xxhash.Sum64String(string(o.Node) + "/" + string(a.endpoint.ID))
 	return hash%buckets < uint64(buckets*sharers/max(near, 1))
 }
 
@@ -207,5 +207,5 @@
 	return now.Sub(a.failedAt) < tellFailure || a.replaced(now)
 }
 
-// id returns the endpoint's name.
-func (a *account) id() domain.EndpointID { return a.endpoint.ID }
+// id returns the incarnation's name.
+func (a *account) id() domain.EndpointID { return a.state.ID }
--- a/places/desk.go
+++ b/places/desk.go
@@ -187,7 +187,7 @@
 	d.seen = snapshot
 	for _, p := range d.pools {
 		for id, a := range p.accounts {
-			if snapshot.Endpoint(id) == nil {
+			if e := snapshot.Endpoint(id); e == nil || e.Service != p.service {
 				delete(p.accounts, id)
 				// Requests still there are released on the account, which nobody chooses any more.
 				a.state.Leaving = true
@@ -196,12 +196,12 @@
 	}
 	snapshot.Each(func(e *directory.Endpoint) {
 		p := d.pool(e.Service)
-		a, ok := p.accounts[e.ID]
+		a, ok := p.accounts[e.Incarnation()]
 		if !ok {
 			a = newAccount(e, d.options.Log)
-			a.others = d.othersAt(e.ID)
+			a.others = d.othersAt(e.Incarnation())
 			a.refresh()
-			p.accounts[e.ID] = a
+			p.accounts[e.Incarnation()] = a
 		}
 		a.describe(e)
 	})
