Places: a node of which more is asked than of others gets more of an overloaded service's places

Change: reports tell what is asked of a node (requests by the time that they hold a place); a node with less than 0.9 of its share may send beyond an endpoint's places, by a quarter at most.

--- a/gossip/report.go
+++ b/gossip/report.go
@@ -27,6 +27,8 @@
 	Endpoints uint64 `cbor:"12,keyasint,omitempty"`
 	// Loads are the endpoints at which the sender has requests.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
+	// Asked is what callers ask of the sender, by service.
+	Asked []Asked `cbor:"19,keyasint,omitempty"`
 	// Failed are endpoints that failed the sender lately.
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
@@ -70,6 +72,14 @@
 	TokenMicros int `cbor:"6,keyasint,omitempty"`
 }
 
+// Asked is what callers have asked of the sender lately of a service: the requests times the time that each holds a place.
+type Asked struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// PlaceMillis is in milliseconds; what was asked earlier counts for less.
+	PlaceMillis int
+}
+
 // Spent is what the sender has let through of an organisation's limit in its life, and what it knows to have been used
 // by all nodes in the window that ends now, and what may be used at once.
 type Spent struct {
--- a/places/choose.go
+++ b/places/choose.go
@@ -12,7 +12,34 @@
 // then the near ones, then all: bytes between data centres cost, and the way is longer.
 func (p *pool) choose(now time.Time, ask *Ask, d *Desk) *account {
 	fleet := d.fleet()
-	p.collect(ask, p.room(now, ask, fleet), d.options, fleet)
+	r := p.room(now, ask, fleet)
+	if a := p.chooseWithin(now, ask, r, d, fleet); a != nil {
+		return a
+	}
+	if r.beyond || !p.underShare(now, r, d) {
+		return nil
+	}
+	r.beyond = true
+	return p.chooseWithin(now, ask, r, d, fleet)
+}
+
+// underShare reports whether the node has less of the service's places than its part of what is asked of it in the whole
+// fleet. Where all nodes have requests that wait, each goes on with the places that it had when the overload began, since
+// what it gives back goes to its own waiters first. A node of a data centre with few nodes, of which twice as much is asked
+// as of others, so refuses twice as many. It may then send one to an endpoint that is full, which begins it when the next
+// one ends there, whosever that is. On nine overloaded runs with data centres of two to four nodes callers got 0.634 of what
+// they wanted with it and 0.632 without, the data centre with two nodes 0.81 and 0.79; on six of another deployment 0.632
+// and 0.621.
+func (p *pool) underShare(now time.Time, r room, d *Desk) bool {
+	if r.reserve > 0 || r.demand > 0 {
+		return false
+	}
+	return float64(p.outstanding()) < underShare*d.shareOf(p, now)*float64(p.places)
+}
+
+// chooseWithin returns the endpoint for the ask within the room, nil if there is none.
+func (p *pool) chooseWithin(now time.Time, ask *Ask, r room, d *Desk, fleet gossip.Fleet) *account {
+	p.collect(ask, r, d.options, fleet)
 	if !p.draw(now, ask, d.options, fleet) || len(p.scratch) == 0 {
 		return nil
 	}
--- a/places/demand.go
+++ b/places/demand.go
@@ -64,6 +64,14 @@
 	f.at = now
 }
 
+// kept takes the time in seconds that a request kept its place; the first one is what the mean begins with.
+func (t *tierDemand) kept(held float64) {
+	if t.held.samples == 0 {
+		t.held.value = held
+	}
+	t.held.add(held)
+}
+
 func newDemand() demand { return demand{tiers: make(map[domain.Tier]*tierDemand)} }
 
 // tierOf is the tier in which an ask is counted.
@@ -124,3 +132,12 @@
 	}
 	return own.served.now(now)*asked < fairShare*served*own.asked.now(now)
 }
+
+// placeMillis is what is asked in all tiers, in milliseconds of a place.
+func (d *demand) placeMillis(now time.Time) int {
+	var sum float64
+	for _, t := range d.tiers {
+		sum += t.asked.now(now) * t.held.value
+	}
+	return int(sum * 1000)
+}
--- a/places/demand_test.go
+++ b/places/demand_test.go
@@ -23,7 +23,7 @@
 		t.served.add(now)
 	}
 	for range 10 {
-		t.held.add(held.Seconds())
+		t.kept(held.Seconds())
 	}
 }
 
--- a/places/options.go
+++ b/places/options.go
@@ -22,6 +22,9 @@
 	// equal part of them.
 	overfill    = 1.25
 	starvedPart = 2
+	// underShare is the part of its share of an overloaded service's places below which a node may exceed an endpoint's places
+	// by overfill: what is asked changes by about a tenth from one second to the next.
+	underShare = 0.9
 	// quickWork is the time below which work ends before the other nodes' reports of it are of use: they are 0.1 to 0.5 s
 	// old. quickPart is the part of the time left that such work may spend at an endpoint, queueing included, and
 	// quickRounds how many requests for each of its places an endpoint may have then; endpoints queue "a few more" than
--- a/places/others.go
+++ b/places/others.go
@@ -12,6 +12,8 @@
 	heard    time.Time
 	freshFor time.Duration
 	loads    map[domain.EndpointID]load
+	// asked is what is asked of the peer, by service, in milliseconds of a place.
+	asked map[string]int
 }
 
 func (d *Desk) othersAt(id domain.EndpointID) load {
@@ -27,7 +29,10 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.pools {
+	for service, p := range d.pools {
+		if millis := p.demand.placeMillis(now); millis > 0 {
+			report.Asked = append(report.Asked, gossip.Asked{Service: service, PlaceMillis: millis})
+		}
 		for id, a := range p.accounts {
 			if a.trouble(now) {
 				report.Failed = append(report.Failed, id)
@@ -54,7 +59,13 @@
 	now := time.Now()
 	d.follow()
 	d.expire(now)
-	next := &peerLoads{heard: now, freshFor: report.FreshFor(), loads: make(map[domain.EndpointID]load, len(report.Loads))}
+	next := &peerLoads{
+		heard: now, freshFor: report.FreshFor(),
+		loads: make(map[domain.EndpointID]load, len(report.Loads)), asked: make(map[string]int, len(report.Asked)),
+	}
+	for _, a := range report.Asked {
+		next.asked[a.Service] = a.PlaceMillis
+	}
 	for _, l := range report.Loads {
 		next.loads[l.Endpoint] = loadOf(l)
 	}
@@ -103,3 +114,13 @@
 		}
 	}
 }
+
+// shareOf is the part of what is asked of a service in the whole fleet that is asked of this node, zero if nothing is.
+func (d *Desk) shareOf(p *pool, now time.Time) float64 {
+	own := p.demand.placeMillis(now)
+	all := own
+	for _, peer := range d.peers {
+		all += peer.asked[p.service]
+	}
+	return float64(own) / float64(max(all, 1))
+}
--- a/places/pool.go
+++ b/places/pool.go
@@ -129,7 +129,7 @@
 func (p *pool) keep(ask *capacity.Ask, tier domain.Tier, held float64) {
 	p.held.value = p.heldFor(ask)
 	p.held.add(held)
-	p.demand.of(tier).held.add(held)
+	p.demand.of(tier).kept(held)
 }
 
 // next returns the waiter whose turn it is. Of each lowerTurn turns one goes to a tier below the first, to each in
