Gateway: a request that breaks off three endpoints isn't sent again, at any node

Change: the evidence (content, endpoint) goes with the reports between nodes; three endpoints put a content into quarantine (503, not run, with when to come back), an answer in full takes it out. Ruled out: two endpoints, as the product's own interface has it: where many answers are lost two break off by chance. Before: the new test sends the third call too (mechanism taken out: fails).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -25,6 +25,7 @@
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
+	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -47,6 +48,7 @@
 	socket    *gossip.UDP
 	limits    *tokenlimit.Limiter
 	desk      *places.Desk
+	suspects  *quarantine.Board
 	endpoints *exchange.Client
 	gateway   *gateway.Gateway
 	callers   *http.Server
@@ -84,6 +86,7 @@
 	n.desk = places.New(places.Options{
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
+	n.suspects = quarantine.NewBoard(log)
 	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
 		Protocol:  adapters.Protocol,
@@ -93,11 +96,12 @@
 		Retries: retrybudget.New(retrybudget.Options{
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: seconds(s.Retry.WindowS),
 		}, boottime.Now, n.nodes),
-		Places:    n.desk,
-		Endpoints: n.endpoints,
-		Clock:     boottime.Now,
-		Log:       log,
-		Metrics:   n.metrics,
+		Places:     n.desk,
+		Quarantine: n.suspects,
+		Endpoints:  n.endpoints,
+		Clock:      boottime.Now,
+		Log:        log,
+		Metrics:    n.metrics,
 	}, gateway.Options{KeyAge: n.keyAge(keyAgeMargin), BehindMost: n.behindMost(), BodyBytes: int64(bodyPart * float64(s.Host.MemoryMB) * (1 << 20))})
 	n.openServers()
 	return n, nil
@@ -192,12 +196,14 @@
 	report.Endpoints = uint64(last)
 	report.Changes, report.PassesOn = n.follower.PassOn()
 	n.desk.Fill(report)
+	report.Broken = n.suspects.News()
 	n.limits.Fill(report)
 }
 
 // heard takes another node's report.
 func (n *Node) heard(report *gossip.Report, sent boottime.Instant) {
 	n.desk.Heard(report)
+	n.suspects.Heard(report.Broken)
 	n.limits.Heard(report)
 	word := follow.Word{
 		Version: report.Version, Endpoints: follow.Revision(report.Endpoints),
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -23,6 +23,7 @@
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
+	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -129,16 +130,17 @@
 
 	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Parts{
-		Protocol:  testProtocol{},
-		Knowledge: f.knowledge,
-		Directory: f.directory,
-		Limits:    limits,
-		Retries:   retrybudget.New(f.retries, f.now, one),
-		Places:    places.New(places.Options{}, f.directory, alone, set),
-		Endpoints: exchange.New(exchange.Options{}, set),
-		Clock:     f.now,
-		Log:       zerolog.Nop(),
-		Metrics:   set,
+		Protocol:   testProtocol{},
+		Knowledge:  f.knowledge,
+		Directory:  f.directory,
+		Limits:     limits,
+		Retries:    retrybudget.New(f.retries, f.now, one),
+		Quarantine: quarantine.NewBoard(zerolog.Nop()),
+		Places:     places.New(places.Options{}, f.directory, alone, set),
+		Endpoints:  exchange.New(exchange.Options{}, set),
+		Clock:      f.now,
+		Log:        zerolog.Nop(),
+		Metrics:    set,
 	}, Options{KeyAge: testKeyAge, BehindMost: testBehindMost, BodyBytes: f.bodyBytes})
 	f.clock.Add(int64(time.Hour)) // a new life's limits begin as used up
 	f.gateway = g
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/boottime"
@@ -24,6 +25,7 @@
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
+	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -45,10 +47,12 @@
 	Limits    *tokenlimit.Limiter
 	Retries   *retrybudget.Budget
 	Places    *places.Desk
-	Endpoints *exchange.Client
-	Clock     boottime.Clock
-	Log       zerolog.Logger
-	Metrics   *metrics.Set
+	// Quarantine knows the contents that crash the endpoints that run them.
+	Quarantine *quarantine.Board
+	Endpoints  *exchange.Client
+	Clock      boottime.Clock
+	Log        zerolog.Logger
+	Metrics    *metrics.Set
 }
 
 // Gateway is an http.Handler.
@@ -122,9 +126,35 @@
 	if refused := t.readBody(table.Limits.MaxBodyBytes); refused != nil {
 		return refused
 	}
+	t.content = t.fingerprint()
+	if refused := t.quarantined(); refused != nil {
+		return refused
+	}
 	return t.countIn()
 }
 
+// fingerprint identifies what is asked and by whom, whatever the attempt.
+func (t *task) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{t.request.Method, t.request.Host, t.request.RequestURI, t.call.Key} {
+		_, _ = d.WriteString(part + "\n") // a hash does not fail
+	}
+	_, _ = d.Write(t.body)
+	return d.Sum64()
+}
+
+// quarantined refuses a content that has crashed the endpoints that ran it.
+func (t *task) quarantined() *problem {
+	left := t.gateway.parts.Quarantine.Quarantined(t.content)
+	if left <= 0 {
+		return nil
+	}
+	return &problem{
+		Status: http.StatusServiceUnavailable, Title: "the request has broken off the endpoints that ran it", Outcome: outcomeNotRun,
+		RetryAfter: left,
+	}
+}
+
 // outdated reports whether a later configuration has been in force for so long that requests must not go by the one that
 // this node has: it may allow what is no longer allowed.
 func (g *Gateway) outdated() bool {
--- a/gateway/send_test.go
+++ b/gateway/send_test.go
@@ -106,3 +106,20 @@
 	assert.NilError(t, got.Err)
 	assert.Equal(t, got.Body, threeEvents)
 }
+
+// Pattern: a request crashes each endpoint that runs it, and comes again.
+func TestRequestThatBreaksOffThreeEndpointsIsNotSentAgain(t *testing.T) {
+	crash := func(http.ResponseWriter, *http.Request) { broken() }
+	f := newFixture(t, nil, crash, crash, crash, crash, crash)
+	for range 2 {
+		assert.Equal(t, f.call(nil).Status, http.StatusBadGateway)
+	}
+	sent := f.sends.Load()
+	assert.Assert(t, sent >= 3 && sent <= 4, "%d", sent)
+	got := f.call(nil)
+	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.Header.Get("Retry-After") != "")
+	assert.Equal(t, f.sends.Load(), sent, "it has not run")
+	other := f.call(func(r *http.Request) { r.URL.Path += "other" })
+	assert.Equal(t, other.Status, http.StatusBadGateway, "another request is sent")
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,6 +67,7 @@
 	if !t.headSent {
 		d.passHead(answer)
 	}
+	t.gateway.parts.Quarantine.Completed(t.content)
 	d.release(capacity.Result{Complete: true})
 	return step{done: true, status: answer.StatusCode}
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -38,8 +38,10 @@
 	// waitedBefore is how long the caller has probably been waiting when it sent this attempt.
 	waitedBefore time.Duration
 	body         []byte
-	cost         float64
-	counted      bool
+	// content identifies what is asked and by whom.
+	content uint64
+	cost    float64
+	counted bool
 
 	ctx     context.Context
 	service string
@@ -167,6 +169,9 @@
 	if t.left() < leastTimeLeft {
 		return t.outOfTime()
 	}
+	if refused := t.quarantined(); refused != nil {
+		return t.honest(refused)
+	}
 	if !t.keyed || t.mayHaveRun {
 		// A request that has begun to run was allowed when it was sent, and may go on.
 		return nil
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -29,6 +29,9 @@
 		// Nobody vouches for it: it may not be the endpoint's whole answer.
 		return d.broken(errUnsigned)
 	}
+	if !failed {
+		t.gateway.parts.Quarantine.Completed(t.content)
+	}
 	d.deliver(answer, body)
 	if len(body) > maxWholeAnswer {
 		if _, err := io.Copy(t.writer, answer); err != nil {
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -8,6 +8,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/routing/quarantine"
 )
 
 // Report is what a node tells another of itself. A later one replaces an earlier one.
@@ -31,6 +32,8 @@
 	Asked []Asked `cbor:"19,keyasint,omitempty"`
 	// Failed are endpoints that failed the sender lately.
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
+	// Broken is the latest evidence of contents that endpoints broke off while they ran them.
+	Broken []quarantine.Evidence `cbor:"20,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
 	Spent []Spent `cbor:"9,keyasint,omitempty"`
 	// Document is the sender's configuration as the operators wrote it, for a receiver that lacks it.
--- /dev/null
+++ b/routing/quarantine/board_test.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+// Pattern: a request crashes each endpoint that runs it, and its caller sends it again at other nodes.
+func TestContentThatBreaksOffEndpointsIsKnownAtAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, other := NewBoard(zerolog.Nop()), NewBoard(zerolog.Nop())
+		one.Broke("a", poison)
+		other.Broke("b", poison)
+		one.Heard(other.News())
+		assert.Equal(t, one.Quarantined(poison), time.Duration(0), "two endpoints may break off by chance")
+		time.Sleep(time.Second)
+		one.Broke("c", poison)
+		other.Heard(one.News())
+		assert.Assert(t, one.Quarantined(poison) > time.Minute && other.Quarantined(poison) > time.Minute)
+		assert.Equal(t, other.Quarantined(poison+1), time.Duration(0))
+		time.Sleep(time.Millisecond)
+		one.Completed(poison)
+		other.Heard(one.News())
+		assert.Equal(t, other.Quarantined(poison), time.Duration(0), "it was answered after all")
+		time.Sleep(2 * tellFor)
+		assert.Equal(t, len(one.News()), 0)
+	})
+}
+
+func TestNewsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBoard(zerolog.Nop())
+		for i := range uint64(200) {
+			b.Broke("a", i+1)
+		}
+		assert.Equal(t, len(b.News()), toldMost)
+	})
+}
--- a/routing/quarantine/content.go
+++ b/routing/quarantine/content.go
@@ -8,9 +8,6 @@
 // maxEndpoints bounds the endpoints remembered of one content; more change nothing.
 const maxEndpoints = 8
 
-// threshold is the score from which a content is quarantined.
-const threshold = 4
-
 // aloneScore is what having been alone at a crash counts.
 const aloneScore = 2
 
@@ -100,8 +97,8 @@
 	return last
 }
 
-// until returns the end of the quarantine, zero if there is none.
-func (c content) until(first, most time.Duration) time.Time {
+// until returns the end of the quarantine from a score on, zero if there is none.
+func (c content) until(threshold int, first, most time.Duration) time.Time {
 	score := 0
 	for _, s := range c.suspicions {
 		score += s.score()
--- a/routing/quarantine/options.go
+++ b/routing/quarantine/options.go
@@ -25,6 +25,9 @@
 	Most  time.Duration
 	// Memory is how long a crash is remembered.
 	Memory time.Duration
+	// Threshold is the score from which a content is quarantined: a first crash of an endpoint counts 2, each further one
+	// 1, and 2 more where the content was alone.
+	Threshold int
 	// Contents bounds the contents remembered; the oldest evidence goes first.
 	Contents int
 	// Flush is how long new evidence is gathered before it is sent.
@@ -41,6 +44,7 @@
 	DefaultFirst       = 2 * time.Minute
 	DefaultMost        = 30 * time.Minute
 	DefaultMemory      = time.Hour
+	DefaultThreshold   = 4
 	DefaultContents    = 1024
 	DefaultFlush       = 50 * time.Millisecond
 	DefaultPullEvery   = 30 * time.Second
@@ -54,6 +58,7 @@
 	defaults.Set(&o.First, DefaultFirst)
 	defaults.Set(&o.Most, DefaultMost)
 	defaults.Set(&o.Memory, DefaultMemory)
+	defaults.Set(&o.Threshold, DefaultThreshold)
 	defaults.Set(&o.Contents, DefaultContents)
 	defaults.Set(&o.Flush, DefaultFlush)
 	defaults.Set(&o.PullEvery, DefaultPullEvery)
--- a/routing/quarantine/set.go
+++ b/routing/quarantine/set.go
@@ -15,7 +15,7 @@
 // rare, copy the whole. It is safe for concurrent use and has no clock.
 type Set struct {
 	first, most, memory time.Duration
-	bound               int
+	bound, threshold    int
 
 	mu       sync.Mutex
 	contents atomic.Pointer[map[uint64]content]
@@ -24,7 +24,7 @@
 // NewSet returns an empty set with the options' numbers.
 func NewSet(options Options) *Set {
 	o := options.withDefaults()
-	s := &Set{first: o.First, most: o.Most, memory: o.Memory, bound: o.Contents}
+	s := &Set{first: o.First, most: o.Most, memory: o.Memory, bound: o.Contents, threshold: o.Threshold}
 	s.contents.Store(&map[uint64]content{})
 	return s
 }
@@ -38,7 +38,7 @@
 	if !ok {
 		return 0
 	}
-	return max(c.until(s.first, s.most).Sub(now), 0)
+	return max(c.until(s.threshold, s.first, s.most).Sub(now), 0)
 }
 
 // Suspect reports whether a crash is remembered at which the content was running.
