--- a/places/share_test.go
+++ b/places/share_test.go
@@ -18,7 +18,7 @@
 		b := newBench(t, 3)
 		b.fleet = gossip.Fleet{Known: 4, Heard: 4, Near: 1}
 		b.Heard(&gossip.Report{
-			From:  "m",
+			From: "m",
 			Loads: []gossip.Load{
 				{Endpoint: "e0", Requests: testSlots}, {Endpoint: "e1", Requests: testSlots}, {Endpoint: "e2", Requests: testSlots},
 			},
