Places: requests of urgent routes leave no places free for those of less urgent ones

Long requests of the most urgent route, of organisations of the lower tier, left places free for short ones of the least urgent route of the others; the short ones of their own organisations took them: 299 instead of 194 of the most urgent refused. Change: what is asked counts as above a request only if its route is more urgent too.

--- a/gateway/task.go
+++ b/gateway/task.go
@@ -143,6 +143,7 @@
 		Name:         t.call.ID,
 		Service:      t.service,
 		Tier:         t.route.Tier,
+		RouteTier:    t.route.Tier,
 		PromptTokens: t.call.PromptTokens,
 		AnswerTokens: t.call.AnswerTokens(),
 		EventGap:     t.route.EventGap,
--- a/places/ask.go
+++ b/places/ask.go
@@ -16,6 +16,8 @@
 	Tier         domain.Tier
 	// Within orders requests of the same tier: the route's where Tier is the organisation's.
 	Within domain.Tier
+	// RouteTier is the route's, also where Tier is the organisation's.
+	RouteTier domain.Tier
 	// PromptTokens and AnswerTokens are estimates of the work; zero for a plain call.
 	PromptTokens int
 	AnswerTokens int
--- a/places/demand.go
+++ b/places/demand.go
@@ -11,7 +11,8 @@
 // holds a place several times as long as one of a higher tier. Such a request gets a place in any moment in which no other
 // one waits, and keeps it through the seconds in which many of the higher tiers come and are refused. Therefore it leaves
 // some places free while others are in demand. Short requests of a lower tier leave none: their places are free again when
-// the next one comes.
+// the next one comes. Nor does a request of a more urgent route leave any to those of less urgent ones, though of organisations
+// of a higher tier: of the shorter ones of its own organisation many would take them.
 //
 // Under overload and trouble (four days, three seeds) callers of a deployment whose long streams hold a place three times as
 // long as what goes before them got 0.663 of what they wanted, on time, with it and 0.640 without; of two deployments whose
@@ -37,9 +38,18 @@
 
 // demand is what is asked of a pool, by tier.
 type demand struct {
-	tiers map[domain.Tier]*tierDemand
+	tiers map[tier]*tierDemand
 }
 
+// tier is that in which an ask is counted: the rank by which it waits, and its route's tier.
+type tier struct {
+	rank  domain.Tier
+	route domain.Tier
+}
+
+// above reports whether requests of the tier go before those of another, by rank and by route.
+func (t tier) above(other tier) bool { return t.rank < other.rank && t.route < other.route }
+
 // tierDemand is what is asked in one tier. The counts fade with demandMemory.
 type tierDemand struct {
 	asked, served fading
@@ -73,16 +83,16 @@
 	t.held.add(held)
 }
 
-func newDemand() demand { return demand{tiers: make(map[domain.Tier]*tierDemand)} }
+func newDemand() demand { return demand{tiers: make(map[tier]*tierDemand)} }
 
 // tierOf is the tier in which an ask is counted.
-func tierOf(ask *Ask) domain.Tier { return ask.baseRank() }
+func tierOf(ask *Ask) tier { return tier{ask.baseRank(), ask.RouteTier} }
 
-func (d *demand) of(tier domain.Tier) *tierDemand {
-	t, ok := d.tiers[tier]
+func (d *demand) of(of tier) *tierDemand {
+	t, ok := d.tiers[of]
 	if !ok {
 		t = &tierDemand{}
-		d.tiers[tier] = t
+		d.tiers[of] = t
 	}
 	return t
 }
@@ -90,14 +100,14 @@
 // reserve is the part of an endpoint's places that an ask of the tier leaves free, by how much longer it holds its place than
 // what is asked in the tiers above it. It is compared with the tiers above each tier down to its own, so that of two
 // requests that hold a place as long the one of the lower tier leaves no less.
-func (d *demand) reserve(now time.Time, tier domain.Tier) float64 {
-	own := d.of(tier)
+func (d *demand) reserve(now time.Time, of tier) float64 {
+	own := d.of(of)
 	if own.held.samples == 0 || d.starved(now, own) {
 		return 0
 	}
 	var longest float64
 	for other := range d.tiers {
-		if other > tier {
+		if other.rank > of.rank {
 			continue
 		}
 		if above := d.heldAbove(now, other); above > 0 {
@@ -109,10 +119,10 @@
 
 // heldAbove is the mean time in seconds for which what is asked in the tiers above holds a place, zero if next to nothing
 // is asked there.
-func (d *demand) heldAbove(now time.Time, tier domain.Tier) float64 {
+func (d *demand) heldAbove(now time.Time, of tier) float64 {
 	var held, asked float64
 	for other, t := range d.tiers {
-		if other < tier && t.held.samples > 0 {
+		if other.above(of) && t.held.samples > 0 {
 			n := t.asked.now(now)
 			asked += n
 			held += n * t.held.value
--- a/places/demand_test.go
+++ b/places/demand_test.go
@@ -13,9 +13,12 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
+// tierOfRank is the tier of an organisation's requests that wait by the rank.
+func tierOfRank(rank domain.Tier) tier { return tier{rank, rank / ranks % withinTiers} }
+
 // holds makes the demand of a tier: so many requests just asked for and served, each holding its place for so long.
-func (d *demand) holds(now time.Time, tier domain.Tier, asked, served int, held time.Duration) {
-	t := d.of(tier)
+func (d *demand) holds(now time.Time, rank domain.Tier, asked, served int, held time.Duration) {
+	t := d.of(tierOfRank(rank))
 	for range asked {
 		t.asked.add(now)
 	}
@@ -43,8 +46,8 @@
 		d := newDemand()
 		d.holds(now, 0, 10, 10, 500*time.Millisecond)
 		d.holds(now, 4, 10, 10, test.held)
-		assert.Assert(t, diff(d.reserve(now, 4), test.want) < 1e-6, "%s: %v", name, d.reserve(now, 4))
-		assert.Equal(t, d.reserve(now, 0), 0.0, "the highest tier leaves none: %s", name)
+		assert.Assert(t, diff(d.reserve(now, tierOfRank(4)), test.want) < 1e-6, "%s: %v", name, d.reserve(now, tierOfRank(4)))
+		assert.Equal(t, d.reserve(now, tierOfRank(0)), 0.0, "the highest tier leaves none: %s", name)
 	}
 }
 
@@ -55,8 +58,8 @@
 	d := newDemand()
 	d.holds(now, 0, 10, 10, 100*time.Millisecond)
 	d.holds(now, 4, 10, 10, time.Second)
-	assert.Equal(t, d.reserve(now, 4), reserveMost)
-	assert.Equal(t, d.reserve(now.Add(10*demandMemory), 4), 0.0)
+	assert.Equal(t, d.reserve(now, tierOfRank(4)), reserveMost)
+	assert.Equal(t, d.reserve(now.Add(10*demandMemory), tierOfRank(4)), 0.0)
 }
 
 // Of requests that hold a place as long, those of a lower tier leave no less; short ones may use what long ones leave.
@@ -67,8 +70,21 @@
 	d.holds(now, 4, 50, 50, time.Second)
 	d.holds(now, 8, 10, 10, 100*time.Millisecond)
 	d.holds(now, 12, 10, 10, time.Second)
-	assert.Equal(t, d.reserve(now, 12), d.reserve(now, 4))
-	assert.Equal(t, d.reserve(now, 8), 0.0)
+	assert.Equal(t, d.reserve(now, tierOfRank(12)), d.reserve(now, tierOfRank(4)))
+	assert.Equal(t, d.reserve(now, tierOfRank(8)), 0.0)
+}
+
+// Pattern: the most urgent requests are the longest, and most of what is asked are short ones of less urgent routes. Those of
+// organisations of a lower tier leave no places free for the short ones of a higher: the short ones of their own
+// organisations would take them.
+func TestUrgentRoutesLeaveNothingForLessUrgentOnes(t *testing.T) {
+	now := time.Now()
+	d := newDemand()
+	d.holds(now, 0, 5, 5, time.Second)
+	d.holds(now, 4, 50, 50, 100*time.Millisecond)
+	d.holds(now, 8, 5, 5, time.Second)
+	d.holds(now, 12, 50, 50, 100*time.Millisecond)
+	assert.Equal(t, d.reserve(now, tierOfRank(8)), 0.0)
 }
 
 func TestStarvedTierLeavesNothingFree(t *testing.T) {
@@ -76,9 +92,9 @@
 	d := newDemand()
 	d.holds(now, 0, 100, 100, 100*time.Millisecond)
 	d.holds(now, 4, 100, 20, time.Second)
-	assert.Equal(t, d.reserve(now, 4), 0.0)
+	assert.Equal(t, d.reserve(now, tierOfRank(4)), 0.0)
 	d.holds(now, 4, 0, 40, time.Second)
-	assert.Equal(t, d.reserve(now, 4), reserveMost)
+	assert.Equal(t, d.reserve(now, tierOfRank(4)), reserveMost)
 }
 
 // mixedLoad plays ten seconds in which short requests of the highest tier and ones of the lowest that hold their places six
@@ -98,7 +114,7 @@
 		send := func(kind int, tier domain.Tier, held, objective time.Duration) {
 			asked[kind].Add(1)
 			ask := testAsk()
-			ask.Within = tier
+			ask.Within, ask.RouteTier = tier, tier
 			ask.PromptTokens, ask.AnswerTokens = 300, 30
 			ask.FirstByteDue, ask.Due = time.Now().Add(objective), time.Now().Add(4*objective)
 			go func() {
--- a/places/place.go
+++ b/places/place.go
@@ -6,7 +6,6 @@
 
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/directory"
-	"hawthornrill.example/hawthornrill/domain"
 )
 
 // Place is a right to have one request at an endpoint. It must be released.
@@ -27,7 +26,7 @@
 	account *account
 	ask     *capacity.Ask
 	// tier is the one in which the ask was counted.
-	tier    domain.Tier
+	tier    tier
 	granted time.Time
 	// producedAt is when answer tokens came last.
 	producedAt time.Time
--- a/places/pool.go
+++ b/places/pool.go
@@ -126,10 +126,10 @@
 }
 
 // keep counts the time in seconds that the ask's request kept a place.
-func (p *pool) keep(ask *capacity.Ask, tier domain.Tier, held float64) {
+func (p *pool) keep(ask *capacity.Ask, of tier, held float64) {
 	p.held.value = p.heldFor(ask)
 	p.held.add(held)
-	p.demand.of(tier).kept(held)
+	p.demand.of(of).kept(held)
 }
 
 // next returns the waiter whose turn it is. Of each lowerTurn turns one goes to a tier below the first, to each in
