Tests: a call's place is counted once all goroutines are at rest

Cause: TestCallOfService read the places held right after the answer, which goes out before the place is given back, at the same virtual instant. The expectation is the same; no virtual time passes.

--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -219,6 +219,8 @@
 				assert.Equal(t, w.Code, test.status)
 				assert.Assert(t, strings.Contains(w.Body.String(), test.want))
 				assert.Equal(t, len(d.service.Calls()), test.calls)
+				// The answer goes out before its place is given back, at the same instant.
+				synctest.Wait()
 				assert.Equal(t, d.capacity.Held(), 0)
 			})
 		})
