Reading once more: no second look for room that can't be found, routes sorted where their order matters, plain names

Where quick work may already go beyond an endpoint's places, the choice was made a second time with room that changed nothing; a change of the configuration sorted the routes of both tables twice. A file and a function named patience are named for what they are, a silence timeout; a variable no longer hides its type. Behaviour and tests are as they were.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -62,7 +62,7 @@
 	sent := f.parts.Clock()
 	d.reload.Store(false)
 	d.urgent.Store(false)
-	callCtx, cancel := patient(ctx, loadTimeout, &d.receiving)
+	callCtx, cancel := withSilenceTimeout(ctx, loadTimeout, &d.receiving)
 	defer cancel()
 	f.calls.Inc()
 	change, err := f.parts.Source.Load(callCtx, d.topic)
@@ -150,7 +150,7 @@
 
 func (d *feed) watchOnce(ctx context.Context) (Change, error) {
 	wait, timeout := d.wait()
-	ctx, cancel := patient(ctx, timeout, &d.receiving)
+	ctx, cancel := withSilenceTimeout(ctx, timeout, &d.receiving)
 	defer cancel()
 	d.interrupt.Store(&cancel)
 	defer d.interrupt.Store(nil)
--- a/follow/patience.go
+++ b/follow/silence.go
@@ -19,9 +19,9 @@
 	answerMost = 15 * time.Second
 )
 
-// patient returns a context for a call whose answer must begin within a time, and must then go on coming.
+// withSilenceTimeout returns a context for a call whose answer must begin within a time, and must then go on coming.
 // Receiving is true from the answer's beginning until the call's end.
-func patient(ctx context.Context, begin time.Duration, receiving *atomic.Bool) (context.Context, context.CancelFunc) {
+func withSilenceTimeout(ctx context.Context, begin time.Duration, receiving *atomic.Bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, begin+answerMost)
 	silence := time.AfterFunc(begin, cancel)
 	ctx = store.WithProgress(ctx, func() {
--- a/gossip/configuration.go
+++ b/gossip/configuration.go
@@ -11,8 +11,8 @@
 )
 
 // A node whose reports tell of an earlier configuration gets the later one, or what changed, with the reports of others,
-// until it tells of that: at once from the node that follows the store for its data centre; elsewhere once it has had time to hear of it
-// from the store, since then it may be cut off from that.
+// until it tells of that: at once from the node that follows the store for its data centre; elsewhere once it has had time
+// to hear of it from the store, since then it may be cut off from that.
 
 const (
 	// behindPatience is how long a peer may be behind before it is told, if it is not relied on to be told: longer than the
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -274,18 +274,18 @@
 	report := Report{From: m.parts.Self, Life: m.parts.Life, DataCentre: m.parts.DataCentre}
 	m.parts.Fill(&report)
 	changes := report.Changes
-	handing := handing{handOn: m.parts.HandOn, ready: make(map[uint64]handed)}
+	configurations := handing{handOn: m.parts.HandOn, ready: make(map[uint64]handed)}
 	size := 0
 	for id, to := range targets {
 		report.Changes, report.Every = nil, to.every
 		if to.near {
 			report.Changes = changes
 		}
-		handed := handed{}
+		var lacking handed
 		if version, lacks := m.lacksConfiguration(id, &report); lacks {
-			handed = handing.to(version)
+			lacking = configurations.to(version)
 		}
-		report.Steps, report.Document = handed.steps, handed.document
+		report.Steps, report.Document = lacking.steps, lacking.document
 		report.SentAt = m.parts.Clock()
 		report.Echo, report.EchoLife = m.echo(id)
 		datagram, err := encoding.Marshal(report)
--- a/places/choose.go
+++ b/places/choose.go
@@ -16,7 +16,8 @@
 	if a := p.chooseWithin(now, ask, r, d, fleet); a != nil {
 		return a
 	}
-	if r.beyond || !p.underShare(now, r, d) {
+	if r.beyond || r.rounds > 1 || !p.underShare(now, r, d) {
+		// More room is not to be had, or is there already: quick work may go further beyond the places.
 		return nil
 	}
 	r.beyond = true
--- a/routetable/change.go
+++ b/routetable/change.go
@@ -164,9 +164,11 @@
 
 func (t *Table) routesByID() map[routeID]*Route {
 	byID := make(map[routeID]*Route, t.Routes())
-	for _, r := range t.sortedRoutes() {
-		if byID[r.id()] == nil {
-			byID[r.id()] = r
+	for _, list := range t.hosts {
+		for _, r := range list {
+			if byID[r.id()] == nil {
+				byID[r.id()] = r
+			}
 		}
 	}
 	return byID
