Logs: a send that ends without an answer says whether the endpoint had acknowledged it

The line of a failed attempt named the endpoint and the error, but not whether the request still lay in this host's kernel. That tells a request that the connection delivers late from one that was dispatched late.

netdial.Conn asks the kernel for unacknowledged bytes when it is closed. Nothing is decided by it yet.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -20,6 +20,9 @@
 	// ErrBroken means that the stream ended before the answer did; the endpoint may
 	// still be running the request.
 	ErrBroken = errors.New("endpoint: stream broken")
+	// ErrUnacknowledged means that the connection was ended before the endpoint's host had acknowledged the whole request.
+	// It accompanies ErrBroken.
+	ErrUnacknowledged = errors.New("endpoint: request not acknowledged")
 	// ErrStreamNotFound means that the engine does not know the stream.
 	ErrStreamNotFound = errors.New("endpoint: stream not found")
 )
--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -73,7 +73,7 @@
 	mu   sync.Mutex
 	idle map[domain.EndpointID][]*conn
 
-	dials, reused, stale *metrics.Counter
+	dials, reused, stale, unacknowledged *metrics.Counter
 }
 
 // Options bound a Client.
@@ -96,6 +96,8 @@
 		dials:   set.NewCounter("hawthornrill_endpoint_dials_total"),
 		reused:  set.NewCounter("hawthornrill_endpoint_connections_reused_total"),
 		stale:   set.NewCounter("hawthornrill_endpoint_stale_answers_total"),
+
+		unacknowledged: set.NewCounter("hawthornrill_endpoint_requests_unacknowledged_total"),
 	}
 	set.NewGauge("hawthornrill_endpoint_connections", func() float64 { return float64(c.open.Load()) })
 	return c
@@ -114,18 +116,26 @@
 	stop := context.AfterFunc(ctx, func() { conn.close() })
 	if err := conn.write(r); err != nil {
 		stop()
-		conn.close()
-		return nil, err
+		return nil, c.abandon(conn, err)
 	}
 	response, err := c.read(conn, r)
 	if err != nil {
 		stop()
-		conn.close()
-		return nil, fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
+		return nil, c.abandon(conn, fmt.Errorf("%w: %w", endpoint.ErrBroken, err))
 	}
 	return &Answer{Response: response, client: c, conn: conn, endpoint: r.Endpoint, stop: stop}, nil
 }
 
+// abandon closes a connection whose request has no answer, and adds to the error what was not acknowledged of it.
+func (c *Client) abandon(conn *conn, err error) error {
+	conn.close()
+	if errors.Is(err, endpoint.ErrNotDispatched) || !conn.Pending() {
+		return err
+	}
+	c.unacknowledged.Inc()
+	return fmt.Errorf("%w: %w", err, endpoint.ErrUnacknowledged)
+}
+
 // connection takes an idle one or dials.
 func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
 	for {
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -11,11 +11,12 @@
 	"golang.org/x/sys/unix"
 
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/netdial"
 )
 
 // conn is a connection to an endpoint.
 type conn struct {
-	net.Conn
+	*netdial.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
 	// limit is the number of bytes that may still be read.
@@ -29,7 +30,7 @@
 const readBuffer = 4 << 10
 
 func newConn(raw net.Conn, closed func()) *conn {
-	c := &conn{Conn: raw, closed: closed}
+	c := &conn{Conn: netdial.Wrap(raw), closed: closed}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -58,11 +59,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,6 +43,7 @@
 	d := &dispatched{task: t, place: place, ctx: ctx, cancel: cancel, started: time.Now()}
 	d.watch()
 	defer d.unwatch()
+	t.unacknowledged = false
 	t.endpoint, t.load, t.tokenTime = place.Endpoint.Incarnation(), place.Load, place.TokenTime
 	if !place.Reported.IsZero() {
 		t.loadAge = time.Since(place.Reported)
@@ -187,6 +188,7 @@
 	}
 	t.sends++
 	t.mayHaveRun = true
+	t.unacknowledged = errors.Is(err, endpoint.ErrUnacknowledged)
 	return d.broken(err)
 }
 
@@ -242,7 +244,7 @@
 	}
 	t.gateway.metrics.retries.Inc()
 	t.gateway.parts.Log.Info().Str("request", t.call.ID).Str("endpoint", string(d.place.Endpoint.Incarnation())).
-		Bool("not_sent", notSent).Int("sends", t.sends).Str("last_event", t.lastEvent).AnErr("cause", err).
+		Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(d.started)).Int("sends", t.sends).Str("last_event", t.lastEvent).AnErr("cause", err).
 		Msg("attempt failed, trying another endpoint")
 	return step{err: err}
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -66,6 +66,8 @@
 	loadAge  time.Duration
 	// tokenTime is what the endpoint was thought to take for a token.
 	tokenTime time.Duration
+	// unacknowledged is true if the endpoint's host had not acknowledged the whole request when the last send ended.
+	unacknowledged bool
 }
 
 func newTask(g *Gateway, w http.ResponseWriter, r *http.Request) *task {
