Test: a request given up on is delivered later; fails on this code, listed as known red

Seen: a request reached an endpoint that had left, seconds after its caller had the answer from another one. The node had closed the connection to the first endpoint over a cut link; an ordinary close leaves unacknowledged bytes to the kernel, which goes on sending them.

The test stands in for the cut by a receiver that does not read.

--- a/endpoint/exchange/abandon_test.go
+++ b/endpoint/exchange/abandon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"syscall"
@@ -67,3 +68,17 @@
 	assert.ErrorIs(t, err, endpoint.ErrBroken)
 	assert.Assert(t, !errors.Is(err, endpoint.ErrUnacknowledged))
 }
+
+// Guards against requests that reach an endpoint after they were given up on, when a link that was cut is back.
+func TestRequestGivenUpOnIsNotDeliveredLater(t *testing.T) {
+	l := heldUp(t)
+	err := abandoned(t, New(Options{}, metrics.NewSet()), l)
+	assert.ErrorIs(t, err, endpoint.ErrUnacknowledged)
+
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	delivered, err := io.ReadAll(c)
+	assert.Assert(t, err != nil, "%d bytes and an ordinary end were delivered", len(delivered))
+	assert.Assert(t, len(delivered) < bodyBytes, "the whole request was delivered")
+}
