Endpoints: a request given up on is not delivered when a cut link comes back

Callers saw nothing: the request had been answered by another endpoint. The endpoint that had been given up on got it as well, up to five seconds later, when it had left (DRAIN); a living one would have run it a second time for nobody.

Cause: the node closed the connection in order. The kernel then owns what was not acknowledged and goes on retransmitting it, after 0.2, 0.6, 1.4, 3.0 and 6.2 s, so that a cut link delivers it once it is back. The bound on silent connections (1.5 s) is later than the node's patience with an endpoint (1.2 s).

Change: netdial.Conn resets the connection at its close if bytes are unacknowledged, which discards them; it takes no write after that. All acknowledged, the close stays in order, since the kernel repeats a FIN that is lost and does not repeat a reset.

--- a/netdial/conn.go
+++ b/netdial/conn.go
@@ -9,8 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a TCP connection that knows whether the other side has acknowledged all that was written. It is safe for
-// concurrent use.
+// Conn is a TCP connection whose Close discards what the other side has not acknowledged. After an ordinary close the
+// kernel would go on retransmitting it, and the other side would get it once a cut link is back. It is safe for concurrent
+// use.
 type Conn struct {
 	net.Conn
 
@@ -49,17 +50,28 @@
 	c.mu.Unlock()
 }
 
-// Close closes the connection.
+// Close closes the connection. It resets it if the other side has not acknowledged all that was written, so that none of
+// the rest is delivered, and closes it in order otherwise.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if !c.closed {
 		c.closed = true
 		c.pending = c.writing > 0 || c.unacknowledged()
+		c.discard()
 	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// discard makes the close a reset if bytes are pending. A connection that can't be reset is closed in order.
+func (c *Conn) discard() {
+	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !c.pending || !ok {
+		return
+	}
+	_ = tcp.SetLinger(0) // fails only for a socket that is closed already
+}
+
 // Pending reports whether the connection was closed before the other side had acknowledged all that was written.
 func (c *Conn) Pending() bool {
 	c.mu.Lock()
