Calls to the store and to engines: given up on is not delivered later either

The same cause as for endpoints: package onesend, which carries the calls to the store and those of the product's own adapters, closed a call's connection in order when its context ended, and the kernel went on sending it. A write to the store given up on could be done seconds after a later one; a request could reach an engine that its caller had left.

Its connections are netdial.Conn now.

--- /dev/null
+++ b/endpoint/onesend/abandon_test.go
@@ -0,0 +1,53 @@
+package onesend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/endpoint/onesend"
+	"hawthornrill.example/hawthornrill/netdial/netdialtest"
+)
+
+// Guards against calls that reach a store or an endpoint after they were given up on, when a link that was cut is back.
+func TestCallGivenUpOnIsNotDeliveredLater(t *testing.T) {
+	l := netdialtest.HeldUp(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	body := &lastRead{Reader: strings.NewReader(strings.Repeat("x", netdialtest.HeldBytes)), end: cancel}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr().String(), body)
+	assert.NilError(t, err)
+	request.ContentLength = netdialtest.HeldBytes
+	_, err = onesend.New(onesend.Options{}).Send(request)
+	assert.ErrorIs(t, err, endpoint.ErrBroken)
+
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	delivered, err := io.ReadAll(c)
+	assert.ErrorIs(t, err, unix.ECONNRESET, "%d bytes and an ordinary end were delivered", len(delivered))
+	assert.Assert(t, len(delivered) < netdialtest.HeldBytes, "the whole request was delivered")
+}
+
+// lastRead calls end once all has been read.
+type lastRead struct {
+	io.Reader
+	end func()
+}
+
+func (r *lastRead) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.end()
+	}
+	return n, err
+}
+
+func (r *lastRead) Close() error { return nil }
--- a/endpoint/onesend/conn.go
+++ b/endpoint/onesend/conn.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"hawthornrill.example/hawthornrill/netdial"
 )
 
 // conn counts the attempts to write, before they are made.
 type conn struct {
-	net.Conn
+	*netdial.Conn
 	attempts atomic.Uint64
 }
 
@@ -27,5 +29,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: netdial.Wrap(c)}, nil
 }
