Links between nodes: frames of an ended link are not delivered later

Dialled and accepted connections of links are netdial.Conn now. A link that both nodes agree to close ends after the closing handshake, when nothing is outstanding.

--- /dev/null
+++ b/netdial/listener.go
@@ -0,0 +1,15 @@
+package netdial
+
+import "net"
+
+// Listener is a listener whose connections are Conns.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(raw), nil
+}
--- a/netdial/netdialtest/listener.go
+++ b/netdial/netdialtest/listener.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -23,15 +24,39 @@
 // rest, as it does on a link that is cut. It is closed with the test.
 func HeldUp(t testing.TB) net.Listener {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var set error
-		err := raw.Control(func(fd uintptr) {
-			set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-		return errors.Join(err, set)
-	}}
+	config := net.ListenConfig{Control: takeLittle}
 	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
+
+// DialHeldUp is HeldUp for a connection that the receiving side dials.
+func DialHeldUp(t testing.TB, address string) net.Conn {
+	dialer := net.Dialer{Control: takeLittle}
+	c, err := dialer.DialContext(context.Background(), "tcp4", address)
+	assert.Check(t, err)
+	return c
+}
+
+// takeLittle bounds what a socket takes before it is read.
+func takeLittle(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, set)
+}
+
+// AssertDiscards fails the test if far, which has read nothing yet, gets all that is written to near before near is closed,
+// or sees an ordinary end. It closes both.
+func AssertDiscards(t testing.TB, near, far net.Conn) {
+	t.Helper()
+	defer far.Close()
+	_, err := near.Write(make([]byte, HeldBytes))
+	assert.NilError(t, err)
+	assert.NilError(t, near.Close())
+	delivered, err := io.ReadAll(far)
+	assert.ErrorIs(t, err, unix.ECONNRESET, "%d bytes and an ordinary end were delivered", len(delivered))
+	assert.Assert(t, len(delivered) < HeldBytes, "all was delivered")
+}
--- a/peer/wslink/listen.go
+++ b/peer/wslink/listen.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/logging"
+	"hawthornrill.example/hawthornrill/netdial"
 	"hawthornrill.example/hawthornrill/peer/pki"
 )
 
@@ -21,6 +22,7 @@
 // Serve accepts links on the listener until the context ends, with TLS if the
 // transport has credentials. Open links outlive it; Close ends them.
 func (t *Transport) Serve(ctx context.Context, listener net.Listener) error {
+	listener = accepted(listener)
 	if t.options.Credentials != nil {
 		listener = tls.NewListener(listener, pki.ServerConfig(t.options.Credentials))
 	}
@@ -40,3 +42,6 @@
 	}
 	return fmt.Errorf("wslink: serve: %w", err)
 }
+
+// accepted makes the listener's connections such that frames of a link that has ended are not delivered later.
+func accepted(listener net.Listener) net.Listener { return netdial.Listener{Listener: listener} }
--- a/peer/wslink/options.go
+++ b/peer/wslink/options.go
@@ -10,6 +10,7 @@
 
 	"hawthornrill.example/hawthornrill/defaults"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/netdial"
 	"hawthornrill.example/hawthornrill/peer/pki"
 )
 
@@ -89,5 +90,9 @@
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return netdial.Wrap(raw), nil
 }
