Endpoints' own limits are read, told to the other nodes and logged

The logs could not show which answers named a limit, nor what a node believed of it. Package endpointlimit keeps what endpoints state; reports carry it with its age, and the later statement holds, whoever heard it. The line 'endpoint limit changed' tells each change with its source and age; hawthornrill_endpoint_limits counts those in force. Nothing is decided by it yet.

An answer to a request that was sent before the latest statement does not end a limit: it may be older. What answers 421 in place of an endpoint that is gone says nothing of it, nor does an answer without a limit that the endpoint has not signed.

--- /dev/null
+++ b/endpointlimit/limiter.go
@@ -0,0 +1,161 @@
+package endpointlimit
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
+)
+
+const (
+	// tellFor is how long a statement is told to the other nodes after the endpoint made it to this one.
+	tellFor = 5 * time.Second
+	// forgetAfter is how long a limit is kept that the endpoint has not stated again to any node heard.
+	forgetAfter = 30 * time.Second
+)
+
+// Parts are what a Limiter works with.
+type Parts struct {
+	Clock   boottime.Clock
+	Log     zerolog.Logger
+	Metrics *metrics.Set
+}
+
+// Limiter keeps the endpoints' limits. It is safe for concurrent use.
+type Limiter struct {
+	parts Parts
+	// known is the number of entries, read without the lock: most of the time there is none.
+	known atomic.Int64
+
+	mu     sync.Mutex
+	limits map[domain.EndpointID]*limit
+
+	unreadable *metrics.Counter
+}
+
+// New returns a limiter that knows of no limit.
+func New(parts Parts) *Limiter {
+	l := &Limiter{
+		parts:      parts,
+		limits:     make(map[domain.EndpointID]*limit),
+		unreadable: parts.Metrics.NewCounter("hawthornrill_endpoint_limits_unreadable_total"),
+	}
+	parts.Metrics.NewGauge("hawthornrill_endpoint_limits", func() float64 { return float64(l.inForce()) })
+	return l
+}
+
+// Stated takes what an answer says of its endpoint's limit. Sent is when the request was sent: an answer to one that was
+// sent before the latest statement may be older than that, and does not change it.
+func (l *Limiter) Stated(id domain.EndpointID, sent boottime.Instant, s Statement) {
+	switch {
+	case s.Kind == Unreadable:
+		l.unreadable.Inc()
+		return
+	case s.Kind == None && l.known.Load() == 0:
+		return
+	}
+	now := l.parts.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.limits[id]
+	ended := s.Kind == None
+	if !ok && ended || ok && known.ended != ended && sent < known.statedAt {
+		return
+	}
+	l.set(id, s.PerSecond, ended, now, "answer").ownAt = now
+}
+
+// set takes a statement over and logs what changes. The lock is held.
+func (l *Limiter) set(id domain.EndpointID, perSecond float64, ended bool, at boottime.Instant, from string) *limit {
+	known, ok := l.limits[id]
+	if !ok {
+		known = &limit{}
+		l.limits[id] = known
+		l.known.Store(int64(len(l.limits)))
+	}
+	if !ok || !known.equal(perSecond, ended) {
+		l.parts.Log.Info().Str("endpoint", string(id)).Float64("per_second", perSecond).Bool("ended", ended).
+			Float64("per_second_before", known.perSecond).Str("from", from).Dur("age_ms", l.parts.Clock().Sub(at)).
+			Msg("endpoint limit changed")
+	}
+	known.perSecond, known.ended, known.statedAt = perSecond, ended, at
+	return known
+}
+
+// Fill adds to a report what endpoints have stated to this node lately.
+func (l *Limiter) Fill(report *gossip.Report) {
+	if l.known.Load() == 0 {
+		return
+	}
+	now := l.parts.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forget(now)
+	for id, known := range l.limits {
+		age := now.Sub(known.ownAt)
+		if known.ownAt == 0 || age > tellFor {
+			continue
+		}
+		report.Limits = append(report.Limits, gossip.EndpointLimit{
+			Endpoint: id, PerSecond: known.perSecond, Ended: known.ended, AgeMillis: age.Milliseconds(),
+		})
+	}
+}
+
+// Heard takes what endpoints have stated to another node, unless something stated later is known.
+func (l *Limiter) Heard(report *gossip.Report) {
+	if len(report.Limits) == 0 {
+		return
+	}
+	now := l.parts.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, told := range report.Limits {
+		at := now.Add(-time.Duration(told.AgeMillis) * time.Millisecond)
+		known, ok := l.limits[told.Endpoint]
+		if !usable(told) || !ok && told.Ended || ok && at <= known.statedAt {
+			continue
+		}
+		l.set(told.Endpoint, told.PerSecond, told.Ended, at, string(report.From))
+	}
+}
+
+// usable reports whether a limit told by another node is one.
+func usable(told gossip.EndpointLimit) bool {
+	return told.AgeMillis >= 0 && told.PerSecond >= 0 && !math.IsInf(told.PerSecond, 0) && !math.IsNaN(told.PerSecond)
+}
+
+// forget drops what has not been stated for long. The lock is held.
+func (l *Limiter) forget(now boottime.Instant) {
+	for id, known := range l.limits {
+		if now.Sub(known.statedAt) <= forgetAfter {
+			continue
+		}
+		delete(l.limits, id)
+		if !known.ended {
+			l.parts.Log.Info().Str("endpoint", string(id)).Float64("per_second", known.perSecond).
+				Dur("age_ms", now.Sub(known.statedAt)).Msg("endpoint limit not stated again, forgotten")
+		}
+	}
+	l.known.Store(int64(len(l.limits)))
+}
+
+// inForce counts the limits in force.
+func (l *Limiter) inForce() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, known := range l.limits {
+		if !known.ended {
+			n++
+		}
+	}
+	return n
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -18,6 +18,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gateway"
 	"hawthornrill.example/hawthornrill/gossip"
@@ -47,15 +48,17 @@
 	mesh      *gossip.Mesh
 	socket    *gossip.UDP
 	limits    *tokenlimit.Limiter
-	desk      *places.Desk
-	suspects  *quarantine.Board
-	endpoints *exchange.Client
-	gateway   *gateway.Gateway
-	callers   *http.Server
-	ready     *http.Server
-	operators *http.Server
-	leaving   atomic.Bool
-	wasReady  atomic.Bool
+	// endpointLimits are what endpoints take, limits what organisations may send.
+	endpointLimits *endpointlimit.Limiter
+	desk           *places.Desk
+	suspects       *quarantine.Board
+	endpoints      *exchange.Client
+	gateway        *gateway.Gateway
+	callers        *http.Server
+	ready          *http.Server
+	operators      *http.Server
+	leaving        atomic.Bool
+	wasReady       atomic.Bool
 }
 
 // New puts a node together and opens its sockets.
@@ -83,16 +86,18 @@
 	n.limits = tokenlimit.New(tokenlimit.Parts{
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
+	n.endpointLimits = endpointlimit.New(endpointlimit.Parts{Clock: boottime.Now, Log: log, Metrics: n.metrics})
 	n.desk = places.New(places.Options{
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.suspects = quarantine.NewBoard(log)
 	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
 	n.gateway = gateway.New(gateway.Parts{
-		Protocol:  adapters.Protocol,
-		Knowledge: n.follower,
-		Directory: n.directory,
-		Limits:    n.limits,
+		Protocol:       adapters.Protocol,
+		Knowledge:      n.follower,
+		Directory:      n.directory,
+		Limits:         n.limits,
+		EndpointLimits: n.endpointLimits,
 		Retries: retrybudget.New(retrybudget.Options{
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: seconds(s.Retry.WindowS),
 		}, boottime.Now, n.nodes),
@@ -198,6 +203,7 @@
 	n.desk.Fill(report)
 	report.Broken = n.suspects.News()
 	n.limits.Fill(report)
+	n.endpointLimits.Fill(report)
 }
 
 // heard takes another node's report.
@@ -205,6 +211,7 @@
 	n.desk.Heard(report)
 	n.suspects.Heard(report.Broken)
 	n.limits.Heard(report)
+	n.endpointLimits.Heard(report)
 	word := follow.Word{
 		Version: report.Version, Endpoints: follow.Revision(report.Endpoints),
 		Apart: report.PassesOn && report.DataCentre == n.settings.DataCentre && len(report.Document)+len(report.Steps) == 0,
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"time"
 
+	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/routetable"
 )
@@ -49,6 +51,7 @@
 		t.loadAge = time.Since(place.Reported)
 	}
 	t.tried = append(t.tried, place.Endpoint.Incarnation())
+	sent := t.gateway.parts.Clock()
 	answer, err := t.gateway.parts.Endpoints.Send(ctx, t.exchangeRequest(place))
 	if err != nil {
 		return d.failed(err)
@@ -56,6 +59,7 @@
 	defer answer.Close()
 	t.sends++
 	head := t.gateway.parts.Protocol.ReadAnswer(answer.StatusCode, answer.Header)
+	d.takeLimit(answer.StatusCode, head, sent)
 	if head.NotRun {
 		return d.rejected(answer.StatusCode)
 	}
@@ -73,6 +77,16 @@
 	}
 }
 
+// takeLimit takes what the endpoint says of its limit. What answers in place of an endpoint that is gone says nothing of it,
+// nor does the lack of a limit in an answer that the endpoint has not signed.
+func (d *dispatched) takeLimit(status int, head AnswerHead, sent boottime.Instant) {
+	foreign := status == http.StatusMisdirectedRequest
+	if foreign || head.Limit.Kind == endpointlimit.None && !head.Signed && !head.NotRun {
+		return
+	}
+	d.task.gateway.parts.EndpointLimits.Stated(d.place.Endpoint.Incarnation(), sent, head.Limit)
+}
+
 // errNoBudget means that too many requests have been sent twice already.
 var errNoBudget = errors.New("gateway: the budget of retries is used up")
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
@@ -43,7 +44,11 @@
 }
 
 func (testProtocol) ReadAnswer(_ int, h http.Header) AnswerHead {
-	return AnswerHead{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != ""}
+	head := AnswerHead{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != ""}
+	if perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		head.Limit = endpointlimit.Statement{Kind: endpointlimit.Named, PerSecond: perSecond}
+	}
+	return head
 }
 
 // testKnowledge is a table with an age.
@@ -77,6 +82,8 @@
 	sends     atomic.Int64
 	retries   retrybudget.Options
 	bodyBytes int64
+
+	endpointLimits *endpointlimit.Limiter
 }
 
 // manyRetries is a budget that no test uses up.
@@ -128,19 +135,21 @@
 	alone := func() gossip.Fleet { return gossip.Fleet{Known: 1, Heard: 1} }
 	one := func() int { return 1 }
 
+	f.endpointLimits = endpointlimit.New(endpointlimit.Parts{Clock: f.now, Log: zerolog.Nop(), Metrics: set})
 	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Parts{
-		Protocol:   testProtocol{},
-		Knowledge:  f.knowledge,
-		Directory:  f.directory,
-		Limits:     limits,
-		Retries:    retrybudget.New(f.retries, f.now, one),
-		Quarantine: quarantine.NewBoard(zerolog.Nop()),
-		Places:     places.New(places.Options{}, f.directory, alone, set),
-		Endpoints:  exchange.New(exchange.Options{}, set),
-		Clock:      f.now,
-		Log:        zerolog.Nop(),
-		Metrics:    set,
+		Protocol:       testProtocol{},
+		Knowledge:      f.knowledge,
+		Directory:      f.directory,
+		Limits:         limits,
+		EndpointLimits: f.endpointLimits,
+		Retries:        retrybudget.New(f.retries, f.now, one),
+		Quarantine:     quarantine.NewBoard(zerolog.Nop()),
+		Places:         places.New(places.Options{}, f.directory, alone, set),
+		Endpoints:      exchange.New(exchange.Options{}, set),
+		Clock:          f.now,
+		Log:            zerolog.Nop(),
+		Metrics:        set,
 	}, Options{KeyAge: testKeyAge, BehindMost: testBehindMost, BodyBytes: f.bodyBytes})
 	f.clock.Add(int64(time.Hour)) // a new life's limits begin as used up
 	f.gateway = g
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/retrybudget"
@@ -45,8 +46,10 @@
 	Knowledge Knowledge
 	Directory *directory.Directory
 	Limits    *tokenlimit.Limiter
-	Retries   *retrybudget.Budget
-	Places    *places.Desk
+	// EndpointLimits takes what endpoints say of how many requests they take.
+	EndpointLimits *endpointlimit.Limiter
+	Retries        *retrybudget.Budget
+	Places         *places.Desk
 	// Quarantine knows the contents that crash the endpoints that run them.
 	Quarantine *quarantine.Board
 	Endpoints  *exchange.Client
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpointlimit"
 )
 
 // Call is what the head of a caller's request says.
@@ -75,6 +76,8 @@
 	NotRun bool
 	// Signed is true if the answer is the endpoint's own, rather than something on the way.
 	Signed bool
+	// Limit is what the endpoint says of the requests that it takes from all nodes together.
+	Limit endpointlimit.Statement
 }
 
 // Protocol translates heads. Implementations decide nothing.
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -34,6 +34,8 @@
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// Broken is the latest evidence of contents that endpoints broke off while they ran them.
 	Broken []quarantine.Evidence `cbor:"20,keyasint,omitempty"`
+	// Limits are what endpoints have stated to the sender lately of their limits.
+	Limits []EndpointLimit `cbor:"21,keyasint,omitempty"`
 	// Spent are the organisations' limits as the sender sees them.
 	Spent []Spent `cbor:"9,keyasint,omitempty"`
 	// Document is the sender's configuration as the operators wrote it, for a receiver that lacks it.
@@ -91,3 +93,14 @@
 	Used         float64               `cbor:"3,keyasint"`
 	Level        float64               `cbor:"4,keyasint"`
 }
+
+// EndpointLimit is what an endpoint has stated to the sender of the requests a second that it takes from all nodes together.
+type EndpointLimit struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint domain.EndpointID
+	// PerSecond is 0 or more; Ended is true if the endpoint no longer names a limit.
+	PerSecond float64
+	Ended     bool
+	// AgeMillis is how many milliseconds before the report the endpoint stated it.
+	AgeMillis int64
+}
