--- /dev/null
+++ b/gateway/endpointlimit_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// limited serves streams and names a limit of so many requests a second, if that is not empty.
+func limited(perSecond string, got *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		got.Add(1)
+		if perSecond != "" {
+			w.Header().Set("X-Limit", perSecond)
+		}
+		events(w, 1, 3)
+	}
+}
+
+// moveAway lists the endpoint in another data centre than the node's.
+func (f *fixture) moveAway(id domain.EndpointID) {
+	e := *f.directory.Current().Endpoint(id)
+	e.DataCentre = "far"
+	f.directory.Apply(0, []*directory.Endpoint{&e}, nil, 0)
+}
+
+// Guards against endpoints that get more requests than they have named to take from all nodes together.
+func TestEndpointGetsNoMoreThanTheLimitItNames(t *testing.T) {
+	var atLimited, atOther atomic.Int64
+	f := newFixture(t, nil, limited("2", &atLimited), limited("", &atOther))
+	f.moveAway("e1") // the near one goes first
+	call := func(n int) {
+		for range n {
+			assert.Equal(t, f.call(nil).Status, http.StatusOK)
+		}
+	}
+	const allowed, factor = 5, 1.5
+	call(20)
+	before := atLimited.Load()
+	assert.Assert(t, before <= allowed, "%d of 20 requests while no time passed", before)
+	for range 4 {
+		f.clock.Add(int64(time.Second))
+		call(8)
+	}
+	within := atLimited.Load() - before
+	assert.Assert(t, float64(within) <= factor*2*4+allowed, "%d of 32 requests within four seconds", within)
+	assert.Assert(t, within >= 4, "the endpoint is used as far as its limit allows: %d of 32 requests", within)
+	assert.Equal(t, atLimited.Load()+atOther.Load(), int64(52))
+}
