Endpoints: what all nodes send one keeps to the limit that it names

Callers of an endpoint in need saw nothing at once; the endpoint got two to three times what it had said it takes (LIMIT: 46 requests in 4 s where 33 were allowed).

Cause: the header that names the limit was passed on to callers and read by nobody. The class: a bound that holds over all nodes, known to each, shared by none.

Change: the nodes of the endpoint's data centre share its limit, each with a bucket of its own that begins empty, without a message before a dispatch. All nodes choose the same sharers from the nodes that may be alive, so that a cut does not raise the sum; no more of them than may send at once. Places passes an endpoint over while the share is used up, requests wait for it as for one that is full, and a node whose share is none does not wait for it. 'request ended' names the limit, a refusal how many endpoints were at theirs.

--- a/endpointlimit/limit.go
+++ b/endpointlimit/limit.go
@@ -10,6 +10,11 @@
 	// statedAt is when the endpoint stated this, ownAt when it last stated it to this node, zero if it did not.
 	statedAt boottime.Instant
 	ownAt    boottime.Instant
+
+	bucket bucket
+	// share is this node's part, worked out at sharedAt.
+	share    float64
+	sharedAt boottime.Instant
 }
 
 // equal reports whether the limit is the one that is stated.
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gossip"
 )
@@ -19,11 +20,16 @@
 	tellFor = 5 * time.Second
 	// forgetAfter is how long a limit is kept that the endpoint has not stated again to any node heard.
 	forgetAfter = 30 * time.Second
+	// shareEvery is how often a node's share is worked out anew, since nodes come and go.
+	shareEvery = 500 * time.Millisecond
 )
 
 // Parts are what a Limiter works with.
 type Parts struct {
-	Clock   boottime.Clock
+	Self  domain.NodeID
+	Clock boottime.Clock
+	// Members are all nodes that may be alive, this one included.
+	Members func() []gossip.Member
 	Log     zerolog.Logger
 	Metrics *metrics.Set
 }
@@ -72,6 +78,59 @@
 	l.set(id, s.PerSecond, ended, now, "answer").ownAt = now
 }
 
+// Bars reports whether this node is to send the endpoint nothing, since its limit is other nodes'.
+func (l *Limiter) Bars(e *directory.Endpoint) bool {
+	if l.known.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.filled(e)
+	return known != nil && known.share == 0
+}
+
+// Allows reports whether this node may send the endpoint one more request now.
+func (l *Limiter) Allows(e *directory.Endpoint) bool {
+	if l.known.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.filled(e)
+	return known == nil || known.share > 0 && known.bucket.level >= 1
+}
+
+// Take counts a request that is sent to the endpoint, and returns the limit in force there in requests a second, zero if
+// there is none.
+func (l *Limiter) Take(e *directory.Endpoint) (perSecond float64) {
+	if l.known.Load() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.filled(e)
+	if known == nil {
+		return 0
+	}
+	known.bucket.level--
+	return known.perSecond
+}
+
+// filled returns the limit in force at the endpoint, brought to the present, nil if there is none. The lock is held.
+func (l *Limiter) filled(e *directory.Endpoint) *limit {
+	known, ok := l.limits[e.Incarnation()]
+	if !ok || known.ended {
+		return nil
+	}
+	now := l.parts.Clock()
+	if known.sharedAt == 0 || now.Sub(known.sharedAt) >= shareEvery {
+		known.share = share(l.parts.Self, e.Incarnation(), e.DataCentre, known.perSecond, l.parts.Members())
+		known.sharedAt = now
+	}
+	known.bucket.fill(now, known.share)
+	return known
+}
+
 // set takes a statement over and logs what changes. The lock is held.
 func (l *Limiter) set(id domain.EndpointID, perSecond float64, ended bool, at boottime.Instant, from string) *limit {
 	known, ok := l.limits[id]
@@ -85,6 +144,9 @@
 			Float64("per_second_before", known.perSecond).Str("from", from).Dur("age_ms", l.parts.Clock().Sub(at)).
 			Msg("endpoint limit changed")
 	}
+	if !known.equal(perSecond, ended) {
+		known.sharedAt = 0
+	}
 	known.perSecond, known.ended, known.statedAt = perSecond, ended, at
 	return known
 }
--- a/endpointlimit/limiter_test.go
+++ b/endpointlimit/limiter_test.go
@@ -24,7 +24,10 @@
 
 func newRig() *rig {
 	r := &rig{now: boottime.Instant(time.Hour)}
-	r.Limiter = New(Parts{Clock: func() boottime.Instant { return r.now }, Log: zerolog.Nop(), Metrics: metrics.NewSet()})
+	r.Limiter = New(Parts{
+		Self: "n0", Clock: func() boottime.Instant { return r.now }, Members: func() []gossip.Member { return members(1, 1) },
+		Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+	})
 	return r
 }
 
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -86,9 +86,11 @@
 	n.limits = tokenlimit.New(tokenlimit.Parts{
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
-	n.endpointLimits = endpointlimit.New(endpointlimit.Parts{Clock: boottime.Now, Log: log, Metrics: n.metrics})
+	n.endpointLimits = endpointlimit.New(endpointlimit.Parts{
+		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Log: log, Metrics: n.metrics,
+	})
 	n.desk = places.New(places.Options{
-		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Log: log,
+		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Limits: n.endpointLimits, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.suspects = quarantine.NewBoard(log)
 	n.endpoints = exchange.New(exchange.Options{Connections: s.Host.endpointConnections(), Idle: n.idleAt}, n.metrics)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -47,6 +47,7 @@
 	defer d.unwatch()
 	t.unacknowledged = false
 	t.endpoint, t.load, t.tokenTime = place.Endpoint.Incarnation(), place.Load, place.TokenTime
+	t.endpointLimit = place.Limit
 	if !place.Reported.IsZero() {
 		t.loadAge = time.Since(place.Reported)
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -135,7 +135,9 @@
 	alone := func() gossip.Fleet { return gossip.Fleet{Known: 1, Heard: 1} }
 	one := func() int { return 1 }
 
-	f.endpointLimits = endpointlimit.New(endpointlimit.Parts{Clock: f.now, Log: zerolog.Nop(), Metrics: set})
+	f.endpointLimits = endpointlimit.New(endpointlimit.Parts{
+		Self: "n", Clock: f.now, Members: func() []gossip.Member { return []gossip.Member{{Node: "n"}} }, Log: zerolog.Nop(), Metrics: set,
+	})
 	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Parts{
 		Protocol:       testProtocol{},
@@ -145,7 +147,7 @@
 		EndpointLimits: f.endpointLimits,
 		Retries:        retrybudget.New(f.retries, f.now, one),
 		Quarantine:     quarantine.NewBoard(zerolog.Nop()),
-		Places:         places.New(places.Options{}, f.directory, alone, set),
+		Places:         places.New(places.Options{Limits: f.endpointLimits}, f.directory, alone, set),
 		Endpoints:      exchange.New(exchange.Options{}, set),
 		Clock:          f.now,
 		Log:            zerolog.Nop(),
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -66,6 +66,8 @@
 	loadAge  time.Duration
 	// tokenTime is what the endpoint was thought to take for a token.
 	tokenTime time.Duration
+	// endpointLimit is the requests a second that the endpoint took from all nodes together, zero if it had named none.
+	endpointLimit float64
 	// unacknowledged is true if the endpoint's host had not acknowledged the whole request when the last send ended.
 	unacknowledged bool
 }
@@ -213,7 +215,7 @@
 		p := &problem{
 			Status: http.StatusServiceUnavailable, Title: "no endpoint can take the request", Outcome: outcomeNotRun,
 			RetryAfter: refusal.RetryAfter,
-			Cause:      fmt.Errorf("%w (wait %v, ahead %d, free %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free),
+			Cause:      fmt.Errorf("%w (wait %v, ahead %d, free %d, limited %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free, refusal.Limited),
 		}
 		return step{done: true, refusal: t.honest(p), err: err}
 	case errors.Is(err, errTimeout):
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"hawthornrill.example/hawthornrill/domain"
+)
 
 // Fleet counts the nodes: those that may be alive, this one included, those heard from lately, and both for this data
 // centre.
@@ -10,6 +14,24 @@
 	Near  int
 }
 
+// Member is a node that may be alive.
+type Member struct {
+	Node       domain.NodeID
+	DataCentre domain.DataCentre
+}
+
+// Members returns the nodes that may be alive, silent ones and this one included, in no order.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members := make([]Member, 0, len(m.peers)+1)
+	members = append(members, Member{Node: m.parts.Self, DataCentre: m.parts.DataCentre})
+	for id, p := range m.peers {
+		members = append(members, Member{Node: id, DataCentre: p.centre})
+	}
+	return members
+}
+
 // Fleet returns the present counts.
 func (m *Mesh) Fleet() Fleet {
 	m.mu.Lock()
--- a/places/choose.go
+++ b/places/choose.go
@@ -91,7 +91,7 @@
 func (p *pool) collect(ask *Ask, r room, o Options, fleet gossip.Fleet) {
 	p.scratch, p.chosen = p.scratch[:0], p.chosen[:0]
 	for _, a := range p.list {
-		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(r, a.mine(o, fleet)) {
+		if a.endpoint.Leaving || ask.excludes(a.id()) || !a.hasRoom(r, a.mine(o, fleet)) || !o.Limits.Allows(a.endpoint) {
 			continue
 		}
 		p.scratch = append(p.scratch, &a.state)
@@ -99,10 +99,10 @@
 	}
 }
 
-// other reports whether there is an endpoint, full or not, that the ask could use and that is wanted.
+// other reports whether there is an endpoint, full or at its limit or not, that the ask could use and that is wanted.
 func (p *pool) other(ask *Ask, wanted func(*account) bool) bool {
 	for _, a := range p.list {
-		if !a.endpoint.Leaving && !ask.excludes(a.id()) && wanted(a) {
+		if !a.endpoint.Leaving && !ask.excludes(a.id()) && !p.limits.Bars(a.endpoint) && wanted(a) {
 			return true
 		}
 	}
--- a/places/desk.go
+++ b/places/desk.go
@@ -43,6 +43,9 @@
 // New returns a desk. Fleet counts the nodes.
 func New(options Options, d *directory.Directory, fleet func() gossip.Fleet, set *metrics.Set) *Desk {
 	options.Routing = defaultRouting(options.Routing)
+	if options.Limits == nil {
+		options.Limits = unlimited{}
+	}
 	if options.CacheTokens == nil {
 		options.CacheTokens = func(string) int { return 0 }
 	}
@@ -140,7 +143,7 @@
 	if wait <= bound {
 		return nil
 	}
-	return &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(now), Wait: wait, Ahead: ahead, Free: p.free()}
+	return &Refusal{Err: ErrOverloaded, RetryAfter: ask.retryAfter(now), Wait: wait, Ahead: ahead, Free: p.free(), Limited: p.limited()}
 }
 
 func (d *Desk) enqueue(p *pool, now time.Time, ask *Ask) *waiter {
--- a/places/options.go
+++ b/places/options.go
@@ -79,6 +79,8 @@
 	DataCentre domain.DataCentre
 	// CacheTokens returns the memory in tokens of each endpoint of a service, zero if it is not known; nil for none.
 	CacheTokens func(service string) int
+	// Limits are the endpoints' own limits on what they are sent; nil for none.
+	Limits Limits
 	// Routing are the router's numbers; zero values mean defaultRouting.
 	Routing routing.Options
 	// Log tells what the node comes to believe of endpoints; the zero value writes nothing.
--- a/places/place.go
+++ b/places/place.go
@@ -20,6 +20,8 @@
 	Reported time.Time
 	// TokenTime is what the endpoint was thought to take for a token, zero if nothing was known.
 	TokenTime time.Duration
+	// Limit is the number of requests a second that the endpoint takes from all nodes together, zero if it named none.
+	Limit float64
 
 	desk    *Desk
 	pool    *pool
--- a/places/pool.go
+++ b/places/pool.go
@@ -22,6 +22,7 @@
 	// firsts are the mean times from a dispatch to the first byte.
 	firsts firstBytes
 	demand demand
+	limits Limits
 	turns  int
 	// cache returns the memory in tokens of each endpoint, zero if it is not known.
 	cache func() int
@@ -58,12 +59,14 @@
 		waiting:  queue.New[*waiter](maxWaiting),
 		firsts:   newFirstBytes(),
 		demand:   newDemand(),
+		limits:   options.Limits,
 	}
 }
 
 // grant gives the ask a place.
 func (p *pool) grant(d *Desk, now time.Time, ask *Ask, a *account) *Place {
 	place := newPlace(d, p, a, ask, now)
+	place.Limit = p.limits.Take(a.endpoint)
 	p.demand.of(tierOf(ask)).served.add(now)
 	a.own.add(place.load)
 	a.refresh()
@@ -95,6 +98,17 @@
 	return n
 }
 
+// limited counts the endpoints at which their own limit leaves this node nothing now.
+func (p *pool) limited() int {
+	n := 0
+	for _, a := range p.list {
+		if !a.endpoint.Leaving && !p.limits.Allows(a.endpoint) {
+			n++
+		}
+	}
+	return n
+}
+
 // outstanding counts this node's own requests.
 func (p *pool) outstanding() int {
 	n := 0
--- a/places/refusal.go
+++ b/places/refusal.go
@@ -17,10 +17,12 @@
 	Err error
 	// RetryAfter is when a place is likely.
 	RetryAfter time.Duration
-	// Wait is the predicted wait, Ahead the number of requests waiting before this one, Free the number of places free.
-	Wait  time.Duration
-	Ahead int
-	Free  int
+	// Wait is the predicted wait, Ahead the number of requests waiting before this one, Free the number of places free,
+	// Limited that of endpoints at which their own limit leaves this node nothing now.
+	Wait    time.Duration
+	Ahead   int
+	Free    int
+	Limited int
 }
 
 // Error returns the reason's text.
