Endpoints' limits: data centres without an endpoint of the service share them too

Where all endpoints of a service name limits, the nodes of a data centre that has none of its own would have been barred from all of them, and have refused every request. TestSharesSumUpToTheLimit has the case; without the change only the endpoint's own nodes share.

--- a/endpointlimit/fleet_test.go
+++ b/endpointlimit/fleet_test.go
@@ -26,6 +26,15 @@
 
 func centre(i int) domain.DataCentre { return domain.DataCentre(fmt.Sprint("d", i)) }
 
+// oneIn lists an endpoint of the service in each of the data centres.
+func oneIn(centres ...domain.DataCentre) *directory.Directory {
+	d := directory.New()
+	for _, at := range centres {
+		d.Apply(0, []*directory.Endpoint{{ID: domain.EndpointID(at), Service: "s", DataCentre: at, Slots: 1}}, nil, 0)
+	}
+	return d
+}
+
 // fleet is the limiters of some nodes on one clock, and the instants at which they sent.
 type fleet struct {
 	now      boottime.Instant
@@ -35,11 +44,13 @@
 }
 
 func newFleet(list []gossip.Member, at domain.DataCentre) *fleet {
-	f := &fleet{now: boottime.Instant(time.Hour), endpoint: &directory.Endpoint{ID: testEndpoint, DataCentre: at}}
+	f := &fleet{now: boottime.Instant(time.Hour), endpoint: &directory.Endpoint{ID: testEndpoint, Service: "s", DataCentre: at}}
+	listed := oneIn(at, "d0", "d1", "d2", "d3")
 	for _, m := range list {
 		f.nodes = append(f.nodes, New(Parts{
 			Self: m.Node, Clock: func() boottime.Instant { return f.now }, Members: func() []gossip.Member { return list },
-			Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+			Directory: listed,
+			Log:       zerolog.Nop(), Metrics: metrics.NewSet(),
 		}))
 	}
 	return f
@@ -115,20 +126,23 @@
 		nodes     []gossip.Member
 		at        domain.DataCentre
 		perSecond float64
+		listed    *directory.Directory
 		sharers   int
 	}{
-		{"the endpoint's data centre", members(8, 4), centre(1), 4, 2},
-		{"no node in it", members(8, 4), "elsewhere", 8, 8},
-		{"more nodes than may send at once", members(72, 3), centre(2), 4.6, 6},
-		{"a limit below a request a second", members(9, 3), centre(0), 0.2, 1},
-		{"one node", members(1, 1), centre(0), 4, 1},
+		{"the endpoint's data centre", members(8, 4), "d1", 4, oneIn("d0", "d1", "d2", "d3"), 2},
+		{"no node in it", members(8, 4), "elsewhere", 8, oneIn("elsewhere", "d0", "d1", "d2", "d3"), 8},
+		{"a data centre without an endpoint of the service", members(8, 4), "d1", 4, oneIn("d0", "d1", "d2"), 4},
+		{"more nodes than may send at once", members(72, 3), "d2", 4.6, oneIn("d0", "d1", "d2"), 6},
+		{"a limit below a request a second", members(9, 3), "d0", 0.2, oneIn("d0", "d1", "d2"), 1},
+		{"one node", members(1, 1), "d0", 4, oneIn("d0"), 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			e := &directory.Endpoint{ID: testEndpoint, Service: "s", DataCentre: test.at}
 			var sum float64
 			sharers := 0
 			for _, m := range test.nodes {
-				part := share(m.Node, testEndpoint, test.at, test.perSecond, test.nodes)
+				part := share(m.Node, e, test.perSecond, test.nodes, test.listed.Current())
 				sum += part
 				if part > 0 {
 					sharers++
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -30,8 +30,10 @@
 	Clock boottime.Clock
 	// Members are all nodes that may be alive, this one included.
 	Members func() []gossip.Member
-	Log     zerolog.Logger
-	Metrics *metrics.Set
+	// Directory lists the endpoints.
+	Directory *directory.Directory
+	Log       zerolog.Logger
+	Metrics   *metrics.Set
 }
 
 // Limiter keeps the endpoints' limits. It is safe for concurrent use.
@@ -124,7 +126,7 @@
 	}
 	now := l.parts.Clock()
 	if known.sharedAt == 0 || now.Sub(known.sharedAt) >= shareEvery {
-		known.share = share(l.parts.Self, e.Incarnation(), e.DataCentre, known.perSecond, l.parts.Members())
+		known.share = share(l.parts.Self, e, known.perSecond, l.parts.Members(), l.parts.Directory.Current())
 		known.sharedAt = now
 	}
 	known.bucket.fill(now, known.share)
--- a/endpointlimit/limiter_test.go
+++ b/endpointlimit/limiter_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gossip"
 )
@@ -26,7 +27,8 @@
 	r := &rig{now: boottime.Instant(time.Hour)}
 	r.Limiter = New(Parts{
 		Self: "n0", Clock: func() boottime.Instant { return r.now }, Members: func() []gossip.Member { return members(1, 1) },
-		Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Directory: directory.New(),
+		Log:       zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
 	return r
 }
--- a/endpointlimit/share.go
+++ b/endpointlimit/share.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/rendezvous"
@@ -17,15 +18,15 @@
 
 // share is the part of an endpoint's limit that is this node's, in requests a second; zero if all of it is others'.
 //
-// The nodes of the endpoint's data centre share its limit evenly, since they send it the most; where there are none, all nodes
-// do. Each of them may send one request at once, so that there are no more of them than burstSeconds allows. All nodes choose
-// alike from the nodes known, those that are silent included: nodes that don't hear each other use no more together than
-// the limit.
-func share(self domain.NodeID, id domain.EndpointID, at domain.DataCentre, perSecond float64, members []gossip.Member) float64 {
+// The nodes of the endpoint's data centre share its limit evenly, since they send it the most, with those of data centres that
+// have no endpoint of its service; where there are none of either, all nodes do. Each of them may send one request at once,
+// so that there are no more of them than burstSeconds allows. All nodes choose alike from the nodes known, those that are silent
+// included: nodes that don't hear each other use no more together than the limit.
+func share(self domain.NodeID, e *directory.Endpoint, perSecond float64, members []gossip.Member, all *directory.Snapshot) float64 {
 	perSecond = max(perSecond, leastPerSecond)
-	sharers := within(at, members)
+	sharers := sharersOf(e, members, all)
 	n := min(max(int(math.Floor(burstSeconds*perSecond)), 1), len(sharers))
-	for _, m := range rendezvous.Order(string(id), sharers, memberName)[:n] {
+	for _, m := range rendezvous.Order(string(e.Incarnation()), sharers, memberName)[:n] {
 		if m.Node == self {
 			return perSecond / float64(n)
 		}
@@ -33,18 +34,24 @@
 	return 0
 }
 
-// within returns the members of the data centre, or all if it has none.
-func within(at domain.DataCentre, members []gossip.Member) []gossip.Member {
-	var inside []gossip.Member
+// sharersOf returns the members that may share the endpoint's limit.
+func sharersOf(e *directory.Endpoint, members []gossip.Member, all *directory.Snapshot) []gossip.Member {
+	served := make(map[domain.DataCentre]bool)
+	for _, other := range all.Service(e.Service) {
+		if !other.Leaving {
+			served[other.DataCentre] = true
+		}
+	}
+	var sharers []gossip.Member
 	for _, m := range members {
-		if m.DataCentre == at {
-			inside = append(inside, m)
+		if m.DataCentre == e.DataCentre || !served[m.DataCentre] {
+			sharers = append(sharers, m)
 		}
 	}
-	if len(inside) == 0 {
+	if len(sharers) == 0 {
 		return members
 	}
-	return inside
+	return sharers
 }
 
 func memberName(m gossip.Member) string { return string(m.Node) }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -87,7 +87,7 @@
 		Window: seconds(s.Limit.WindowS), Clock: boottime.Now, Fleet: n.mesh.Fleet, Metrics: n.metrics,
 	})
 	n.endpointLimits = endpointlimit.New(endpointlimit.Parts{
-		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Log: log, Metrics: n.metrics,
+		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Directory: n.directory, Log: log, Metrics: n.metrics,
 	})
 	n.desk = places.New(places.Options{
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Limits: n.endpointLimits, Log: log,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -136,7 +136,8 @@
 	one := func() int { return 1 }
 
 	f.endpointLimits = endpointlimit.New(endpointlimit.Parts{
-		Self: "n", Clock: f.now, Members: func() []gossip.Member { return []gossip.Member{{Node: "n"}} }, Log: zerolog.Nop(), Metrics: set,
+		Self: "n", Clock: f.now, Members: func() []gossip.Member { return []gossip.Member{{Node: "n"}} }, Directory: f.directory,
+		Log: zerolog.Nop(), Metrics: set,
 	})
 	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Parts{
