Endpoints' limits: an idle node's share fills from when it learns of the limit

A node's bucket began to fill with the first request after the limit was named, so that an idle node held that one up for up to a request's time of its share. Limits of endpoints that are gone are dropped by a node without peers, too. Test: TestIdleNodeFillsItsShareFromWhenItLearnsOfTheLimit, which failed before.

--- a/endpointlimit/fleet_test.go
+++ b/endpointlimit/fleet_test.go
@@ -169,6 +169,13 @@
 	assert.Assert(t, n.Allows(f.endpoint))
 }
 
+func TestIdleNodeFillsItsShareFromWhenItLearnsOfTheLimit(t *testing.T) {
+	f := newFleet(members(1, 1), centre(0))
+	f.learn(2)
+	f.now = f.now.Add(time.Second)
+	assert.Assert(t, f.nodes[0].Allows(f.endpoint))
+}
+
 func TestRestartedEndpointHasNoLimit(t *testing.T) {
 	f := newFleet(members(1, 1), centre(0))
 	f.learn(2)
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -137,7 +137,8 @@
 func (l *Limiter) set(id domain.EndpointID, perSecond float64, ended bool, at boottime.Instant, from string) *limit {
 	known, ok := l.limits[id]
 	if !ok {
-		known = &limit{}
+		l.forget(l.parts.Clock())
+		known = &limit{bucket: newBucket(l.parts.Clock())}
 		l.limits[id] = known
 		l.known.Store(int64(len(l.limits)))
 	}
@@ -146,6 +147,9 @@
 			Float64("per_second_before", known.perSecond).Str("from", from).Dur("age_ms", l.parts.Clock().Sub(at)).
 			Msg("endpoint limit changed")
 	}
+	if known.ended && !ended {
+		known.bucket = newBucket(l.parts.Clock())
+	}
 	if !known.equal(perSecond, ended) {
 		known.sharedAt = 0
 	}
