Endpoints' limits: a failure or a rejection that names none does not end one

An endpoint in need also fails and rejects requests; whether such answers name its limit is not said. Only an answer that it signed and that is no failure ends the limit now. Test: TestAnswersThatChangeALimit.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -78,11 +78,12 @@
 	}
 }
 
-// takeLimit takes what the endpoint says of its limit. What answers in place of an endpoint that is gone says nothing of it,
-// nor does the lack of a limit in an answer that the endpoint has not signed.
+// takeLimit takes what the endpoint says of its limit. What answers in place of an endpoint that is gone says nothing of it.
+// Only an answer that the endpoint has signed and that is no failure ends a limit by naming none.
 func (d *dispatched) takeLimit(status int, head AnswerHead, sent boottime.Instant) {
 	foreign := status == http.StatusMisdirectedRequest
-	if foreign || head.Limit.Kind == endpointlimit.None && !head.Signed && !head.NotRun {
+	served := head.Signed && !head.NotRun && status < http.StatusInternalServerError
+	if foreign || head.Limit.Kind == endpointlimit.None && !served {
 		return
 	}
 	d.task.gateway.parts.EndpointLimits.Stated(d.place.Endpoint.Incarnation(), sent, head.Limit)
--- a/gateway/endpointlimit_test.go
+++ b/gateway/endpointlimit_test.go
@@ -10,6 +10,8 @@
 
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpointlimit"
+	"hawthornrill.example/hawthornrill/gossip"
 )
 
 // limited serves streams and names a limit of so many requests a second, if that is not empty.
@@ -53,3 +55,37 @@
 	assert.Assert(t, within >= 4, "the endpoint is used as far as its limit allows: %d of 32 requests", within)
 	assert.Equal(t, atLimited.Load()+atOther.Load(), int64(52))
 }
+
+func TestAnswersThatChangeALimit(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		head   map[string]string
+		limits bool
+	}{
+		{"served, none named", http.StatusOK, map[string]string{"X-Signed": "yes"}, false},
+		{"served, named again", http.StatusOK, map[string]string{"X-Signed": "yes", "X-Limit": "3"}, true},
+		{"not signed", http.StatusOK, nil, true},
+		{"failed", http.StatusInternalServerError, map[string]string{"X-Signed": "yes"}, true},
+		{"refused", http.StatusServiceUnavailable, map[string]string{"X-Not-Run": "1"}, true},
+		{"another endpoint at the address", http.StatusMisdirectedRequest, map[string]string{"X-Not-Run": "1", "X-Limit": "0"}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+				for name, value := range test.head {
+					w.Header().Set(name, value)
+				}
+				w.WriteHeader(test.status)
+			})
+			f.endpointLimits.Stated("e0", f.now(), endpointlimit.Statement{Kind: endpointlimit.Named, PerSecond: 2})
+			f.clock.Add(int64(time.Second))
+			f.call(nil)
+			report := gossip.Report{}
+			f.endpointLimits.Fill(&report)
+			assert.Equal(t, len(report.Limits), 1)
+			assert.Equal(t, !report.Limits[0].Ended, test.limits)
+			assert.Assert(t, report.Limits[0].Ended || report.Limits[0].PerSecond >= 2, "%v", report.Limits)
+		})
+	}
+}
