--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -7,7 +7,8 @@
 // Guarantees. An error that wraps endpoint.ErrNotDispatched means that not one byte was sent. Any other error means
 // that the request may have run. An answer that names another request is skipped. A connection is used again only if
 // its last answer was read to its end, nothing else has come in since, and it has been idle for less than the endpoint
-// allows.
+// allows. A connection that is closed before the endpoint's host has acknowledged the whole request is reset, so that the rest
+// of it is never delivered.
 package exchange
 
 import (
