Soak: endpoints name limits; the limit is checked over all nodes

A fault has an endpoint name 2 to 7 requests a second; the check is the users' rule, and excuses a node only for a fault of its own in the last 3 s.

--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -37,6 +37,7 @@
 		}
 	}
 	s.checkLeaving()
+	s.checkLimits()
 	s.t.Logf("%d requests, %d answered, %d faults", len(s.record.outcomes), answered, len(s.record.faults))
 	if answered == 0 {
 		s.t.Error("no request was answered")
--- a/cmd/hawthornrill-soak/faults_test.go
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -12,7 +14,7 @@
 func (s *soak) faults() []func(node int, lasts time.Duration, choice uint64) {
 	return []func(int, time.Duration, uint64){
 		s.kill, s.stopGracefully, s.freeze, s.reload, s.cutStore, s.failStore, s.compact, s.revoke, s.replaceEndpoint,
-		s.crashEndpoint, s.breakStreams, s.refuse, s.losePeers,
+		s.crashEndpoint, s.breakStreams, s.refuse, s.losePeers, s.limitEndpoint,
 	}
 }
 
@@ -150,3 +152,29 @@
 	time.Sleep(lasts)
 	e.Refuse(false)
 }
+
+// limitEndpoint has an endpoint name a limit, for long enough that it binds; each endpoint once, so that it has one value.
+func (s *soak) limitEndpoint(_ int, lasts time.Duration, choice uint64) {
+	l := s.beginLimit(s.pick(choice), 2+int(choice>>8%6))
+	if l == nil {
+		return
+	}
+	time.Sleep(limitSettles + limitWindow + lasts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.to = time.Now()
+	l.endpoint.Limit("")
+}
+
+// beginLimit has the endpoint name the limit; nil if it has named one before.
+func (s *soak) beginLimit(e *platformtest.Endpoint, perSecond int) *limited {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.ContainsFunc(s.limits, func(l *limited) bool { return l.endpoint == e }) {
+		return nil
+	}
+	l := &limited{endpoint: e, perSecond: perSecond, from: time.Now()}
+	s.limits = append(s.limits, l)
+	e.Limit(strconv.Itoa(perSecond))
+	return l
+}
--- a/cmd/hawthornrill-soak/record_test.go
+++ b/cmd/hawthornrill-soak/record_test.go
@@ -68,6 +68,20 @@
 	return false
 }
 
+// excusesLimit reports whether the node may not have known of an endpoint's limit: it had just started, been frozen or lost
+// datagrams.
+func (r *record) excusesLimit(node string, at time.Time) bool {
+	for _, f := range r.faults {
+		if f.node != node || f.what == "reload" || strings.HasPrefix(f.what, "store") {
+			continue
+		}
+		if f.from.Before(at) && (f.to.IsZero() || f.to.Add(limitExcused).After(at)) {
+			return true
+		}
+	}
+	return false
+}
+
 // timeline is the faults and a request in their order, for a person.
 func (r *record) timeline(o outcome) string {
 	var lines []string
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -100,6 +100,8 @@
 	ever []*platformtest.Endpoint
 	// left is when the store had taken note of an endpoint's leaving.
 	left map[*platformtest.Endpoint]time.Time
+	// limits are those that endpoints named.
+	limits []*limited
 }
 
 func newSoak(t *testing.T, seed int64) *soak {
