--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -91,7 +91,7 @@
 	return known != nil && known.share == 0
 }
 
-// Allows reports whether this node may send the endpoint one more request now.
+// Allows reports whether this node may send the endpoint one request more now.
 func (l *Limiter) Allows(e *directory.Endpoint) bool {
 	if l.known.Load() == 0 {
 		return true
@@ -151,7 +151,7 @@
 		known.bucket = newBucket(l.parts.Clock())
 	}
 	if !known.equal(perSecond, ended) {
-		known.sharedAt = 0
+		known.sharedAt = 0 // the share is worked out anew
 	}
 	known.perSecond, known.ended, known.statedAt = perSecond, ended, at
 	return known
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -47,8 +47,8 @@
 	announcer *follow.Announcer
 	mesh      *gossip.Mesh
 	socket    *gossip.UDP
-	limits    *tokenlimit.Limiter
-	// endpointLimits are what endpoints take, limits what organisations may send.
+	// limits are the organisations', endpointLimits those that endpoints name.
+	limits         *tokenlimit.Limiter
 	endpointLimits *endpointlimit.Limiter
 	desk           *places.Desk
 	suspects       *quarantine.Board
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -260,7 +260,8 @@
 	}
 	t.gateway.metrics.retries.Inc()
 	t.gateway.parts.Log.Info().Str("request", t.call.ID).Str("endpoint", string(d.place.Endpoint.Incarnation())).
-		Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(d.started)).Int("sends", t.sends).Str("last_event", t.lastEvent).AnErr("cause", err).
+		Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(d.started)).
+		Int("sends", t.sends).Str("last_event", t.lastEvent).AnErr("cause", err).
 		Msg("attempt failed, trying another endpoint")
 	return step{err: err}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,7 @@
 	Knowledge Knowledge
 	Directory *directory.Directory
 	Limits    *tokenlimit.Limiter
-	// EndpointLimits takes what endpoints say of how many requests they take.
+	// EndpointLimits takes the limits that endpoints name; Limits are the organisations'.
 	EndpointLimits *endpointlimit.Limiter
 	Retries        *retrybudget.Budget
 	Places         *places.Desk
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -49,8 +49,9 @@
 		line.Str("reason", s.refusal.Title).Dur("retry_after_ms", s.refusal.RetryAfter)
 		line.AnErr("cause", s.refusal.Cause)
 	}
-	line.Int("status", status).Str("endpoint", string(t.endpoint)).Int("sends", t.sends).Bool("unacknowledged", t.unacknowledged).Dur("waited_ms", t.waited).
-		Int("endpoint_load", t.load).Dur("load_age_ms", t.loadAge).Float64("endpoint_limit", t.endpointLimit).Dur("endpoint_token_ms", t.tokenTime).Int("prompt_tokens", t.call.PromptTokens).
+	line.Int("status", status).Str("endpoint", string(t.endpoint)).Int("sends", t.sends).Bool("unacknowledged", t.unacknowledged).
+		Dur("waited_ms", t.waited).Int("endpoint_load", t.load).Dur("load_age_ms", t.loadAge).
+		Float64("endpoint_limit", t.endpointLimit).Dur("endpoint_token_ms", t.tokenTime).Int("prompt_tokens", t.call.PromptTokens).
 		Int("answer_tokens", t.call.AnswerTokens()).Dur("waited_before_ms", t.waitedBefore).
 		Dur("first_ms", t.first).Dur("longest_gap_ms", t.gap).Dur("total_ms", total).Int("events", t.events).AnErr("error", s.err).Msg("request ended")
 	g.metrics.ended(kind, s.result(), t.first, total)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -76,7 +76,7 @@
 	NotRun bool
 	// Signed is true if the answer is the endpoint's own, rather than something on the way.
 	Signed bool
-	// Limit is what the endpoint says of the requests that it takes from all nodes together.
+	// Limit is what the endpoint says of how many requests a second it takes from all nodes together.
 	Limit endpointlimit.Statement
 }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -215,7 +215,8 @@
 		p := &problem{
 			Status: http.StatusServiceUnavailable, Title: "no endpoint can take the request", Outcome: outcomeNotRun,
 			RetryAfter: refusal.RetryAfter,
-			Cause:      fmt.Errorf("%w (wait %v, ahead %d, free %d, limited %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free, refusal.Limited),
+			Cause: fmt.Errorf("%w (wait %v, ahead %d, free %d, limited %d)", refusal, refusal.Wait, refusal.Ahead, refusal.Free,
+				refusal.Limited),
 		}
 		return step{done: true, refusal: t.honest(p), err: err}
 	case errors.Is(err, errTimeout):
--- a/netdial/dialer.go
+++ b/netdial/dialer.go
@@ -1,5 +1,6 @@
 // Package netdial makes dialers whose connections do not stay silent for good: a peer that has lost its power or is cut
-// off resets nothing, and without a bound of its own the kernel waits for minutes.
+// off resets nothing, and without a bound of its own the kernel waits for minutes. A Conn discards, when it is closed,
+// what the other side has not acknowledged.
 package netdial
 
 import (
--- a/netdial/netdialtest/listener.go
+++ b/netdial/netdialtest/listener.go
@@ -31,7 +31,7 @@
 	return l
 }
 
-// DialHeldUp is HeldUp for a connection that the receiving side dials.
+// DialHeldUp dials a connection that takes as few bytes before they are read; nil if the test has failed.
 func DialHeldUp(t testing.TB, address string) net.Conn {
 	dialer := net.Dialer{Control: takeLittle}
 	c, err := dialer.DialContext(context.Background(), "tcp4", address)
--- a/places/limits.go
+++ b/places/limits.go
@@ -6,7 +6,7 @@
 type Limits interface {
 	// Bars reports whether this node is to send the endpoint nothing for as long as its limit is in force.
 	Bars(e *directory.Endpoint) bool
-	// Allows reports whether this node may send the endpoint one more request now.
+	// Allows reports whether this node may send the endpoint one request more now.
 	Allows(e *directory.Endpoint) bool
 	// Take counts a request that is sent, and returns the limit in requests a second, zero if there is none.
 	Take(e *directory.Endpoint) (perSecond float64)
