netdial: its dialer makes connections that discard at their close

Each of the three places that dial wrapped the connection itself; one that forgot to would deliver late again what it gives up on. Dialer does both, and nothing else wraps. No change of behaviour.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -17,7 +17,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -66,7 +65,7 @@
 
 // Client keeps connections to endpoints. It is safe for concurrent use.
 type Client struct {
-	dialer  *net.Dialer
+	dialer  *netdial.Dialer
 	options Options
 	// open counts the connections, those being dialled included.
 	open atomic.Int64
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -29,8 +28,8 @@
 // readBuffer is the size of a connection's buffer, enough for an answer's head and an event.
 const readBuffer = 4 << 10
 
-func newConn(raw net.Conn, closed func()) *conn {
-	c := &conn{Conn: netdial.Wrap(raw), closed: closed}
+func newConn(raw *netdial.Conn, closed func()) *conn {
+	c := &conn{Conn: raw, closed: closed}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
--- a/endpoint/onesend/conn.go
+++ b/endpoint/onesend/conn.go
@@ -22,12 +22,12 @@
 }
 
 // dialer makes counting connections.
-type dialer struct{ net.Dialer }
+type dialer struct{ netdial.Dialer }
 
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netdial.Wrap(c)}, nil
+	return &conn{Conn: c}, nil
 }
--- a/endpoint/onesend/options.go
+++ b/endpoint/onesend/options.go
@@ -34,9 +34,9 @@
 // dialer returns the dialer of the options.
 func (o Options) dialer() *dialer {
 	if o.SilentTimeout > 0 {
-		return &dialer{Dialer: *netdial.New(o.DialTimeout, o.SilentTimeout)}
+		return &dialer{*netdial.New(o.DialTimeout, o.SilentTimeout)}
 	}
-	return &dialer{Dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlivePeriod}}
+	return &dialer{netdial.Dialer{Dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlivePeriod}}}
 }
 
 func (o Options) withDefaults() Options {
--- a/netdial/conn.go
+++ b/netdial/conn.go
@@ -22,8 +22,7 @@
 	pending bool
 }
 
-// Wrap returns a Conn over an open connection.
-func Wrap(raw net.Conn) *Conn { return &Conn{Conn: raw} }
+func wrap(raw net.Conn) *Conn { return &Conn{Conn: raw} }
 
 // Write writes p. It returns net.ErrClosed, and takes nothing, once Close has been called.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/netdial/conn_test.go
+++ b/netdial/conn_test.go
@@ -10,7 +10,7 @@
 func TestNothingIsWrittenAfterClose(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := Wrap(near)
+	c := wrap(near)
 	assert.NilError(t, c.Close())
 	n, err := c.Write([]byte("late"))
 	assert.ErrorIs(t, err, net.ErrClosed)
--- a/netdial/dialer.go
+++ b/netdial/dialer.go
@@ -4,6 +4,7 @@
 package netdial
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -12,17 +13,29 @@
 	"golang.org/x/sys/unix"
 )
 
+// Dialer is a net.Dialer whose connections are Conns.
+type Dialer struct{ net.Dialer }
+
+// DialContext connects to the address.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (*Conn, error) {
+	raw, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return wrap(raw), nil
+}
+
 // probes is the number of keep-alive probes without an answer after which a connection is dead.
 const probes = 2
 
 // New returns a dialer. Timeout bounds the making of a connection. A connection is closed once sent bytes have not been
 // acknowledged for silent, or the other side has answered no probe for about twice that.
-func New(timeout, silent time.Duration) *net.Dialer {
-	return &net.Dialer{
+func New(timeout, silent time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silent, Interval: silent, Count: probes},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, silent) },
-	}
+	}}
 }
 
 func setUserTimeout(raw syscall.RawConn, silent time.Duration) error {
--- a/netdial/listener.go
+++ b/netdial/listener.go
@@ -11,5 +11,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return Wrap(raw), nil
+	return wrap(raw), nil
 }
--- a/peer/wslink/options.go
+++ b/peer/wslink/options.go
@@ -89,10 +89,10 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	var dialer netdial.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return netdial.Wrap(raw), nil
+	return conn, nil
 }
