Endpoints' limits: the share is the bucket's rate, one statement, one clock reading

A limit kept its share beside the bucket that fills with it; setting a limit read the clock up to four times, compared twice and took what a report's entry holds as loose arguments. No change of behaviour but that age_ms of the log is a whole number.

--- a/endpointlimit/bucket.go
+++ b/endpointlimit/bucket.go
@@ -7,6 +7,7 @@
 
 // bucket is what a node may send now of its share.
 type bucket struct {
+	// rate is the share in requests a second, zero for none.
 	rate     float64
 	level    float64
 	filledAt boottime.Instant
--- a/endpointlimit/limit.go
+++ b/endpointlimit/limit.go
@@ -1,6 +1,9 @@
 package endpointlimit
 
-import "hawthornrill.example/hawthornrill/boottime"
+import (
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/gossip"
+)
 
 // limit is what is known of an endpoint's limit.
 type limit struct {
@@ -11,13 +14,12 @@
 	statedAt boottime.Instant
 	ownAt    boottime.Instant
 
-	bucket bucket
-	// share is this node's part, worked out at sharedAt.
-	share    float64
+	// bucket fills with this node's share, which was worked out at sharedAt.
+	bucket   bucket
 	sharedAt boottime.Instant
 }
 
-// equal reports whether the limit is the one that is stated.
-func (l *limit) equal(perSecond float64, ended bool) bool {
-	return l.ended == ended && (ended || l.perSecond == perSecond)
+// equal reports whether the limit is the one that is told.
+func (l *limit) equal(told gossip.EndpointLimit) bool {
+	return l.ended == told.Ended && (told.Ended || l.perSecond == told.PerSecond)
 }
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -77,29 +77,34 @@
 	if !ok && ended || ok && known.ended != ended && sent < known.statedAt {
 		return
 	}
-	l.set(id, s.PerSecond, ended, now, "answer").ownAt = now
+	told := gossip.EndpointLimit{Endpoint: id, PerSecond: s.PerSecond, Ended: ended}
+	l.set(now, told, "answer").ownAt = now
 }
 
 // Bars reports whether this node is to send the endpoint nothing, since its limit is other nodes'.
 func (l *Limiter) Bars(e *directory.Endpoint) bool {
-	if l.known.Load() == 0 {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.filled(e)
-	return known != nil && known.share == 0
+	known, ok := l.at(e)
+	return ok && known.bucket.rate == 0
 }
 
 // Allows reports whether this node may send the endpoint one request more now.
 func (l *Limiter) Allows(e *directory.Endpoint) bool {
+	known, ok := l.at(e)
+	return !ok || known.bucket.rate > 0 && known.bucket.level >= 1
+}
+
+// at returns a copy of the limit in force at the endpoint, false if there is none.
+func (l *Limiter) at(e *directory.Endpoint) (limit, bool) {
 	if l.known.Load() == 0 {
-		return true
+		return limit{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.filled(e)
-	return known == nil || known.share > 0 && known.bucket.level >= 1
+	if known == nil {
+		return limit{}, false
+	}
+	return *known, true
 }
 
 // Take counts a request that is sent to the endpoint, and returns the limit in force there in requests a second, zero if
@@ -125,38 +130,42 @@
 		return nil
 	}
 	now := l.parts.Clock()
+	rate := known.bucket.rate
 	if known.sharedAt == 0 || now.Sub(known.sharedAt) >= shareEvery {
-		known.share = share(l.parts.Self, e, known.perSecond, l.parts.Members(), l.parts.Directory.Current())
+		rate = share(l.parts.Self, e, known.perSecond, l.parts.Members(), l.parts.Directory.Current())
 		known.sharedAt = now
 	}
-	known.bucket.fill(now, known.share)
+	known.bucket.fill(now, rate)
 	return known
 }
 
 // set takes a statement over and logs what changes. The lock is held.
-func (l *Limiter) set(id domain.EndpointID, perSecond float64, ended bool, at boottime.Instant, from string) *limit {
-	known, ok := l.limits[id]
+func (l *Limiter) set(now boottime.Instant, told gossip.EndpointLimit, from string) *limit {
+	known, ok := l.limits[told.Endpoint]
 	if !ok {
-		l.forget(l.parts.Clock())
-		known = &limit{bucket: newBucket(l.parts.Clock())}
-		l.limits[id] = known
+		l.forget(now)
+		known = &limit{ended: true}
+		l.limits[told.Endpoint] = known
 		l.known.Store(int64(len(l.limits)))
 	}
-	if !ok || !known.equal(perSecond, ended) {
-		l.parts.Log.Info().Str("endpoint", string(id)).Float64("per_second", perSecond).Bool("ended", ended).
-			Float64("per_second_before", known.perSecond).Str("from", from).Dur("age_ms", l.parts.Clock().Sub(at)).
+	if !known.equal(told) {
+		l.parts.Log.Info().Str("endpoint", string(told.Endpoint)).Float64("per_second", told.PerSecond).Bool("ended", told.Ended).
+			Float64("per_second_before", known.perSecond).Str("from", from).Int64("age_ms", told.AgeMillis).
 			Msg("endpoint limit changed")
-	}
-	if known.ended && !ended {
-		known.bucket = newBucket(l.parts.Clock())
-	}
-	if !known.equal(perSecond, ended) {
 		known.sharedAt = 0 // the share is worked out anew
+		if known.ended {
+			known.bucket = newBucket(now)
+		}
 	}
-	known.perSecond, known.ended, known.statedAt = perSecond, ended, at
+	known.perSecond, known.ended, known.statedAt = told.PerSecond, told.Ended, statedAt(now, told)
 	return known
 }
 
+// statedAt is when the endpoint stated what is told now.
+func statedAt(now boottime.Instant, told gossip.EndpointLimit) boottime.Instant {
+	return now.Add(-time.Duration(told.AgeMillis) * time.Millisecond)
+}
+
 // Fill adds to a report what endpoints have stated to this node lately.
 func (l *Limiter) Fill(report *gossip.Report) {
 	if l.known.Load() == 0 {
@@ -186,12 +195,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, told := range report.Limits {
-		at := now.Add(-time.Duration(told.AgeMillis) * time.Millisecond)
 		known, ok := l.limits[told.Endpoint]
-		if !usable(told) || !ok && told.Ended || ok && at <= known.statedAt {
+		if !usable(told) || !ok && told.Ended || ok && statedAt(now, told) <= known.statedAt {
 			continue
 		}
-		l.set(told.Endpoint, told.PerSecond, told.Ended, at, string(report.From))
+		l.set(now, told, string(report.From))
 	}
 }
 
