--- a/endpointlimit/example_test.go
+++ b/endpointlimit/example_test.go
@@ -9,6 +9,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/gossip"
 )
@@ -19,9 +20,9 @@
 	list := directory.New()
 	endpoint := &directory.Endpoint{ID: "e", Service: "s", DataCentre: "palermo", Slots: 8}
 	list.Apply(now, []*directory.Endpoint{endpoint}, nil, 0)
-	both := []gossip.Member{{Node: "palermo-1", DataCentre: "palermo"}, {Node: "palermo-2", DataCentre: "palermo"}}
+	both := []domain.Member{{Node: "palermo-1", DataCentre: "palermo"}, {Node: "palermo-2", DataCentre: "palermo"}}
 	limiter := endpointlimit.New(endpointlimit.Parts{
-		Self: "palermo-2", Clock: func() boottime.Instant { return now }, Members: func() []gossip.Member { return both },
+		Self: "palermo-2", Clock: func() boottime.Instant { return now }, Members: func() []domain.Member { return both },
 		Directory: list, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
 	fmt.Println(limiter.Allows(endpoint))
--- a/endpointlimit/fleet_test.go
+++ b/endpointlimit/fleet_test.go
@@ -12,14 +12,13 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
-	"hawthornrill.example/hawthornrill/gossip"
 )
 
 // members are so many nodes, dealt out evenly to so many data centres.
-func members(nodes, centres int) []gossip.Member {
-	var list []gossip.Member
+func members(nodes, centres int) []domain.Member {
+	var list []domain.Member
 	for i := range nodes {
-		list = append(list, gossip.Member{Node: domain.NodeID(fmt.Sprint("n", i)), DataCentre: centre(i % centres)})
+		list = append(list, domain.Member{Node: domain.NodeID(fmt.Sprint("n", i)), DataCentre: centre(i % centres)})
 	}
 	return list
 }
@@ -43,12 +42,12 @@
 	sent     []boottime.Instant
 }
 
-func newFleet(list []gossip.Member, at domain.DataCentre) *fleet {
+func newFleet(list []domain.Member, at domain.DataCentre) *fleet {
 	f := &fleet{now: boottime.Instant(time.Hour), endpoint: &directory.Endpoint{ID: testEndpoint, Service: "s", DataCentre: at}}
 	listed := oneIn(at, "d0", "d1", "d2", "d3")
 	for _, m := range list {
 		f.nodes = append(f.nodes, New(Parts{
-			Self: m.Node, Clock: func() boottime.Instant { return f.now }, Members: func() []gossip.Member { return list },
+			Self: m.Node, Clock: func() boottime.Instant { return f.now }, Members: func() []domain.Member { return list },
 			Directory: listed,
 			Log:       zerolog.Nop(), Metrics: metrics.NewSet(),
 		}))
@@ -123,7 +122,7 @@
 func TestSharesSumUpToTheLimit(t *testing.T) {
 	tests := []struct {
 		name      string
-		nodes     []gossip.Member
+		nodes     []domain.Member
 		at        domain.DataCentre
 		perSecond float64
 		listed    *directory.Directory
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -29,7 +29,7 @@
 	Self  domain.NodeID
 	Clock boottime.Clock
 	// Members are all nodes that may be alive, this one included.
-	Members func() []gossip.Member
+	Members func() []domain.Member
 	// Directory lists the endpoints.
 	Directory *directory.Directory
 	Log       zerolog.Logger
--- a/endpointlimit/limiter_test.go
+++ b/endpointlimit/limiter_test.go
@@ -26,7 +26,7 @@
 func newRig() *rig {
 	r := &rig{now: boottime.Instant(time.Hour)}
 	r.Limiter = New(Parts{
-		Self: "n0", Clock: func() boottime.Instant { return r.now }, Members: func() []gossip.Member { return members(1, 1) },
+		Self: "n0", Clock: func() boottime.Instant { return r.now }, Members: func() []domain.Member { return members(1, 1) },
 		Directory: directory.New(),
 		Log:       zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
--- a/endpointlimit/share.go
+++ b/endpointlimit/share.go
@@ -5,7 +5,6 @@
 
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
-	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
@@ -22,7 +21,7 @@
 // have no endpoint of its service; where there are none of either, all nodes do. Each of them may send one request at once,
 // so that there are no more of them than burstSeconds allows. All nodes choose alike from the nodes known, those that are silent
 // included: nodes that don't hear each other use no more together than the limit.
-func share(self domain.NodeID, e *directory.Endpoint, perSecond float64, members []gossip.Member, all *directory.Snapshot) float64 {
+func share(self domain.NodeID, e *directory.Endpoint, perSecond float64, members []domain.Member, all *directory.Snapshot) float64 {
 	perSecond = max(perSecond, leastPerSecond)
 	sharers := sharersOf(e, members, all)
 	n := min(max(int(math.Floor(burstSeconds*perSecond)), 1), len(sharers))
@@ -35,14 +34,14 @@
 }
 
 // sharersOf returns the members that may share the endpoint's limit.
-func sharersOf(e *directory.Endpoint, members []gossip.Member, all *directory.Snapshot) []gossip.Member {
+func sharersOf(e *directory.Endpoint, members []domain.Member, all *directory.Snapshot) []domain.Member {
 	served := make(map[domain.DataCentre]bool)
 	for _, other := range all.Service(e.Service) {
 		if !other.Leaving {
 			served[other.DataCentre] = true
 		}
 	}
-	var sharers []gossip.Member
+	var sharers []domain.Member
 	for _, m := range members {
 		if m.DataCentre == e.DataCentre || !served[m.DataCentre] {
 			sharers = append(sharers, m)
@@ -54,4 +53,4 @@
 	return sharers
 }
 
-func memberName(m gossip.Member) string { return string(m.Node) }
+func memberName(m domain.Member) string { return string(m.Node) }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -136,7 +136,7 @@
 	one := func() int { return 1 }
 
 	f.endpointLimits = endpointlimit.New(endpointlimit.Parts{
-		Self: "n", Clock: f.now, Members: func() []gossip.Member { return []gossip.Member{{Node: "n"}} }, Directory: f.directory,
+		Self: "n", Clock: f.now, Members: func() []domain.Member { return []domain.Member{{Node: "n"}} }, Directory: f.directory,
 		Log: zerolog.Nop(), Metrics: set,
 	})
 	limits := tokenlimit.New(tokenlimit.Parts{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -14,20 +14,14 @@
 	Near  int
 }
 
-// Member is a node that may be alive.
-type Member struct {
-	Node       domain.NodeID
-	DataCentre domain.DataCentre
-}
-
-// Members returns the nodes that may be alive, silent ones and this one included, in no order.
-func (m *Mesh) Members() []Member {
+// Members returns the nodes that may be alive, whatever their lives, silent ones and this one included, in no order.
+func (m *Mesh) Members() []domain.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	members := make([]Member, 0, len(m.peers)+1)
-	members = append(members, Member{Node: m.parts.Self, DataCentre: m.parts.DataCentre})
+	members := make([]domain.Member, 0, len(m.peers)+1)
+	members = append(members, domain.Member{Node: m.parts.Self, DataCentre: m.parts.DataCentre})
 	for id, p := range m.peers {
-		members = append(members, Member{Node: id, DataCentre: p.centre})
+		members = append(members, domain.Member{Node: id, DataCentre: p.centre, Address: p.address})
 	}
 	return members
 }
