--- a/cmd/hawthornrill-soak/faults_test.go
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"hawthornrill.example/hawthornrill/endpointlimit/limittest"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -159,7 +160,7 @@
 	if l == nil {
 		return
 	}
-	time.Sleep(limitSettles + limitWindow + lasts)
+	time.Sleep(limitSettles + limittest.Window + lasts)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.to = time.Now()
--- a/cmd/hawthornrill-soak/limit_test.go
+++ b/cmd/hawthornrill-soak/limit_test.go
@@ -3,16 +3,13 @@
 import (
 	"time"
 
+	"hawthornrill.example/hawthornrill/endpointlimit/limittest"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
 const (
-	// limitSettles is how long after it was first named an endpoint's limit binds, limitWindow the time over which it is
-	// measured: the endpoint gets limitFactor times what that allows at the most, and limitSlack requests.
+	// limitSettles is how long after it was first named an endpoint's limit binds.
 	limitSettles = 3 * time.Second
-	limitWindow  = 4 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
 	// limitExcused is how long after a fault of its own a node's requests don't count.
 	limitExcused = 3 * time.Second
 )
@@ -32,11 +29,11 @@
 	}
 	for _, l := range s.limits {
 		counted := s.countedArrivals(l, nodes)
-		allowed := int(limitFactor*limitWindow.Seconds()*float64(l.perSecond)) + limitSlack
-		if most := mostWithin(counted, limitWindow); most > allowed {
+		allowed := limittest.Allowed(float64(l.perSecond))
+		if most := limittest.Most(counted); float64(most) > allowed {
 			o := outcome{id: l.endpoint.ID, sent: l.from, ended: l.to}
-			s.t.Errorf("endpoint %s named a limit of %d a second and got %d requests in %v, allowed %d\n%s\nlogs in %s", l.endpoint.ID,
-				l.perSecond, most, limitWindow, allowed, s.record.timeline(o), s.dir)
+			s.t.Errorf("endpoint %s named a limit of %d a second and got %d requests in %v, allowed %v\n%s\nlogs in %s", l.endpoint.ID,
+				l.perSecond, most, limittest.Window, allowed, s.record.timeline(o), s.dir)
 		}
 		s.t.Logf("endpoint %s named a limit of %d a second for %v and got %d requests that count", l.endpoint.ID, l.perSecond,
 			l.to.Sub(l.from), len(counted))
@@ -54,15 +51,3 @@
 	}
 	return counted
 }
-
-// mostWithin is the largest number of instants within a window.
-func mostWithin(instants []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range instants {
-		for at.Sub(instants[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
--- a/endpointlimit/fleet_test.go
+++ b/endpointlimit/fleet_test.go
@@ -12,6 +12,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpointlimit/limittest"
 )
 
 // members are so many nodes, dealt out evenly to so many data centres.
@@ -79,23 +80,9 @@
 	}
 }
 
-// most is the largest number of requests sent within any four seconds.
-func (f *fleet) most() int {
-	const window = 4 * time.Second
-	most, first := 0, 0
-	for i, at := range f.sent {
-		for at.Sub(f.sent[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Pattern: endpoints of a small and of a large fleet name limits, while every node has more for them than they take, also
 // after a time in which none had.
 func TestLimitHoldsOverAllNodes(t *testing.T) {
-	const factor, slack, window = 1.5, 5, 4
 	for _, nodes := range []int{1, 2, 7, 72} {
 		for _, perSecond := range []float64{0, 0.3, 4.6, 30} {
 			t.Run(fmt.Sprintf("%d nodes, %v a second", nodes, perSecond), func(t *testing.T) {
@@ -105,7 +92,8 @@
 				pressed := len(f.sent)
 				f.now = f.now.Add(20 * time.Second)
 				f.press(20*time.Second, perSecond)
-				assert.Assert(t, float64(f.most()) <= factor*window*perSecond+slack, "%d within four seconds", f.most())
+				most := limittest.Most(f.sent)
+				assert.Assert(t, float64(most) <= limittest.Allowed(perSecond), "%d within %v", most, limittest.Window)
 				assert.Assert(t, float64(pressed) >= 0.9*20*perSecond-1, "the limit is made use of: %d in 20 s", pressed)
 			})
 		}
--- a/gateway/endpointlimit_test.go
+++ b/gateway/endpointlimit_test.go
@@ -11,6 +11,7 @@
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpointlimit"
+	"hawthornrill.example/hawthornrill/endpointlimit/limittest"
 	"hawthornrill.example/hawthornrill/gossip"
 )
 
@@ -42,16 +43,15 @@
 			assert.Equal(t, f.call(nil).Status, http.StatusOK)
 		}
 	}
-	const allowed, factor = 5, 1.5
 	call(20)
 	before := atLimited.Load()
-	assert.Assert(t, before <= allowed, "%d of 20 requests while no time passed", before)
+	assert.Assert(t, before <= limittest.Slack, "%d of 20 requests while no time passed", before)
 	for range 4 {
 		f.clock.Add(int64(time.Second))
 		call(8)
 	}
 	within := atLimited.Load() - before
-	assert.Assert(t, float64(within) <= factor*2*4+allowed, "%d of 32 requests within four seconds", within)
+	assert.Assert(t, float64(within) <= limittest.Allowed(2), "%d of 32 requests within four seconds", within)
 	assert.Assert(t, within >= 4, "the endpoint is used as far as its limit allows: %d of 32 requests", within)
 	assert.Equal(t, atLimited.Load()+atOther.Load(), int64(52))
 }
