Tests: what must not be delivered is checked in one place

Three tests read a connection to its end and asserted on it. The one of endpoint/exchange now asks for the reset as well, as the others did.

--- a/endpoint/exchange/abandon_test.go
+++ b/endpoint/exchange/abandon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -53,8 +52,5 @@
 
 	c, err := l.Accept()
 	assert.NilError(t, err)
-	defer c.Close()
-	delivered, err := io.ReadAll(c)
-	assert.Assert(t, err != nil, "%d bytes and an ordinary end were delivered", len(delivered))
-	assert.Assert(t, len(delivered) < netdialtest.HeldBytes, "the whole request was delivered")
+	netdialtest.AssertDiscarded(t, c)
 }
--- a/endpoint/onesend/abandon_test.go
+++ b/endpoint/onesend/abandon_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"testing"
 
-	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/endpoint"
@@ -30,10 +29,7 @@
 
 	c, err := l.Accept()
 	assert.NilError(t, err)
-	defer c.Close()
-	delivered, err := io.ReadAll(c)
-	assert.ErrorIs(t, err, unix.ECONNRESET, "%d bytes and an ordinary end were delivered", len(delivered))
-	assert.Assert(t, len(delivered) < netdialtest.HeldBytes, "the whole request was delivered")
+	netdialtest.AssertDiscarded(t, c)
 }
 
 // lastRead calls end once all has been read.
--- a/netdial/netdialtest/listener.go
+++ b/netdial/netdialtest/listener.go
@@ -52,10 +52,16 @@
 // or sees an ordinary end. It closes both.
 func AssertDiscards(t testing.TB, near, far net.Conn) {
 	t.Helper()
-	defer far.Close()
 	_, err := near.Write(make([]byte, HeldBytes))
 	assert.NilError(t, err)
 	assert.NilError(t, near.Close())
+	AssertDiscarded(t, far)
+}
+
+// AssertDiscarded fails the test if far gets HeldBytes or sees an ordinary end of what was sent to it. It closes far.
+func AssertDiscarded(t testing.TB, far net.Conn) {
+	t.Helper()
+	defer far.Close()
 	delivered, err := io.ReadAll(far)
 	assert.ErrorIs(t, err, unix.ECONNRESET, "%d bytes and an ordinary end were delivered", len(delivered))
 	assert.Assert(t, len(delivered) < HeldBytes, "all was delivered")
