--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -94,7 +94,7 @@
 		o := outcome{id: e.ID, sent: at, ended: e.Came()}
 		excused := false
 		for _, f := range s.record.faults {
-			excused = excused || (f.what != "reload" && f.from.Before(e.Came()) && (f.to.IsZero() || f.to.Add(settle).After(at)))
+			excused = excused || f.what != "reload" && f.about(at, e.Came(), settle)
 		}
 		if !excused {
 			s.t.Errorf("endpoint %s was sent a request %v after it had said that it was leaving\n%s", e.ID, late, s.record.timeline(o))
--- a/cmd/hawthornrill-soak/record_test.go
+++ b/cmd/hawthornrill-soak/record_test.go
@@ -15,6 +15,11 @@
 	from, to time.Time
 }
 
+// about reports whether the fault, or its effects for so long after it, fell into the time.
+func (f *fault) about(from, to time.Time, after time.Duration) bool {
+	return f.from.Before(to) && (f.to.IsZero() || f.to.Add(after).After(from))
+}
+
 // outcome is what a caller got.
 type outcome struct {
 	id, node, key, path string
@@ -61,7 +66,7 @@
 		if f.what == "stop" || f.what == "reload" || (f.node != "" && f.node != o.node) {
 			continue
 		}
-		if f.from.Before(o.ended) && (f.to.IsZero() || f.to.Add(settle).After(o.sent)) {
+		if f.about(o.sent, o.ended, settle) {
 			return true
 		}
 	}
@@ -75,7 +80,7 @@
 		if f.node != node || f.what == "reload" || strings.HasPrefix(f.what, "store") {
 			continue
 		}
-		if f.from.Before(at) && (f.to.IsZero() || f.to.Add(limitExcused).After(at)) {
+		if f.about(at, at, limitExcused) {
 			return true
 		}
 	}
