Endpoints' notices are read, logged and shown: rest and leaving

It is logged, counted and shown in /debug/state with the time at which it ends. Nothing is decided by it yet: this tells the hypotheses of the incident apart, since the logs did not show whether an answer asked for rest, nor until when.

An attempt decodes the head of each response once; before, it did so twice.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -65,8 +65,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response header belongs to this request; nil accepts any.
-	Matches func(http.Header) bool
+	// Matches is called with the head of each response and reports whether it belongs to this request;
+	// nil accepts any.
+	Matches func(status int, header http.Header) bool
 }
 
 // Client sends requests and pools connections to endpoints. It is safe for concurrent use.
@@ -258,7 +259,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		if r.Matches == nil || r.Matches(response.StatusCode, response.Header) {
 			return response, nil
 		}
 		skipped++
--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -66,7 +66,7 @@
 	return &Request{
 		Endpoint: domain.EndpointID("e"), Address: s.address, Method: http.MethodPost, Target: "/a%2Fb?x=%20y", Host: "h.example",
 		Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Matches: func(_ int, h http.Header) bool { return h.Get("X-Id") == id },
 	}
 }
 
--- /dev/null
+++ b/endpointgate/gate.go
@@ -0,0 +1,120 @@
+package endpointgate
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+// maxRest bounds a rest, so that a wrong value can't take an endpoint out for good.
+const maxRest = time.Hour
+
+// maxLeaving bounds the memory for endpoints that are leaving.
+const maxLeaving = 4096
+
+// Config is a Gate's dependencies.
+type Config struct {
+	Clock   boottime.Clock
+	Log     zerolog.Logger
+	Metrics *metrics.Set
+}
+
+// Gate holds what endpoints have said about further requests. It is safe for concurrent use.
+type Gate struct {
+	config Config
+	// rests is replaced at each change, so that it is read without a lock. Endpoints are listed by their incarnation.
+	rests atomic.Pointer[map[domain.EndpointID]rest]
+	// mu serialises changes and guards leaving.
+	mu sync.Mutex
+	// leaving holds the endpoints that have said that they are leaving, with the time of the first such response.
+	leaving map[domain.EndpointID]boottime.Instant
+
+	rested, left, malformed *metrics.Counter
+}
+
+// New returns a gate that knows of no rest, and registers its metrics.
+func New(config Config) *Gate {
+	g := &Gate{
+		config:    config,
+		leaving:   make(map[domain.EndpointID]boottime.Instant),
+		rested:    config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
+		left:      config.Metrics.NewCounter("hawthornrill_endpoint_leaving_notices_total"),
+		malformed: config.Metrics.NewCounter("hawthornrill_endpoint_notices_malformed_total"),
+	}
+	g.rests.Store(&map[domain.EndpointID]rest{})
+	config.Metrics.NewGauge("hawthornrill_endpoints_resting", func() float64 { return float64(g.resting()) })
+	return g
+}
+
+// Record records the notice in an endpoint's response to the request with the given ID.
+func (g *Gate) Record(id domain.EndpointID, request string, n Notice) {
+	if n.Err != nil {
+		g.malformed.Inc()
+		g.config.Log.Warn().Err(n.Err).Str("endpoint", string(id)).Str("request", request).Dur("rest_ms", n.Rest).
+			Bool("leaving", n.Leaving).Msg("malformed notice in an endpoint's response")
+	}
+	if n.Leaving {
+		g.recordLeaving(id, request)
+	}
+	if n.Rest > 0 {
+		g.recordRest(id, request, n.Rest)
+	}
+}
+
+// recordLeaving records an endpoint's first notice that it is leaving.
+func (g *Gate) recordLeaving(id domain.EndpointID, request string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.leaving[id]; ok {
+		return
+	}
+	if len(g.leaving) >= maxLeaving {
+		clear(g.leaving)
+	}
+	g.leaving[id] = g.config.Clock()
+	g.left.Inc()
+	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Msg("endpoint says that it is leaving")
+}
+
+// recordRest begins a rest or extends the one in force. A shorter one does not end it.
+func (g *Gate) recordRest(id domain.EndpointID, request string, asked time.Duration) {
+	g.rested.Inc()
+	bounded := min(asked, maxRest)
+	now := g.config.Clock()
+	next := rest{asked: bounded, receivedAt: now, endsAt: now.Add(bounded)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before, ok := (*g.rests.Load())[id]
+	if !ok || next.endsAt > before.endsAt {
+		g.store(now, id, next)
+	}
+	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Dur("asked_ms", asked).
+		Dur("rest_ms", bounded).Bool("extends", ok && before.endsAt > now).Msg("endpoint asks for rest")
+}
+
+// resting counts the endpoints whose rest is in force.
+func (g *Gate) resting() int {
+	now := g.config.Clock()
+	n := 0
+	for _, r := range *g.rests.Load() {
+		if r.endsAt > now {
+			n++
+		}
+	}
+	return n
+}
+
+// store replaces the rest of one endpoint and drops those that are over. The lock is held.
+func (g *Gate) store(now boottime.Instant, id domain.EndpointID, r rest) {
+	rests := maps.Clone(*g.rests.Load())
+	maps.DeleteFunc(rests, func(_ domain.EndpointID, r rest) bool { return r.endsAt <= now })
+	rests[id] = r
+	g.rests.Store(&rests)
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -18,6 +18,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gateway"
@@ -50,6 +51,7 @@
 	// organisationLimits applies the organisations' limits, endpointLimits those that endpoints advertise.
 	organisationLimits *tokenlimit.Limiter
 	endpointLimits     *endpointlimit.Limiter
+	endpointGate       *endpointgate.Gate
 	slots              *places.Allocator
 	quarantine         *quarantine.Tracker
 	endpointClient     *exchange.Client
@@ -89,6 +91,7 @@
 	n.endpointLimits = endpointlimit.New(endpointlimit.Config{
 		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Directory: n.directory, Log: log, Metrics: n.metrics,
 	})
+	n.endpointGate = endpointgate.New(endpointgate.Config{Clock: boottime.Now, Log: log, Metrics: n.metrics})
 	n.slots = places.New(places.Options{
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Limits: n.endpointLimits, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
@@ -100,6 +103,7 @@
 		Directory:          n.directory,
 		OrganisationLimits: n.organisationLimits,
 		EndpointLimits:     n.endpointLimits,
+		EndpointGate:       n.endpointGate,
 		RetryBudget: retrybudget.New(retrybudget.Options{
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: seconds(s.Retry.WindowS),
 		}, boottime.Now, n.nodeCount),
--- a/entrynode/operators.go
+++ b/entrynode/operators.go
@@ -10,6 +10,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/buildinfo"
 	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/logging"
@@ -29,6 +30,8 @@
 	Fleet     gossip.Fleet `json:"fleet"`
 	Endpoints int          `json:"endpoints"`
 	Leaving   int          `json:"endpoints_leaving"`
+	// Notices is what endpoints have said about further requests and is in force.
+	Notices []endpointgate.State `json:"endpoint_notices"`
 	// Report is the node's current gossip report.
 	Report gossip.Report `json:"report"`
 }
@@ -46,6 +49,7 @@
 		Waiting:   n.slots.Waiting(),
 		Fleet:     n.mesh.Fleet(),
 		Endpoints: n.directory.Current().Len(),
+		Notices:   n.endpointGate.State(),
 	}
 	if table := n.follower.Table(); table != nil {
 		s.Version = table.Version
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -31,6 +31,8 @@
 	timeToFirstEvent time.Duration
 	eventCount       int
 	lastEventAt      time.Time
+	// head is the decoded head of the last response received.
+	head AnswerHead
 }
 
 // dispatch sends the request to the slot's endpoint and forwards the response.
@@ -52,13 +54,13 @@
 	}
 	t.tried = append(t.tried, slot.Endpoint.Incarnation())
 	sent := t.gateway.deps.Clock()
-	response, err := t.gateway.deps.EndpointClient.Send(ctx, t.exchangeRequest(slot))
+	response, err := t.gateway.deps.EndpointClient.Send(ctx, a.exchangeRequest())
 	if err != nil {
 		return a.sendFailed(err)
 	}
 	defer response.Close()
 	t.dispatches++
-	head := t.gateway.deps.Protocol.ReadAnswer(response.StatusCode, response.Header)
+	head := a.head
 	a.recordAdvertisedLimit(response.StatusCode, head, sent)
 	if head.NotRun {
 		return a.requestRejected(response.StatusCode)
@@ -92,14 +94,14 @@
 // errRetryBudgetExhausted means that the service's share of retried requests has reached its bound.
 var errRetryBudgetExhausted = errors.New("gateway: the budget of retries is used up")
 
-func (t *task) exchangeRequest(slot *places.Place) *exchange.Request {
+func (a *attempt) exchangeRequest() *exchange.Request {
+	t, slot := a.task, a.slot
 	head := endToEndHeader(t.request.Header)
 	dispatch := Dispatch{Endpoint: slot.Endpoint.ID, TimeLeft: t.timeLeft(), LastEventID: t.lastEventID}
 	if t.organisation != nil {
 		dispatch.Organisation = t.organisation.ID
 	}
-	protocol := t.gateway.deps.Protocol
-	protocol.WriteDispatch(head, dispatch)
+	t.gateway.deps.Protocol.WriteDispatch(head, dispatch)
 	return &exchange.Request{
 		Endpoint: slot.Endpoint.Incarnation(),
 		Address:  slot.Endpoint.Address,
@@ -108,13 +110,21 @@
 		Host:     t.request.Host,
 		Header:   head,
 		Body:     t.body,
-		Matches: func(h http.Header) bool {
-			id := protocol.ReadAnswer(http.StatusOK, h).ID
-			return id == "" || id == t.call.ID
-		},
+		Matches:  a.readHead,
 	}
 }
 
+// readHead decodes the head of a response, records what the endpoint says in it and reports whether it belongs to the request.
+// A 421 comes from another endpoint at the same address and says nothing about this one.
+func (a *attempt) readHead(status int, header http.Header) bool {
+	t := a.task
+	a.head = t.gateway.deps.Protocol.ReadAnswer(status, header)
+	if status != http.StatusMisdirectedRequest {
+		t.gateway.deps.EndpointGate.Record(a.slot.Endpoint.Incarnation(), t.call.ID, a.head.Notice)
+	}
+	return a.head.ID == "" || a.head.ID == t.call.ID
+}
+
 // canRetry reports whether the request may go to another endpoint after an attempt that may have run.
 func (t *task) canRetry() bool {
 	return t.route.Repeatable() && t.endpointsTried() < t.route.MaxEndpoints
@@ -263,7 +273,7 @@
 	t.gateway.metrics.retries.Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(a.slot.Endpoint.Incarnation())).
 		Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(a.started)).
-		Int("sends", t.dispatches).Str("last_event", t.lastEventID).AnErr("cause", err).
+		Int("sends", t.dispatches).Dur("rest_asked_ms", a.head.Notice.Rest).Str("last_event", t.lastEventID).AnErr("cause", err).
 		Msg("attempt failed, trying another endpoint")
 	return attemptResult{err: err}
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/places"
@@ -48,6 +49,10 @@
 	if perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		head.Limit = endpointlimit.Advertisement{Kind: endpointlimit.Advertised, PerSecond: perSecond}
 	}
+	if seconds, err := strconv.ParseFloat(h.Get("X-Rest"), 64); err == nil {
+		head.Notice.Rest = time.Duration(seconds * float64(time.Second))
+	}
+	head.Notice.Leaving = h.Get("X-Leaving") != ""
 	return head
 }
 
@@ -86,6 +91,7 @@
 	bodyBytes  int64
 
 	endpointLimits *endpointlimit.Limiter
+	endpointGate   *endpointgate.Gate
 }
 
 // ampleRetryBudget is large enough for every test.
@@ -141,6 +147,7 @@
 		Self: "n", Clock: f.now, Members: func() []domain.Member { return []domain.Member{{Node: "n"}} }, Directory: f.directory,
 		Log: zerolog.Nop(), Metrics: set,
 	})
+	f.endpointGate = endpointgate.New(endpointgate.Config{Clock: f.now, Log: zerolog.Nop(), Metrics: set})
 	limits := tokenlimit.New(tokenlimit.Config{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Dependencies{
 		Protocol:           testProtocol{},
@@ -148,6 +155,7 @@
 		Directory:          f.directory,
 		OrganisationLimits: limits,
 		EndpointLimits:     f.endpointLimits,
+		EndpointGate:       f.endpointGate,
 		RetryBudget:        retrybudget.New(f.retries, f.now, one),
 		Quarantine:         quarantine.NewTracker(zerolog.Nop()),
 		Places:             places.New(places.Options{Limits: f.endpointLimits}, f.directory, alone, set),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/places"
@@ -51,8 +52,10 @@
 	OrganisationLimits *tokenlimit.Limiter
 	// EndpointLimits records the limits that endpoints advertise.
 	EndpointLimits *endpointlimit.Limiter
-	RetryBudget    *retrybudget.Budget
-	Places         *places.Allocator
+	// EndpointGate holds what endpoints say about further requests.
+	EndpointGate *endpointgate.Gate
+	RetryBudget  *retrybudget.Budget
+	Places       *places.Allocator
 	// Quarantine identifies request contents that crash the endpoints that run them.
 	Quarantine     *quarantine.Tracker
 	EndpointClient *exchange.Client
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 )
 
@@ -78,6 +79,8 @@
 	Signed bool
 	// Limit is the request rate that the endpoint accepts from all nodes together.
 	Limit endpointlimit.Advertisement
+	// Notice is what the endpoint says about further requests.
+	Notice endpointgate.Notice
 }
 
 // Protocol translates headers to and from the deployment's format. Implementations make no decisions.
