--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -217,11 +217,25 @@
 	f.config.table = table
 }
 
+// await waits until the condition holds.
+func (f *fixture) await(condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); {
+		assert.Assert(f.t, time.Now().Before(end), "not within 10 s")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// list adds the entry to the directory or replaces it.
+func (f *fixture) list(e *directory.Endpoint) {
+	f.directory.Apply(0, []*directory.Endpoint{e}, nil, 0)
+}
+
 // markLeaving lists the endpoint as leaving.
 func (f *fixture) markLeaving(id domain.EndpointID) {
 	e := *f.directory.Current().Endpoint(id)
 	e.Leaving = true
-	f.directory.Apply(0, []*directory.Endpoint{&e}, nil, 0)
+	f.list(&e)
 }
 
 // writeEvents writes the events from..to of a signed stream and flushes them.
