An endpoint that asks for rest gets nothing from this node until it is over

Callers saw repeats pile up: an endpoint rejected a request and asked for 3 s of rest, and got five more from the same node in that time; each cost the caller an attempt.

Cause: nobody kept the rest. A rejection counted as a failure, after which a probe is due in 0.5 s, and any answer that ended at the endpoint meanwhile made it count as recovered.

Change: package endpointgate is the one place that decides whether an endpoint may be sent to: listing, rest and advertised limit. It is consulted when a place is chosen, when a queue is served, right before the send and once more when the connection is open. Other endpoints are used first. If all rest, a request waits where the rest ends within its time; otherwise it, and what already waits, is refused at once with the time at which the first rest ends, spread over a quarter of it. Nodes return at different times and send one request first.

Why it works: the belief no longer depends on what else happens at the endpoint, and every way of a request to an endpoint passes the gate after its last wait.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -65,6 +65,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Permit is called when a connection is open, immediately before the first byte is sent. If it returns
+	// an error, nothing is sent. It may be nil.
+	Permit func() error
 	// Matches is called with the head of each response and reports whether it belongs to this request;
 	// nil accepts any.
 	Matches func(status int, header http.Header) bool
@@ -120,6 +123,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, err)
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			conn.close()
+			return nil, fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, err)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { conn.close() })
 	if err := conn.write(r); err != nil {
 		stop()
--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -248,3 +248,16 @@
 	assert.Equal(t, s.connections.Load(), int64(2))
 	assert.Equal(t, c.open.Load(), int64(0))
 }
+
+func TestNothingIsSentWithoutPermit(t *testing.T) {
+	s := serve(t, answerTo("1", "Content-Length: 2\r\n", "ok"))
+	c := New(Options{}, metrics.NewSet())
+	r := s.request("1")
+	denied := errors.New("denied")
+	r.Permit = func() error { return denied }
+	_, err := send(t, c, r)
+	assert.ErrorIs(t, err, endpoint.ErrNotDispatched)
+	assert.ErrorIs(t, err, denied)
+	assert.Equal(t, len(s.received), 0)
+	assert.Equal(t, c.open.Load(), int64(0))
+}
--- /dev/null
+++ b/endpointgate/decision_test.go
@@ -0,0 +1,109 @@
+package endpointgate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/places"
+)
+
+var _ places.Gate = (*Gate)(nil)
+
+const testSlots = 10
+
+func testEndpoint() *directory.Endpoint {
+	return &directory.Endpoint{ID: "e", Service: "s", Slots: testSlots, Born: 1}
+}
+
+// taken takes all that the gate allows now.
+func (g *testGate) taken(e *directory.Endpoint) int {
+	n := 0
+	for n <= testSlots && g.Allows(e) {
+		g.Take(e)
+		n++
+	}
+	return n
+}
+
+func TestNothingIsAllowedDuringRest(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	assert.Assert(t, g.Allows(e) && !g.AnyRest())
+	g.Record(e.Incarnation(), "r", Notice{Rest: 3 * time.Second})
+	for range 30 {
+		assert.Assert(t, !g.Allows(e) && g.RestEndsIn(e) > 0 && !g.Bars(e))
+		g.now = g.now.Add(100 * time.Millisecond)
+	}
+	g.now = g.now.Add(maxJitter)
+	assert.Assert(t, g.Allows(e) && g.RestEndsIn(e) == 0)
+}
+
+// Guards against a burst at the end of a rest.
+func TestRequestsGrowAfterRest(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.now = g.now.Add(g.RestEndsIn(e))
+	assert.Equal(t, g.taken(e), 1)
+	sum := 0
+	for range 4 {
+		g.now = g.now.Add(rampTime / 5)
+		taken := g.taken(e)
+		assert.Equal(t, taken, testSlots/5)
+		sum += taken
+	}
+	g.now = g.now.Add(rampTime / 5)
+	assert.Assert(t, g.taken(e) > testSlots)
+	g.Sweep()
+	assert.Assert(t, !g.AnyRest())
+}
+
+func TestRejectionAfterRestBeginsAnother(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.now = g.now.Add(g.RestEndsIn(e))
+	assert.Equal(t, g.taken(e), 1)
+	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	assert.Assert(t, g.RestEndsIn(e) >= time.Second)
+	g.Sweep()
+	assert.Assert(t, g.AnyRest())
+}
+
+func TestNodesReturnAtDifferentTimes(t *testing.T) {
+	ends := map[time.Duration]bool{}
+	for range 20 {
+		g, e := newTestGate(), testEndpoint()
+		g.Record(e.Incarnation(), "r", Notice{Rest: 3 * time.Second})
+		left := g.RestEndsIn(e)
+		assert.Assert(t, left >= 3*time.Second && left <= 3*time.Second+maxJitter, "%v", left)
+		ends[left] = true
+	}
+	assert.Assert(t, len(ends) > 1)
+}
+
+func TestRestBindsOnlyTheIncarnationThatAskedForIt(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	g.Record(e.Incarnation(), "r", Notice{Rest: time.Minute})
+	restarted := *e
+	restarted.Born++
+	assert.Assert(t, !g.Allows(e) && g.Allows(&restarted))
+}
+
+func TestCheckTellsWhyEndpointIsClosed(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	list := func(e *directory.Endpoint) { g.config.Directory.Apply(g.now, []*directory.Endpoint{e}, nil, 0) }
+	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrGone)
+	list(e)
+	assert.NilError(t, g.Check(e.Incarnation()))
+	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrResting)
+	leaving := *e
+	leaving.Leaving = true
+	list(&leaving)
+	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrLeaving)
+	assert.Assert(t, g.Bars(&leaving) && !g.Allows(&leaving))
+	g.config.Directory.Apply(g.now, nil, []domain.EndpointID{e.ID}, 0)
+	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrGone)
+}
--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 )
 
@@ -19,14 +20,26 @@
 // maxLeaving bounds the memory for endpoints that are leaving.
 const maxLeaving = 4096
 
+// Limits are the endpoints' own rate limits on requests from all nodes together.
+type Limits interface {
+	// Bars reports whether this node must send the endpoint nothing while its limit is in force.
+	Bars(e *directory.Endpoint) bool
+	// Allows reports whether this node may send the endpoint one more request now.
+	Allows(e *directory.Endpoint) bool
+	// Take counts a request and returns the limit in requests per second, zero if there is none.
+	Take(e *directory.Endpoint) (perSecond float64)
+}
+
 // Config is a Gate's dependencies.
 type Config struct {
-	Clock   boottime.Clock
-	Log     zerolog.Logger
-	Metrics *metrics.Set
+	Directory *directory.Directory
+	Limits    Limits
+	Clock     boottime.Clock
+	Log       zerolog.Logger
+	Metrics   *metrics.Set
 }
 
-// Gate holds what endpoints have said about further requests. It is safe for concurrent use.
+// Gate decides whether this node may send requests to an endpoint. It is safe for concurrent use.
 type Gate struct {
 	config Config
 	// rests is replaced at each change, so that it is read without a lock. Endpoints are listed by their incarnation.
@@ -88,12 +101,12 @@
 	g.rested.Inc()
 	bounded := min(asked, maxRest)
 	now := g.config.Clock()
-	next := rest{asked: bounded, receivedAt: now, endsAt: now.Add(bounded)}
+	next := newRest(now, bounded)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, ok := (*g.rests.Load())[id]
 	if !ok || next.endsAt > before.endsAt {
-		g.store(now, id, next)
+		g.set(id, next)
 	}
 	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Dur("asked_ms", asked).
 		Dur("rest_ms", bounded).Bool("extends", ok && before.endsAt > now).Msg("endpoint asks for rest")
@@ -111,10 +124,28 @@
 	return n
 }
 
-// store replaces the rest of one endpoint and drops those that are over. The lock is held.
-func (g *Gate) store(now boottime.Instant, id domain.EndpointID, r rest) {
+// Sweep drops the rests that are over.
+func (g *Gate) Sweep() {
+	if !g.AnyRest() {
+		return
+	}
+	now := g.config.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rests := maps.Clone(*g.rests.Load())
+	for id, r := range rests {
+		if r.over(now) {
+			delete(rests, id)
+			g.config.Log.Info().Str("endpoint", string(id)).Dur("rest_ms", r.asked).Int64("sent_since", r.sent.Load()).
+				Msg("endpoint's rest is over")
+		}
+	}
+	g.rests.Store(&rests)
+}
+
+// set replaces the rest of one endpoint. The lock is held.
+func (g *Gate) set(id domain.EndpointID, r rest) {
 	rests := maps.Clone(*g.rests.Load())
-	maps.DeleteFunc(rests, func(_ domain.EndpointID, r rest) bool { return r.endsAt <= now })
 	rests[id] = r
 	g.rests.Store(&rests)
 }
--- a/endpointgate/gate_test.go
+++ b/endpointgate/gate_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
 )
 
 // testGate is a Gate with a clock of its own and its log.
@@ -21,10 +22,17 @@
 	log strings.Builder
 }
 
+// noLimits are Limits of endpoints without any.
+type noLimits struct{}
+
+func (noLimits) Bars(*directory.Endpoint) bool    { return false }
+func (noLimits) Allows(*directory.Endpoint) bool  { return true }
+func (noLimits) Take(*directory.Endpoint) float64 { return 0 }
+
 func newTestGate() *testGate {
 	g := &testGate{now: boottime.Instant(time.Hour)}
 	g.Gate = New(Config{
-		Clock: func() boottime.Instant { return g.now }, Log: zerolog.New(&g.log), Metrics: metrics.NewSet(),
+		Directory: directory.New(), Limits: noLimits{}, Clock: func() boottime.Instant { return g.now }, Log: zerolog.New(&g.log), Metrics: metrics.NewSet(),
 	})
 	return g
 }
--- a/endpointgate/rest.go
+++ b/endpointgate/rest.go
@@ -1,15 +1,46 @@
 package endpointgate
 
 import (
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"hawthornrill.example/hawthornrill/boottime"
 )
 
-// rest is a period in which an endpoint wants no requests from this node.
+const (
+	// rampTime is the time after a rest within which the requests sent to the endpoint grow from one to its slots. What waited
+	// during the rest would otherwise arrive at once.
+	rampTime = time.Second
+	// jitterFraction is the largest part of a rest by which a node waits longer, up to maxJitter, so that the nodes don't all
+	// return at once.
+	jitterFraction = 0.2
+	maxJitter      = 500 * time.Millisecond
+)
+
+// rest is a period in which an endpoint wants no requests from this node, and the ramp after it.
 type rest struct {
 	// asked is how long the endpoint asked for, from receivedAt on.
 	asked      time.Duration
 	receivedAt boottime.Instant
 	endsAt     boottime.Instant
+	// sent counts the requests granted after the rest.
+	sent *atomic.Int64
+}
+
+func newRest(now boottime.Instant, asked time.Duration) rest {
+	jitter := min(time.Duration(jitterFraction*float64(asked)), maxJitter)
+	return rest{asked: asked, receivedAt: now, endsAt: now.Add(asked + rand.N(jitter+1)), sent: new(atomic.Int64)}
+}
+
+// over reports whether the rest and its ramp have ended.
+func (r rest) over(now boottime.Instant) bool { return now.Sub(r.endsAt) >= rampTime }
+
+// allows reports whether one more request may be sent to an endpoint with the given slots.
+func (r rest) allows(now boottime.Instant, slots int) bool {
+	since := now.Sub(r.endsAt)
+	if since < 0 || r.over(now) {
+		return since >= 0
+	}
+	return r.sent.Load() < 1+int64(float64(slots)*since.Seconds()/rampTime.Seconds())
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -91,9 +91,11 @@
 	n.endpointLimits = endpointlimit.New(endpointlimit.Config{
 		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Directory: n.directory, Log: log, Metrics: n.metrics,
 	})
-	n.endpointGate = endpointgate.New(endpointgate.Config{Clock: boottime.Now, Log: log, Metrics: n.metrics})
+	n.endpointGate = endpointgate.New(endpointgate.Config{
+		Directory: n.directory, Limits: n.endpointLimits, Clock: boottime.Now, Log: log, Metrics: n.metrics,
+	})
 	n.slots = places.New(places.Options{
-		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Limits: n.endpointLimits, Log: log,
+		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Gate: n.endpointGate, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.quarantine = quarantine.NewTracker(log)
 	n.endpointClient = exchange.New(exchange.Options{MaxConnections: s.Host.endpointConnections(), MaxIdle: n.maxIdleConnections}, n.metrics)
@@ -302,7 +304,7 @@
 		return pacing.Every(ctx, idleSweepInterval, func() { callers.closeIdle(n.idleTimeout()) })
 	}
 	background := []func(context.Context) error{
-		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.closeRemovedEndpoints, sweep,
+		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep,
 	}
 	for _, execute := range background {
 		group.Add(func() error { return execute(ctx) }, func(error) {
@@ -319,11 +321,12 @@
 	}
 }
 
-// endpointSweepInterval is the interval at which connections to removed endpoints are closed.
+// endpointSweepInterval is the interval at which connections to removed endpoints are closed and ended rests are forgotten.
 const endpointSweepInterval = time.Second
 
-func (n *Node) closeRemovedEndpoints(ctx context.Context) error {
+func (n *Node) sweepEndpoints(ctx context.Context) error {
 	return pacing.Every(ctx, endpointSweepInterval, func() {
+		n.endpointGate.Sweep()
 		snapshot := n.directory.Current()
 		n.endpointClient.PruneIdle(func(id endpointID) bool { return snapshot.Endpoint(id) != nil })
 	})
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
+	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -110,6 +111,7 @@
 		Host:     t.request.Host,
 		Header:   head,
 		Body:     t.body,
+		Permit:   func() error { return t.gateway.deps.EndpointGate.Check(slot.Endpoint.Incarnation()) },
 		Matches:  a.readHead,
 	}
 }
@@ -206,6 +208,11 @@
 // sendFailed ends an attempt that got no response.
 func (a *attempt) sendFailed(err error) attemptResult {
 	t := a.task
+	if errors.Is(err, endpointgate.ErrClosed) {
+		a.slot.Release(resultNotDispatched)
+		t.logNotSent(a.slot, err)
+		return attemptResult{err: err}
+	}
 	if errors.Is(err, endpoint.ErrNotDispatched) {
 		if a.ctx.Err() == nil {
 			a.slot.Release(capacity.Result{Unreachable: true})
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -147,7 +147,9 @@
 		Self: "n", Clock: f.now, Members: func() []domain.Member { return []domain.Member{{Node: "n"}} }, Directory: f.directory,
 		Log: zerolog.Nop(), Metrics: set,
 	})
-	f.endpointGate = endpointgate.New(endpointgate.Config{Clock: f.now, Log: zerolog.Nop(), Metrics: set})
+	f.endpointGate = endpointgate.New(endpointgate.Config{
+		Directory: f.directory, Limits: f.endpointLimits, Clock: f.now, Log: zerolog.Nop(), Metrics: set,
+	})
 	limits := tokenlimit.New(tokenlimit.Config{Window: time.Second, Clock: f.now, Fleet: alone, Metrics: set})
 	g := New(Dependencies{
 		Protocol:           testProtocol{},
@@ -158,7 +160,7 @@
 		EndpointGate:       f.endpointGate,
 		RetryBudget:        retrybudget.New(f.retries, f.now, one),
 		Quarantine:         quarantine.NewTracker(zerolog.Nop()),
-		Places:             places.New(places.Options{Limits: f.endpointLimits}, f.directory, alone, set),
+		Places:             places.New(places.Options{Gate: f.endpointGate}, f.directory, alone, set),
 		EndpointClient:     exchange.New(exchange.Options{}, set),
 		Clock:              f.now,
 		Log:                zerolog.Nop(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,7 @@
 	OrganisationLimits *tokenlimit.Limiter
 	// EndpointLimits records the limits that endpoints advertise.
 	EndpointLimits *endpointlimit.Limiter
-	// EndpointGate holds what endpoints say about further requests.
+	// EndpointGate decides whether endpoints may be sent to, from what they say among other things.
 	EndpointGate *endpointgate.Gate
 	RetryBudget  *retrybudget.Budget
 	Places       *places.Allocator
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"hawthornrill.example/hawthornrill/places"
 )
 
 // Results of requests, as written to logs and metrics.
@@ -29,6 +31,12 @@
 	}
 }
 
+// logNotSent writes the log line of a place that was given back before anything was sent.
+func (t *task) logNotSent(slot *places.Place, cause error) {
+	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(slot.Endpoint.Incarnation())).
+		Dur("waited_ms", slot.Waited).Err(cause).Msg("endpoint closed before the request was sent")
+}
+
 // logEnd writes the log line and updates the metrics of a completed request.
 func (t *task) logEnd(r attemptResult) {
 	g := t.gateway
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/endpointgate"
 )
 
 // restingEndpoint holds its first requests until they are released one by one. It rejects the others and asks for rest until it
@@ -85,3 +88,18 @@
 	assert.Equal(t, f.call(nil).Status, http.StatusOK)
 	assert.Equal(t, atLeaving.Load(), int64(2), "the next incarnation is not used")
 }
+
+func TestRestThatBeginsBeforeTheDispatchIsRespected(t *testing.T) {
+	var requests atomic.Int64
+	f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		writeEvents(w, 1, 1)
+	})
+	f.onSecondAgeCheck(func() { f.endpointGate.Record("e0", "other", endpointgate.Notice{Rest: 2 * time.Minute}) })
+	got := f.call(nil)
+	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+	retryAfter, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retryAfter >= 120, "%v s", retryAfter)
+	assert.Equal(t, requests.Load(), int64(0))
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -135,10 +135,11 @@
 		slot.Release(resultNotDispatched)
 		return attemptResult{final: true, refusal: refusal}
 	}
-	if e := t.gateway.deps.Directory.Current().Endpoint(slot.Endpoint.Incarnation()); e == nil || e.Leaving {
-		// The endpoint started to leave, or left, while the request was queued.
+	if err := t.gateway.deps.EndpointGate.Check(slot.Endpoint.Incarnation()); err != nil {
+		// The endpoint started to leave, left or asked for rest while the request was queued.
 		slot.Release(resultNotDispatched)
-		return attemptResult{}
+		t.logNotSent(slot, err)
+		return attemptResult{err: err}
 	}
 	return t.dispatch(slot)
 }
@@ -204,7 +205,7 @@
 		return &problem{Status: http.StatusGatewayTimeout, Title: "the request's time is over", Outcome: outcomeUnknown}
 	}
 	return &problem{
-		Status: http.StatusServiceUnavailable, Title: "no endpoint was free in time", Outcome: outcomeNotRun, RetryAfter: shortRetryAfter,
+		Status: http.StatusServiceUnavailable, Title: "no endpoint was free in time", Outcome: outcomeNotRun, RetryAfter: t.retryAfter(),
 	}
 }
 
@@ -238,12 +239,17 @@
 	default:
 		r.refusal = &problem{
 			Status: http.StatusServiceUnavailable, Title: "no endpoint took the request", Outcome: outcomeNotRun,
-			RetryAfter: shortRetryAfter, Cause: err,
+			RetryAfter: t.retryAfter(), Cause: err,
 		}
 	}
 	return r
 }
 
+// retryAfter is the Retry-After of a request that no endpoint took: after the endpoints' rest if all of them rest.
+func (t *task) retryAfter() time.Duration {
+	return max(t.gateway.deps.Places.RestEndsIn(t.service), shortRetryAfter)
+}
+
 // finish logs the end and responds to the caller, unless an endpoint's response was forwarded.
 func (t *task) finish(r attemptResult) {
 	if t.charged && !t.mayHaveRun {
--- a/places/allocator.go
+++ b/places/allocator.go
@@ -45,8 +45,8 @@
 // New returns an allocator. The fleet function returns the current node counts.
 func New(options Options, dir *directory.Directory, fleet func() gossip.Fleet, set *metrics.Set) *Allocator {
 	options.Routing = defaultRouting(options.Routing)
-	if options.Limits == nil {
-		options.Limits = unlimited{}
+	if options.Gate == nil {
+		options.Gate = openGate{}
 	}
 	if options.CacheTokens == nil {
 		options.CacheTokens = func(string) int { return 0 }
@@ -72,7 +72,7 @@
 	if place != nil || err != nil {
 		return place, err
 	}
-	waitTimer := time.NewTimer(request.maxWait(w.since))
+	waitTimer := time.NewTimer(time.Until(w.until))
 	defer waitTimer.Stop()
 	select {
 	case place, ok := <-w.granted:
@@ -97,6 +97,9 @@
 func (a *Allocator) finishWait(w *waiter, place *Place, ok bool) (*Place, error) {
 	if !ok {
 		a.refused.Inc()
+		if w.refusal != nil {
+			return nil, w.refusal
+		}
 		return nil, &Refusal{Err: ErrOverloaded, RetryAfter: minRetryAfter}
 	}
 	place.Waited = time.Since(w.since)
@@ -135,13 +138,16 @@
 // already missed, so late that its caller may have left.
 func (p *pool) refuse(now time.Time, request *Request, ahead int) *Refusal {
 	if request.Urgent {
-		return nil
+		return p.restRefusal(now, request, request.maxWait(now))
 	}
 	wait := p.predictedWait(request, ahead)
 	bound := request.FirstByteDue.Sub(now) - p.firstByteTime(request)
 	if request.late(now, p.firstByteTime(request)) {
 		bound = maxPredictedLateWait
 	}
+	if refusal := p.restRefusal(now, request, bound); refusal != nil {
+		return refusal
+	}
 	if wait <= bound {
 		return nil
 	}
@@ -152,7 +158,7 @@
 }
 
 func (a *Allocator) enqueue(p *pool, now time.Time, request *Request) *waiter {
-	w := &waiter{request: request, since: now, granted: make(chan *Place, 1)}
+	w := &waiter{request: request, since: now, until: now.Add(request.maxWait(now)), granted: make(chan *Place, 1)}
 	w.item = queueItem(w, now, p.firstByteTime(request))
 	if evicted := p.waiting.Push(&w.item); evicted != nil {
 		close(evicted.Value.granted)
--- a/places/choose.go
+++ b/places/choose.go
@@ -96,8 +96,8 @@
 func (p *pool) collectCandidates(request *Request, limits capacityLimits, o Options, fleet gossip.Fleet) {
 	p.candidateStates, p.candidates = p.candidateStates[:0], p.candidates[:0]
 	for _, ep := range p.endpointList {
-		if ep.endpoint.Leaving || request.excludes(ep.id()) || !ep.hasCapacity(limits, ep.inSubset(o, fleet)) ||
-			!o.Limits.Allows(ep.endpoint) {
+		if p.gate.Bars(ep.endpoint) || request.excludes(ep.id()) || !ep.hasCapacity(limits, ep.inSubset(o, fleet)) ||
+			!p.gate.Allows(ep.endpoint) {
 			continue
 		}
 		p.candidateStates = append(p.candidateStates, &ep.state)
@@ -105,11 +105,11 @@
 	}
 }
 
-// hasUsable reports whether the request could use any accepted endpoint, including those that are full or at their
-// limit.
+// hasUsable reports whether the request could use any accepted endpoint, including those that are full, at their limit or
+// resting.
 func (p *pool) hasUsable(request *Request, accept func(*trackedEndpoint) bool) bool {
 	for _, ep := range p.endpointList {
-		if !ep.endpoint.Leaving && !request.excludes(ep.id()) && !p.limits.Bars(ep.endpoint) && accept(ep) {
+		if !p.gate.Bars(ep.endpoint) && !request.excludes(ep.id()) && accept(ep) {
 			return true
 		}
 	}
@@ -141,7 +141,7 @@
 		p.keepLocal(n, o, fleet, finishesInTime) || p.keep(n, finishesInTime) {
 		return true
 	}
-	if p.hasUsable(request, finishesInTime) {
+	if p.hasUsable(request, func(ep *trackedEndpoint) bool { return p.gate.RestEndsIn(ep.endpoint) == 0 && finishesInTime(ep) }) {
 		return false
 	}
 	if !p.keep(n, inService) && p.hasUsable(request, inService) {
--- a/places/limits_test.go
+++ b/places/gate_test.go
@@ -11,20 +11,28 @@
 	"hawthornrill.example/hawthornrill/domain"
 )
 
-// fakeLimits holds the number of requests left per endpoint; endpoints that are not listed are unlimited.
-type fakeLimits struct {
+// fakeGate holds the number of requests left per endpoint and the ends of their rests; endpoints that are not listed are
+// unlimited.
+type fakeGate struct {
 	left   map[domain.EndpointID]int
 	barred map[domain.EndpointID]bool
+	rests  map[domain.EndpointID]time.Time
 }
 
-func (a *fakeLimits) Bars(e *directory.Endpoint) bool { return a.barred[e.ID] }
+func (a *fakeGate) Bars(e *directory.Endpoint) bool { return e.Leaving || a.barred[e.ID] }
 
-func (a *fakeLimits) Allows(e *directory.Endpoint) bool {
+func (a *fakeGate) RestEndsIn(e *directory.Endpoint) time.Duration {
+	return max(time.Until(a.rests[e.ID]), 0)
+}
+
+func (a *fakeGate) AnyRest() bool { return len(a.rests) > 0 }
+
+func (a *fakeGate) Allows(e *directory.Endpoint) bool {
 	left, limited := a.left[e.ID]
-	return !a.barred[e.ID] && (!limited || left > 0)
+	return !a.Bars(e) && a.RestEndsIn(e) == 0 && (!limited || left > 0)
 }
 
-func (a *fakeLimits) Take(e *directory.Endpoint) float64 {
+func (a *fakeGate) Take(e *directory.Endpoint) float64 {
 	if _, limited := a.left[e.ID]; !limited {
 		return 0
 	}
@@ -32,15 +40,15 @@
 	return 4
 }
 
-func newLimitedFixture(t *testing.T, endpoints int, limits *fakeLimits) *fixture {
+func newGatedFixture(t *testing.T, endpoints int, gate *fakeGate) *fixture {
 	f := newFixture(t, endpoints)
-	f.options.Limits = limits
+	f.options.Gate = gate
 	return f
 }
 
 func TestEndpointLimitIsRespected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newLimitedFixture(t, 2, &fakeLimits{left: map[domain.EndpointID]int{"e0": 1}})
+		f := newGatedFixture(t, 2, &fakeGate{left: map[domain.EndpointID]int{"e0": 1}})
 		taken := map[domain.EndpointID]int{}
 		for _, place := range f.fill(testSlots + 1) {
 			taken[place.Endpoint.ID]++
@@ -54,13 +62,13 @@
 
 func TestRequestWaitsForEndpointLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limits := &fakeLimits{left: map[domain.EndpointID]int{"e0": 0}}
-		f := newLimitedFixture(t, 1, limits)
+		gate := &fakeGate{left: map[domain.EndpointID]int{"e0": 0}}
+		f := newGatedFixture(t, 1, gate)
 		go func() { _ = f.Run(t.Context()) }()
 		got := f.acquireAsync(testRequest())
 		assert.Equal(t, f.Waiting(), 1)
 		f.mu.Lock()
-		limits.left["e0"] = 1
+		gate.left["e0"] = 1
 		f.mu.Unlock()
 		time.Sleep(queuePollInterval)
 		assert.NilError(t, <-got)
@@ -69,7 +77,7 @@
 
 func TestBarredEndpointIsNotWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newLimitedFixture(t, 1, &fakeLimits{barred: map[domain.EndpointID]bool{"e0": true}})
+		f := newGatedFixture(t, 1, &fakeGate{barred: map[domain.EndpointID]bool{"e0": true}})
 		_, err := f.Acquire(t.Context(), testRequest())
 		assert.ErrorIs(t, err, ErrNoEndpoint)
 	})
--- a/places/grant.go
+++ b/places/grant.go
@@ -33,6 +33,7 @@
 	for {
 		w, ep := a.nextGrant(p, now)
 		if w == nil {
+			p.refuseDuringRest(now)
 			return
 		}
 		p.waiting.Take(&w.item)
--- a/places/options.go
+++ b/places/options.go
@@ -81,8 +81,8 @@
 	DataCentre domain.DataCentre
 	// CacheTokens returns the cache memory in tokens of each endpoint of a service, zero if unknown. It may be nil.
 	CacheTokens func(service string) int
-	// Limits are the endpoints' own rate limits. It may be nil.
-	Limits Limits
+	// Gate decides whether endpoints may be sent to. If it is nil, all but those that are leaving may.
+	Gate Gate
 	// Routing holds the router's options. New replaces some of them, see defaultRouting.
 	Routing routing.Options
 	// Log receives changes of the endpoints' assumed health; the zero value logs nothing.
--- a/places/pool.go
+++ b/places/pool.go
@@ -22,7 +22,7 @@
 	// firstByteTimes are the mean times from dispatch to first byte.
 	firstByteTimes firstByteTimes
 	demand         demand
-	limits         Limits
+	gate           Gate
 	queuedGrants   int
 	// cacheTokens returns the cache memory in tokens of each endpoint, zero if unknown.
 	cacheTokens func() int
@@ -38,8 +38,12 @@
 	item    queue.Item[*waiter]
 	request *Request
 	since   time.Time
+	// until is when the request stops waiting.
+	until time.Time
 	// granted receives the place, or is closed if the request was evicted.
 	granted chan *Place
+	// refusal is why the request was evicted, nil if the queue was full. It is set before granted is closed.
+	refusal *Refusal
 }
 
 const (
@@ -59,14 +63,14 @@
 		waiting:        queue.New[*waiter](maxWaiting),
 		firstByteTimes: newFirstByteTimes(),
 		demand:         newDemand(),
-		limits:         options.Limits,
+		gate:           options.Gate,
 	}
 }
 
 // grant grants the request a place.
 func (p *pool) grant(a *Allocator, now time.Time, request *Request, ep *trackedEndpoint) *Place {
 	place := newPlace(a, p, ep, request, now)
-	place.Limit = p.limits.Take(ep.endpoint)
+	place.Limit = p.gate.Take(ep.endpoint)
 	p.demand.forTier(demandTierOf(request)).served.add(now)
 	ep.ownLoad.add(place.load)
 	ep.refreshState()
@@ -98,11 +102,11 @@
 	return n
 }
 
-// limitedEndpoints counts the endpoints whose own limit allows this node no request now.
+// limitedEndpoints counts the endpoints whose own limit or rest allows this node no request now.
 func (p *pool) limitedEndpoints() int {
 	n := 0
 	for _, ep := range p.endpointList {
-		if !ep.endpoint.Leaving && !p.limits.Allows(ep.endpoint) {
+		if !p.gate.Bars(ep.endpoint) && !p.gate.Allows(ep.endpoint) {
 			n++
 		}
 	}
--- a/places/refusal.go
+++ b/places/refusal.go
@@ -10,15 +10,17 @@
 	ErrNoEndpoint = errors.New("places: no endpoint in service")
 	// ErrOverloaded means that the request would start too late.
 	ErrOverloaded = errors.New("places: the request would start too late")
+	// ErrResting means that all endpoints asked for rest for longer than the request may wait.
+	ErrResting = errors.New("places: all endpoints rest")
 )
 
-// Refusal is the error for a request that gets no place. It wraps ErrNoEndpoint or ErrOverloaded.
+// Refusal is the error for a request that gets no place. It wraps ErrNoEndpoint, ErrOverloaded or ErrResting.
 type Refusal struct {
 	Err error
-	// RetryAfter is the delay after which a slot is likely to be free.
+	// RetryAfter is the delay after which a slot is likely to be free, or an endpoint accepts requests again.
 	RetryAfter time.Duration
 	// Wait is the predicted wait, Ahead the number of requests queued before this one, Free the number of free slots,
-	// Limited the number of endpoints whose own limit allows this node no request now.
+	// Limited the number of endpoints whose own limit or rest allows this node no request now.
 	Wait    time.Duration
 	Ahead   int
 	Free    int
--- /dev/null
+++ b/places/rest.go
@@ -0,0 +1,68 @@
+package places
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// restSpreadFraction and minRestSpread spread the callers who are told to come back after a rest.
+	restSpreadFraction = 0.25
+	minRestSpread      = 200 * time.Millisecond
+)
+
+// restEndsIn is the time until the first of the endpoints that the request may use ends its rest, zero if one does not rest.
+func (p *pool) restEndsIn(request *Request) time.Duration {
+	if !p.gate.AnyRest() {
+		return 0
+	}
+	shortest := time.Duration(math.MaxInt64)
+	for _, ep := range p.endpointList {
+		if p.gate.Bars(ep.endpoint) || request.excludes(ep.id()) {
+			continue
+		}
+		shortest = min(shortest, p.gate.RestEndsIn(ep.endpoint))
+		if shortest <= 0 {
+			return 0
+		}
+	}
+	if shortest == math.MaxInt64 {
+		return 0
+	}
+	return shortest
+}
+
+// RestEndsIn is the time until the first endpoint of the service ends its rest, zero if one does not rest.
+func (a *Allocator) RestEndsIn(service string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pool(service).restEndsIn(&Request{})
+}
+
+// restRefusal is the refusal of a request whose endpoints all rest for longer than it may wait, nil if they don't.
+func (p *pool) restRefusal(now time.Time, request *Request, maxWait time.Duration) *Refusal {
+	rest := p.restEndsIn(request)
+	if rest <= max(maxWait, 0) {
+		return nil
+	}
+	spread := max(time.Duration(restSpreadFraction*float64(rest)), minRestSpread)
+	return &Refusal{Err: ErrResting, RetryAfter: rest + rand.N(spread), Wait: rest, Free: p.freeSlots(), Limited: p.limitedEndpoints()}
+}
+
+// refuseDuringRest refuses the waiters that can't wait until the end of the endpoints' rest.
+func (p *pool) refuseDuringRest(now time.Time) {
+	if p.waiting.Len() == 0 || p.restEndsIn(&Request{}) == 0 {
+		return
+	}
+	var waiters []*waiter
+	for item := range p.waiting.Ordered() {
+		waiters = append(waiters, item.Value)
+	}
+	for _, w := range waiters {
+		if w.refusal = p.restRefusal(now, w.request, w.until.Sub(now)); w.refusal != nil {
+			p.waiting.Remove(&w.item)
+			close(w.granted)
+		}
+	}
+}
