An endpoint that says it is leaving gets no new requests

An endpoint says in its answers that it is leaving; the node passed the answer on and went on sending, until the list of endpoints showed it, which a slow or unreachable store delays without bound.

Cause: the notice in the answer was read by nobody; only the list took an endpoint out. Evidence: in the test all of three requests went to the endpoint after its first answer.

Change: the directory keeps the notice by incarnation, so that later entries that still show the endpoint as ready, or that return after an outage, don't put it back; the next incarnation is not affected. All that looks at the directory sees it at once: choice of a place, queue, the look right before the send.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,7 +24,9 @@
 	endpoints map[domain.EndpointID]*Endpoint
 	// missing maps endpoints whose entries are missing to the time until which they are retained.
 	missing map[domain.EndpointID]boottime.Instant
-	changed chan struct{}
+	// announced holds the incarnations that said themselves that they are leaving, with the time at which this node heard so.
+	announced map[domain.EndpointID]boottime.Instant
+	changed   chan struct{}
 }
 
 // Snapshot is an immutable copy of the list.
@@ -39,6 +41,7 @@
 	d := &Directory{
 		endpoints: make(map[domain.EndpointID]*Endpoint),
 		missing:   make(map[domain.EndpointID]boottime.Instant),
+		announced: make(map[domain.EndpointID]boottime.Instant),
 		changed:   make(chan struct{}, 1),
 	}
 	d.publish()
@@ -122,6 +125,7 @@
 	if len(expired) > 0 {
 		d.publish()
 	}
+	d.forgetAnnouncements(now)
 	return expired
 }
 
@@ -138,7 +142,17 @@
 		same.Born = listed.Born
 		e = &same
 	}
-	d.endpoints[e.ID] = e
+	d.endpoints[e.ID] = d.withAnnouncement(e)
+}
+
+// withAnnouncement returns the entry, as leaving if its incarnation has announced that.
+func (d *Directory) withAnnouncement(e *Endpoint) *Endpoint {
+	if _, ok := d.announced[e.Incarnation()]; !ok || e.Leaving {
+		return e
+	}
+	leaving := *e
+	leaving.Leaving = true
+	return &leaving
 }
 
 func (d *Directory) remove(now boottime.Instant, id domain.EndpointID, keepUntil boottime.Instant) {
--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -17,9 +17,6 @@
 // maxRest bounds a rest, so that a wrong value can't take an endpoint out for good.
 const maxRest = time.Hour
 
-// maxLeaving bounds the memory for endpoints that are leaving.
-const maxLeaving = 4096
-
 // Limits are the endpoints' own rate limits on requests from all nodes together.
 type Limits interface {
 	// Bars reports whether this node must send the endpoint nothing while its limit is in force.
@@ -44,10 +41,8 @@
 	config Config
 	// rests is replaced at each change, so that it is read without a lock. Endpoints are listed by their incarnation.
 	rests atomic.Pointer[map[domain.EndpointID]rest]
-	// mu serialises changes and guards leaving.
+	// mu serialises changes.
 	mu sync.Mutex
-	// leaving holds the endpoints that have said that they are leaving, with the time of the first such response.
-	leaving map[domain.EndpointID]boottime.Instant
 
 	rested, left, malformed *metrics.Counter
 }
@@ -56,7 +51,6 @@
 func New(config Config) *Gate {
 	g := &Gate{
 		config:    config,
-		leaving:   make(map[domain.EndpointID]boottime.Instant),
 		rested:    config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
 		left:      config.Metrics.NewCounter("hawthornrill_endpoint_leaving_notices_total"),
 		malformed: config.Metrics.NewCounter("hawthornrill_endpoint_notices_malformed_total"),
@@ -81,17 +75,11 @@
 	}
 }
 
-// recordLeaving records an endpoint's first notice that it is leaving.
+// recordLeaving takes an endpoint out of service for good at its first notice that it is leaving.
 func (g *Gate) recordLeaving(id domain.EndpointID, request string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, ok := g.leaving[id]; ok {
+	if !g.config.Directory.AnnounceLeaving(g.config.Clock(), id) {
 		return
 	}
-	if len(g.leaving) >= maxLeaving {
-		clear(g.leaving)
-	}
-	g.leaving[id] = g.config.Clock()
 	g.left.Inc()
 	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Msg("endpoint says that it is leaving")
 }
--- a/endpointgate/state.go
+++ b/endpointgate/state.go
@@ -32,9 +32,7 @@
 			}
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for id, since := range g.leaving {
+	for id, since := range g.config.Directory.Announced() {
 		state := byEndpoint[id]
 		age := now.Sub(since).Milliseconds()
 		state.Endpoint, state.LeavingMS = id, &age
