--- a/endpointgate/rest.go
+++ b/endpointgate/rest.go
@@ -15,7 +15,7 @@
 	// jitterFraction is the largest part of a rest by which a node waits longer, up to maxJitter, so that the nodes don't all
 	// return at once.
 	jitterFraction = 0.2
-	maxJitter      = 500 * time.Millisecond
+	maxJitter      = 250 * time.Millisecond
 )
 
 // rest is a period in which an endpoint wants no requests from this node, and the ramp after it.
