Idle timeouts that endpoints announce: the shortest counts, huge ones are bounded

Found while reading what endpoints tell a node: of several Keep-Alive fields only the first counted, and a timeout of more seconds than a duration holds overflowed, so that the connection was never reused. Callers saw a new connection for each request at such an endpoint, or a request on a connection that the endpoint was about to close, whose answer is lost.

Both cases of TestConnectionReuse failed before: one connection instead of two, and a wait for a response that never came. A malformed value still means no reuse. A malformed limit of an endpoint is now logged, not only counted.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -45,6 +45,8 @@
 	// idleTimeoutMargin is subtracted from the announced idle timeout, for the request to arrive in
 	// time.
 	idleTimeoutMargin = 500 * time.Millisecond
+	// maxIdleTimeout bounds the announced idle timeout.
+	maxIdleTimeout = time.Hour
 	// defaultMaxIdle is the default limit on idle connections to one endpoint. It exceeds the
 	// number of concurrent requests from a node to an endpoint.
 	defaultMaxIdle = 32
--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -103,6 +103,10 @@
 		{"complete", ok("1"), 1},
 		{"connection close", answerTo("1", "Connection: close\r\nContent-Length: 2\r\n", "ok"), 2},
 		{"zero idle timeout", answerTo("1", "Keep-Alive: timeout=0\r\nContent-Length: 2\r\n", "ok"), 2},
+		{"repeated idle timeout", answerTo("1", "Keep-Alive: timeout=5\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n", "ok"), 2},
+		{"negative idle timeout", answerTo("1", "Keep-Alive: timeout=-5\r\nContent-Length: 2\r\n", "ok"), 2},
+		{"malformed idle timeout", answerTo("1", "Keep-Alive: timeout=soon\r\nContent-Length: 2\r\n", "ok"), 2},
+		{"huge idle timeout", answerTo("1", "Keep-Alive: timeout=10000000000\r\nContent-Length: 2\r\n", "ok"), 1},
 		{"trailing data", answerTo("1", "Content-Length: 2\r\n", "okmore"), 2},
 		{"chunked", answerTo("1", "Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n"), 1},
 	}
--- a/endpoint/exchange/response.go
+++ b/endpoint/exchange/response.go
@@ -57,18 +57,30 @@
 	if closesConnection(r.Response) {
 		return 0
 	}
-	for _, part := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+	announced, ok := announcedIdleTimeout(r.Header.Values("Keep-Alive"))
+	if !ok {
+		return defaultIdleTimeout
+	}
+	return announced - idleTimeoutMargin
+}
+
+// announcedIdleTimeout returns the shortest idle timeout of the values of Keep-Alive, zero if one is malformed; ok is false if
+// there is none.
+func announcedIdleTimeout(values []string) (shortest time.Duration, ok bool) {
+	shortest = maxIdleTimeout
+	for _, part := range strings.Split(strings.Join(values, ","), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if err != nil {
-			return 0
+			return 0, true
 		}
-		return time.Duration(seconds)*time.Second - idleTimeoutMargin
+		ok = true
+		shortest = min(shortest, time.Duration(min(seconds, int(maxIdleTimeout/time.Second)))*time.Second)
 	}
-	return defaultIdleTimeout
+	return shortest, ok
 }
 
 // closesConnection reports whether the connection can't be used after the response: the response
--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -64,6 +64,7 @@
 	switch {
 	case a.Kind == Invalid:
 		l.invalid.Inc()
+		l.config.Log.Warn().Str("endpoint", string(id)).Msg("malformed limit in an endpoint's response, the known one stays in force")
 		return
 	case a.Kind == None && l.limitCount.Load() == 0:
 		return
