A rest binds the incarnation that may have asked for it

An endpoint that restarts under its id gets the requests meant for its predecessor until the list shows the new start, seconds later. A rest that it asks for in that time was kept under the predecessor's name and forgotten once the list changed. It now also binds an incarnation that was started before the response arrived; one started later is not bound.

TestRestBindsTheIncarnationThatMayHaveAskedForIt fails on the code before: the restarted endpoint was sent to at once.

--- a/endpointgate/decision.go
+++ b/endpointgate/decision.go
@@ -47,8 +47,8 @@
 	if len(rests) == 0 {
 		return rest{}, false
 	}
-	r, ok := rests[e.Incarnation()]
-	return r, ok
+	r, ok := rests[e.ID]
+	return r, ok && r.binds(e)
 }
 
 // Check returns why a request that was granted a place at the endpoint's incarnation must not be sent any more, nil if it may.
--- a/endpointgate/decision_test.go
+++ b/endpointgate/decision_test.go
@@ -32,7 +32,7 @@
 func TestNothingIsAllowedDuringRest(t *testing.T) {
 	g, e := newTestGate(), testEndpoint()
 	assert.Assert(t, g.Allows(e) && !g.AnyRest())
-	g.Record(e.Incarnation(), "r", Notice{Rest: 3 * time.Second})
+	g.Record(e, "r", Notice{Rest: 3 * time.Second})
 	for range 30 {
 		assert.Assert(t, !g.Allows(e) && g.RestEndsIn(e) > 0 && !g.Bars(e))
 		g.now = g.now.Add(100 * time.Millisecond)
@@ -44,7 +44,7 @@
 // Guards against a burst at the end of a rest.
 func TestRequestsGrowAfterRest(t *testing.T) {
 	g, e := newTestGate(), testEndpoint()
-	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.Record(e, "r", Notice{Rest: time.Second})
 	g.now = g.now.Add(g.RestEndsIn(e))
 	assert.Equal(t, g.taken(e), 1)
 	sum := 0
@@ -62,10 +62,10 @@
 
 func TestRejectionAfterRestBeginsAnother(t *testing.T) {
 	g, e := newTestGate(), testEndpoint()
-	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.Record(e, "r", Notice{Rest: time.Second})
 	g.now = g.now.Add(g.RestEndsIn(e))
 	assert.Equal(t, g.taken(e), 1)
-	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.Record(e, "r", Notice{Rest: time.Second})
 	assert.Assert(t, g.RestEndsIn(e) >= time.Second)
 	g.Sweep()
 	assert.Assert(t, g.AnyRest())
@@ -75,7 +75,7 @@
 	ends := map[time.Duration]bool{}
 	for range 20 {
 		g, e := newTestGate(), testEndpoint()
-		g.Record(e.Incarnation(), "r", Notice{Rest: 3 * time.Second})
+		g.Record(e, "r", Notice{Rest: 3 * time.Second})
 		left := g.RestEndsIn(e)
 		assert.Assert(t, left >= 3*time.Second && left <= 3*time.Second+maxJitter, "%v", left)
 		ends[left] = true
@@ -83,12 +83,16 @@
 	assert.Assert(t, len(ends) > 1)
 }
 
-func TestRestBindsOnlyTheIncarnationThatAskedForIt(t *testing.T) {
+func TestRestBindsTheIncarnationThatMayHaveAskedForIt(t *testing.T) {
 	g, e := newTestGate(), testEndpoint()
-	g.Record(e.Incarnation(), "r", Notice{Rest: time.Minute})
-	restarted := *e
-	restarted.Born++
-	assert.Assert(t, !g.Allows(e) && g.Allows(&restarted))
+	received := time.Now()
+	g.config.WallClock = func() time.Time { return received }
+	g.Record(e, "r", Notice{Rest: time.Minute})
+	earlier, later, unrelated := *e, *e, *e
+	earlier.Born, later.Born, unrelated.ID = received.UnixMilli()-1, received.UnixMilli()+1, "other"
+	assert.Assert(t, !g.Allows(e))
+	assert.Assert(t, !g.Allows(&earlier), "a restarted endpoint may have got the request before it was listed")
+	assert.Assert(t, g.Allows(&later) && g.Allows(&unrelated))
 }
 
 func TestCheckTellsWhyEndpointIsClosed(t *testing.T) {
@@ -97,7 +101,7 @@
 	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrGone)
 	list(e)
 	assert.NilError(t, g.Check(e.Incarnation()))
-	g.Record(e.Incarnation(), "r", Notice{Rest: time.Second})
+	g.Record(e, "r", Notice{Rest: time.Second})
 	assert.ErrorIs(t, g.Check(e.Incarnation()), ErrResting)
 	leaving := *e
 	leaving.Leaving = true
--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -32,6 +32,8 @@
 	Directory *directory.Directory
 	Limits    Limits
 	Clock     boottime.Clock
+	// WallClock is compared with the start times of endpoints; nil means time.Now.
+	WallClock func() time.Time
 	Log       zerolog.Logger
 	Metrics   *metrics.Set
 }
@@ -39,7 +41,7 @@
 // Gate decides whether this node may send requests to an endpoint. It is safe for concurrent use.
 type Gate struct {
 	config Config
-	// rests is replaced at each change, so that it is read without a lock. Endpoints are listed by their incarnation.
+	// rests is replaced at each change, so that it is read without a lock.
 	rests atomic.Pointer[map[domain.EndpointID]rest]
 	// mu serialises changes.
 	mu sync.Mutex
@@ -49,6 +51,9 @@
 
 // New returns a gate that knows of no rest, and registers its metrics.
 func New(config Config) *Gate {
+	if config.WallClock == nil {
+		config.WallClock = time.Now
+	}
 	g := &Gate{
 		config:    config,
 		rested:    config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
@@ -61,7 +66,8 @@
 }
 
 // Record records the notice in an endpoint's response to the request with the given ID.
-func (g *Gate) Record(id domain.EndpointID, request string, n Notice) {
+func (g *Gate) Record(e *directory.Endpoint, request string, n Notice) {
+	id := e.Incarnation()
 	if n.Err != nil {
 		g.malformed.Inc()
 		g.config.Log.Warn().Err(n.Err).Str("endpoint", string(id)).Str("request", request).Dur("rest_ms", n.Rest).
@@ -71,7 +77,7 @@
 		g.recordLeaving(id, request)
 	}
 	if n.Rest > 0 {
-		g.recordRest(id, request, n.Rest)
+		g.recordRest(e, request, n.Rest)
 	}
 }
 
@@ -85,18 +91,18 @@
 }
 
 // recordRest begins a rest or extends the one in force. A shorter one does not end it.
-func (g *Gate) recordRest(id domain.EndpointID, request string, asked time.Duration) {
+func (g *Gate) recordRest(e *directory.Endpoint, request string, asked time.Duration) {
 	g.rested.Inc()
 	bounded := min(asked, maxRest)
 	now := g.config.Clock()
-	next := newRest(now, bounded)
+	next := newRest(e.Incarnation(), now, g.config.WallClock(), bounded)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before, ok := (*g.rests.Load())[id]
-	if !ok || next.endsAt > before.endsAt {
-		g.set(id, next)
+	before, ok := (*g.rests.Load())[e.ID]
+	if !ok || next.endsAt > before.endsAt || before.incarnation != next.incarnation {
+		g.set(e.ID, next)
 	}
-	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Dur("asked_ms", asked).
+	g.config.Log.Info().Str("endpoint", string(next.incarnation)).Str("request", request).Dur("asked_ms", asked).
 		Dur("rest_ms", bounded).Bool("extends", ok && before.endsAt > now).Msg("endpoint asks for rest")
 }
 
@@ -124,7 +130,7 @@
 	for id, r := range rests {
 		if r.over(now) {
 			delete(rests, id)
-			g.config.Log.Info().Str("endpoint", string(id)).Dur("rest_ms", r.asked).Int64("sent_since", r.sent.Load()).
+			g.config.Log.Info().Str("endpoint", string(r.incarnation)).Dur("rest_ms", r.asked).Int64("sent_since", r.sent.Load()).
 				Msg("endpoint's rest is over")
 		}
 	}
--- a/endpointgate/gate_test.go
+++ b/endpointgate/gate_test.go
@@ -39,7 +39,7 @@
 
 func TestStateShowsWhenRestEnds(t *testing.T) {
 	g := newTestGate()
-	g.Record("e", "r", Notice{Rest: 3 * time.Second})
+	g.Record(testEndpoint(), "r", Notice{Rest: 3 * time.Second})
 	g.now = g.now.Add(time.Second)
 	state := g.State()
 	assert.Equal(t, len(state), 1)
@@ -54,16 +54,16 @@
 
 func TestShorterRestDoesNotEndLongerOne(t *testing.T) {
 	g := newTestGate()
-	g.Record("e", "r", Notice{Rest: 10 * time.Second})
-	g.Record("e", "r", Notice{Rest: time.Second})
+	g.Record(testEndpoint(), "r", Notice{Rest: 10 * time.Second})
+	g.Record(testEndpoint(), "r", Notice{Rest: time.Second})
 	assert.Equal(t, g.State()[0].RestAskedMS, int64(10_000))
-	g.Record("e", "r", Notice{})
+	g.Record(testEndpoint(), "r", Notice{})
 	assert.Equal(t, g.State()[0].RestAskedMS, int64(10_000))
 }
 
 func TestLongestRestIsBounded(t *testing.T) {
 	g := newTestGate()
-	g.Record("e", "r", Notice{Rest: math.MaxInt64})
+	g.Record(testEndpoint(), "r", Notice{Rest: math.MaxInt64})
 	g.now = g.now.Add(2 * maxRest)
 	assert.Equal(t, len(g.State()), 0)
 }
@@ -71,9 +71,9 @@
 func TestNoticesAreLogged(t *testing.T) {
 	g := newTestGate()
 	for range 2 {
-		g.Record("e", "r1", Notice{Leaving: true})
+		g.Record(testEndpoint(), "r1", Notice{Leaving: true})
 	}
-	g.Record("e", "r2", Notice{Rest: time.Second, Err: errors.New("repeated")})
+	g.Record(testEndpoint(), "r2", Notice{Rest: time.Second, Err: errors.New("repeated")})
 	for _, line := range []string{"endpoint says that it is leaving", "endpoint asks for rest", "malformed notice"} {
 		assert.Equal(t, strings.Count(g.log.String(), line), 1, g.log.String())
 	}
--- a/endpointgate/load_test.go
+++ b/endpointgate/load_test.go
@@ -130,7 +130,7 @@
 		r.mu.Unlock()
 		time.Sleep(2 * time.Millisecond)
 		if r.keepsRest {
-			r.gate.Record(place.Endpoint.Incarnation(), id, Notice{Rest: loadRest})
+			r.gate.Record(place.Endpoint, id, Notice{Rest: loadRest})
 		}
 		place.Release(capacity.Result{Dispatched: true, Unreachable: true})
 		return false
--- a/endpointgate/rest.go
+++ b/endpointgate/rest.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/directory"
+	"hawthornrill.example/hawthornrill/domain"
 )
 
 const (
@@ -20,6 +22,10 @@
 
 // rest is a period in which an endpoint wants no requests from this node, and the ramp after it.
 type rest struct {
+	// incarnation is the one that the rejected request was meant for, receivedMillis when its response arrived in Unix
+	// milliseconds.
+	incarnation    domain.EndpointID
+	receivedMillis int64
 	// asked is how long the endpoint asked for, from receivedAt on.
 	asked      time.Duration
 	receivedAt boottime.Instant
@@ -28,9 +34,18 @@
 	sent *atomic.Int64
 }
 
-func newRest(now boottime.Instant, asked time.Duration) rest {
+func newRest(incarnation domain.EndpointID, now boottime.Instant, wall time.Time, asked time.Duration) rest {
 	jitter := min(time.Duration(jitterFraction*float64(asked)), maxJitter)
-	return rest{asked: asked, receivedAt: now, endsAt: now.Add(asked + rand.N(jitter+1)), sent: new(atomic.Int64)}
+	return rest{
+		incarnation: incarnation, receivedMillis: wall.UnixMilli(),
+		asked: asked, receivedAt: now, endsAt: now.Add(asked + rand.N(jitter+1)), sent: new(atomic.Int64),
+	}
+}
+
+// binds reports whether the rest is one of this incarnation. An endpoint that has restarted under its ID gets the requests meant
+// for its predecessor until it is listed, so one that was started before the response may have sent it.
+func (r rest) binds(e *directory.Endpoint) bool {
+	return r.incarnation == e.Incarnation() || e.Born != 0 && e.Born <= r.receivedMillis
 }
 
 // over reports whether the rest and its ramp have ended.
--- a/endpointgate/state.go
+++ b/endpointgate/state.go
@@ -24,10 +24,10 @@
 func (g *Gate) State() []State {
 	now := g.config.Clock()
 	byEndpoint := make(map[domain.EndpointID]State)
-	for id, r := range *g.rests.Load() {
+	for _, r := range *g.rests.Load() {
 		if r.endsAt > now {
-			byEndpoint[id] = State{
-				Endpoint: id, RestAskedMS: r.asked.Milliseconds(), RestAgeMS: now.Sub(r.receivedAt).Milliseconds(),
+			byEndpoint[r.incarnation] = State{
+				Endpoint: r.incarnation, RestAskedMS: r.asked.Milliseconds(), RestAgeMS: now.Sub(r.receivedAt).Milliseconds(),
 				RestEndsInMS: r.endsAt.Sub(now).Milliseconds(),
 			}
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -122,7 +122,7 @@
 	t := a.task
 	a.head = t.gateway.deps.Protocol.ReadAnswer(status, header)
 	if status != http.StatusMisdirectedRequest {
-		t.gateway.deps.EndpointGate.Record(a.slot.Endpoint.Incarnation(), t.call.ID, a.head.Notice)
+		t.gateway.deps.EndpointGate.Record(a.slot.Endpoint, t.call.ID, a.head.Notice)
 	}
 	return a.head.ID == "" || a.head.ID == t.call.ID
 }
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -95,7 +95,9 @@
 		requests.Add(1)
 		writeEvents(w, 1, 1)
 	})
-	f.onSecondAgeCheck(func() { f.endpointGate.Record("e0", "other", endpointgate.Notice{Rest: 2 * time.Minute}) })
+	f.onSecondAgeCheck(func() {
+		f.endpointGate.Record(f.directory.Current().Endpoint("e0"), "other", endpointgate.Notice{Rest: 2 * time.Minute})
+	})
 	got := f.call(nil)
 	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
 	retryAfter, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
