Slots of resting endpoints don't count as a node's fair share

Found while the cost of rests was looked at: a node that holds much less than an equal share of a service's slots may exceed the endpoints' slots, and leaves no reserve for what is more urgent. The slots of endpoints that rest counted, so that with most of them resting every node seemed to hold too little: late and less urgent requests took the last slots of the others, and requests that could have been on time were refused.

TestReservesHoldWhileOtherEndpointsRest failed before (a late request got the last slot of the one endpoint that served) and passes.

--- a/places/choose.go
+++ b/places/choose.go
@@ -35,7 +35,7 @@
 	if limits.reserve > 0 || limits.demandReserve > 0 {
 		return false
 	}
-	return float64(p.outstanding()) < demandShareFraction*a.demandShare(p, now)*float64(p.totalSlots)
+	return float64(p.outstanding()) < demandShareFraction*a.demandShare(p, now)*float64(p.usableSlots())
 }
 
 // chooseWithLimits returns the endpoint for the request within the limits, or nil if there is none.
@@ -61,7 +61,7 @@
 // leave a reserve for those that can be on time, which would otherwise find no free slot on arrival.
 func (p *pool) capacityLimits(now time.Time, request *Request, fleet gossip.Fleet) capacityLimits {
 	limits := capacityLimits{requestTokens: request.PromptTokens + request.AnswerTokens, cacheTokens: p.cacheTokens()}
-	if p.outstanding()*underservedDivisor < p.totalSlots/max(fleet.Known, 1) {
+	if p.outstanding()*underservedDivisor < p.usableSlots()/max(fleet.Known, 1) {
 		limits.overcommit = true
 		return limits
 	}
--- a/places/rest.go
+++ b/places/rest.go
@@ -33,6 +33,20 @@
 	return shortest
 }
 
+// usableSlots is the number of slots of the endpoints that are neither leaving nor resting.
+func (p *pool) usableSlots() int {
+	if !p.gate.AnyRest() {
+		return p.totalSlots
+	}
+	n := 0
+	for _, ep := range p.endpointList {
+		if !ep.endpoint.Leaving && p.gate.RestEndsIn(ep.endpoint) == 0 {
+			n += ep.endpoint.Slots
+		}
+	}
+	return n
+}
+
 // RestEndsIn is the time until the first endpoint of the service ends its rest, zero if one does not rest.
 func (a *Allocator) RestEndsIn(service string) time.Duration {
 	a.mu.Lock()
--- a/places/rest_test.go
+++ b/places/rest_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
 )
 
 // restAt returns a gate at which the endpoints rest for the given time from now on.
@@ -88,3 +89,18 @@
 		assert.Equal(t, f.Waiting(), 0)
 	})
 }
+
+// Guards against requests without claim to them taking the slots that are reserved for others: while most endpoints rest, a node
+// must not count their slots as its fair share.
+func TestReservesHoldWhileOtherEndpointsRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newGatedFixture(t, 10, restAt(time.Minute, "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"))
+		f.fleet = gossip.Fleet{Known: 2, Heard: 2, Near: 2}
+		f.fill(testSlots - 1)
+		late := testRequest()
+		late.FirstByteDue = time.Now().Add(-time.Second)
+		_, err := f.Acquire(t.Context(), late)
+		assert.ErrorIs(t, err, ErrOverloaded)
+		f.fill(1)
+	})
+}
