Rests that hosts ask for are kept by the transport, for the product's own endpoints too

All these and the calls to the store go through one transport, which now holds back what goes to a host that has asked for a rest; the error says that nothing was sent. What ends work is still sent.

--- a/cmd/hawthornrill-entry/main.go
+++ b/cmd/hawthornrill-entry/main.go
@@ -31,6 +31,8 @@
 	storeDialTimeout = 500 * time.Millisecond
 	// storeSilentTimeout detects a dead store connection while a watch is waiting on it.
 	storeSilentTimeout = time.Second
+	// maxStoreRest bounds a rest that the store asks for, so that a wrong value can't cut the node off from it for good.
+	maxStoreRest = time.Minute
 )
 
 func main() { os.Exit(start()) }
@@ -67,7 +69,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go reload(ctx, path, level, log)
-	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{DialTimeout: storeDialTimeout, DeadPeerTimeout: storeSilentTimeout}))
+	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{
+		DialTimeout: storeDialTimeout, DeadPeerTimeout: storeSilentTimeout,
+		MaxRest: maxStoreRest, RestStatuses: platform.RefusalStatuses, OnRest: onesend.LogRests(log),
+	}))
 	node, err := entrynode.New(settings, entrynode.Adapters{Protocol: platform.HeaderCodec{}, Source: client, Registry: client}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start node")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,7 +13,6 @@
 
 	"hawthornrill.example/hawthornrill/buildinfo"
 	"hawthornrill.example/hawthornrill/domain"
-	"hawthornrill.example/hawthornrill/endpoint/onesend"
 	"hawthornrill.example/hawthornrill/entry"
 	"hawthornrill.example/hawthornrill/node"
 	"hawthornrill.example/hawthornrill/operatorapi"
@@ -74,7 +73,7 @@
 		Store:          d.newStore(set),
 		Members:        d.newMembership(d.transport, list, set),
 		EntryHostList:  list,
-		Adapters:       httpAdapters{onesend.New(onesend.Options{})},
+		Adapters:       httpAdapters{restingTransport(maxEndpointRest, d.options.Log)},
 		Log:            d.options.Log,
 		Metrics:        set,
 		SessionSecrets: secrets,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -16,7 +16,8 @@
 // newStore returns the platform's store, limited to this node's call budget.
 func (d *Daemon) newStore(set *metrics.Set) store.Store {
 	s := d.options.Settings.Platform
-	return budget.New(httpstore.New(httpstore.Options{BaseURL: s.Store}), budget.Options{
+	client := httpstore.New(httpstore.Options{BaseURL: s.Store, Transport: restingTransport(maxStoreRest, d.options.Log)})
+	return budget.New(client, budget.Options{
 		BackgroundPerSecond: s.CallsPerSecond,
 		Metrics:             set,
 	})
--- a/endpoint/onesend/options.go
+++ b/endpoint/onesend/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"hawthornrill.example/hawthornrill/netdial"
@@ -20,6 +21,13 @@
 	// DeadPeerTimeout is how long the peer may be silent at the TCP level before the connection counts
 	// as dead. Zero leaves this to the kernel.
 	DeadPeerTimeout time.Duration
+	// MaxRest bounds the rests that hosts ask for. Zero means that they are not kept.
+	MaxRest time.Duration
+	// RestStatuses are the statuses of refusals that may ask for a rest. Default 503: 429 may concern
+	// a single caller of the host.
+	RestStatuses []int
+	// OnRest is called with each refusal that asks for a rest. It may be nil.
+	OnRest func(Rest)
 	// TLS configures https connections; nil means defaults.
 	TLS *tls.Config
 }
@@ -45,6 +53,9 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	if len(o.RestStatuses) == 0 {
+		o.RestStatuses = []int{http.StatusServiceUnavailable}
+	}
 	if o.IdlePerHost == 0 {
 		o.IdlePerHost = defaultIdlePerHost
 	}
--- /dev/null
+++ b/endpoint/onesend/rest.go
@@ -0,0 +1,96 @@
+package onesend
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/retryafter"
+)
+
+// ErrResting means that the host has asked for a rest that is not over. Nothing was sent.
+var ErrResting = errors.New("onesend: host asked for a rest")
+
+// Rest is a host's refusal of a request with a time for which it wants no more.
+type Rest struct {
+	// Host is "IP:port".
+	Host string
+	// Asked is the rest that the host asked for, Kept the one that is kept; zero if it could not be decoded.
+	Asked, Kept time.Duration
+	// Err describes malformed or repeated values, nil if there are none.
+	Err error
+}
+
+// rests holds back requests to hosts that have asked for a rest. A nil value holds back none.
+type rests struct {
+	clock    boottime.Clock
+	max      time.Duration
+	statuses []int
+	onRest   func(Rest)
+
+	mu sync.Mutex
+	// until holds the ends of the rests by host.
+	until map[string]boottime.Instant
+}
+
+// newRests returns nil if rests are not kept.
+func newRests(o Options) *rests {
+	if o.MaxRest <= 0 {
+		return nil
+	}
+	return &rests{clock: boottime.Now, max: o.MaxRest, statuses: o.RestStatuses, onRest: o.OnRest, until: make(map[string]boottime.Instant)}
+}
+
+// check returns an error that wraps ErrResting if the request must not be sent now. A DELETE may be: it ends work.
+func (r *rests) check(request *http.Request) error {
+	if r == nil || request.Method == http.MethodDelete {
+		return nil
+	}
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.until[request.URL.Host]
+	if !ok {
+		return nil
+	}
+	if left := until.Sub(now); left > 0 {
+		return fmt.Errorf("%w, %v left", ErrResting, left)
+	}
+	delete(r.until, request.URL.Host)
+	return nil
+}
+
+// observe begins or extends a rest if the response asks for one.
+func (r *rests) observe(host string, response *http.Response) {
+	if r == nil || !slices.Contains(r.statuses, response.StatusCode) {
+		return
+	}
+	asked, err := retryafter.Parse(response.Header.Values(retryafter.FieldName))
+	if asked <= 0 && err == nil {
+		return
+	}
+	kept := min(asked, r.max)
+	r.extend(host, r.clock().Add(kept))
+	if r.onRest != nil {
+		r.onRest(Rest{Host: host, Asked: asked, Kept: kept, Err: err})
+	}
+}
+
+func (r *rests) extend(host string, until boottime.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until[host] = max(until, r.until[host])
+}
+
+// LogRests returns an Options.OnRest that writes a line for each rest.
+func LogRests(log zerolog.Logger) func(Rest) {
+	return func(r Rest) {
+		log.Warn().Err(r.Err).Str("host", r.Host).Dur("asked_ms", r.Asked).Dur("rest_ms", r.Kept).Msg("host asks for rest")
+	}
+}
--- a/endpoint/onesend/transport.go
+++ b/endpoint/onesend/transport.go
@@ -14,14 +14,15 @@
 // Transport pools connections to endpoints. It speaks HTTP/1.1, does not follow redirects or use a
 // proxy, and does not modify bodies.
 type Transport struct {
-	pool http.Transport
+	pool  http.Transport
+	rests *rests
 }
 
 // New returns a Transport with the given options.
 func New(options Options) *Transport {
 	options = options.withDefaults()
 	d := options.dialer()
-	t := &Transport{}
+	t := &Transport{rests: newRests(options)}
 	t.pool.DialContext = d.dial
 	t.pool.TLSClientConfig = options.TLS
 	t.pool.TLSHandshakeTimeout = options.DialTimeout
@@ -34,13 +35,18 @@
 
 // Send sends the request at most once. If it fails before any byte was written, the error wraps
 // endpoint.ErrNotDispatched; otherwise it wraps endpoint.ErrBroken, and the endpoint may have
-// received the request. The response body must be closed.
+// received the request. The response body must be closed. During a rest that the host asked for
+// nothing is sent, and the error wraps ErrResting too.
 func (t *Transport) Send(request *http.Request) (*http.Response, error) {
+	if err := t.rests.check(request); err != nil {
+		return nil, fmt.Errorf("%w: %w", endpoint.ErrNotDispatched, err)
+	}
 	var tracked attempt
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), tracked.trace()))
 	disableRetries(request)
 	response, err := t.pool.RoundTrip(request)
 	if err == nil {
+		t.rests.observe(request.URL.Host, response)
 		return response, nil
 	}
 	if tracked.mayHaveWritten() {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -68,10 +68,9 @@
 	n := &Node{settings: s, log: log, metrics: metrics.NewSet(), directory: directory.New()}
 	limitMemory(s.Host)
 	self := follow.Peer{Node: s.Node, DataCentre: s.DataCentre, Address: s.Listen.Peers}
-	pause := &follow.Pause{Clock: boottime.Now, Log: log}
-	n.announcer = &follow.Announcer{Registry: pause.Registry(adapters.Registry), Self: self, Log: log, Registered: make(chan struct{})}
+	n.announcer = &follow.Announcer{Registry: adapters.Registry, Self: self, Log: log, Registered: make(chan struct{})}
 	n.follower = follow.New(follow.Dependencies{
-		Source:          pause.Source(adapters.Source),
+		Source:          adapters.Source,
 		Directory:       n.directory,
 		Clock:           boottime.Now,
 		OnConfiguration: func(table *routetable.Table) { n.organisationLimits.AddAccounts(table.Organisations) },
