--- a/cmd/hawthornrill-soak/faults_test.go
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -108,12 +108,9 @@
 
 // replaceEndpoint starts a new endpoint and drains an old one.
 func (s *soak) replaceEndpoint(_ int, lasts time.Duration, choice uint64) {
-	s.mu.Lock()
-	at := int(choice % uint64(len(s.endpoints)))
-	old := s.endpoints[at]
-	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
-	s.addEndpoint(old.Service, at)
+	old := s.takeOut(choice)
 	old.Register(s.store, "draining")
+	s.mu.Lock()
 	s.drainingSince[old] = time.Now()
 	s.mu.Unlock()
 	time.Sleep(lasts + 2*time.Second)
@@ -122,15 +119,21 @@
 
 func (s *soak) crashEndpoint(_ int, lasts time.Duration, choice uint64) {
 	defer s.history.beginFault("endpoint crashes", "")()
+	old := s.takeOut(choice)
+	old.Close()
+	time.Sleep(lasts)
+	s.store.Remove("servers/" + old.ID)
+}
+
+// takeOut replaces an endpoint by a new one, so that no further faults pick it. It goes on serving.
+func (s *soak) takeOut(choice uint64) *platformtest.Endpoint {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	at := int(choice % uint64(len(s.endpoints)))
 	old := s.endpoints[at]
 	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
 	s.addEndpoint(old.Service, at)
-	s.mu.Unlock()
-	old.Close()
-	time.Sleep(lasts)
-	s.store.Remove("servers/" + old.ID)
+	return old
 }
 
 func (s *soak) pick(choice uint64) *platformtest.Endpoint {
--- a/cmd/hawthornrill-soak/notice_test.go
+++ b/cmd/hawthornrill-soak/notice_test.go
@@ -43,12 +43,7 @@
 
 // announceLeaving has an endpoint say in its responses that it is leaving, and only later in its entry.
 func (s *soak) announceLeaving(lasts time.Duration, choice uint64) {
-	s.mu.Lock()
-	at := int(choice % uint64(len(s.endpoints)))
-	old := s.endpoints[at]
-	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
-	s.addEndpoint(old.Service, at)
-	s.mu.Unlock()
+	old := s.takeOut(choice)
 	old.AnnounceLeaving()
 	time.Sleep(maxNoticeDelay + lasts)
 	old.Register(s.store, "draining")
