A rest over a restart of its endpoint is kept without the wall clock

A rest now binds a later incarnation until 5 s after the response, by when a restarted endpoint is listed, and then begins with one request as after any rest.

--- a/endpointgate/decision.go
+++ b/endpointgate/decision.go
@@ -48,7 +48,7 @@
 		return rest{}, false
 	}
 	r, ok := rests[e.ID]
-	return r, ok && r.binds(e)
+	return r.boundTo(e), ok
 }
 
 // Check returns why a request that was granted a place at the endpoint's incarnation must not be sent any more, nil if it may.
--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -32,8 +32,6 @@
 	Directory *directory.Directory
 	Limits    Limits
 	Clock     boottime.Clock
-	// WallClock is compared with the start times of endpoints; nil means time.Now.
-	WallClock func() time.Time
 	Log       zerolog.Logger
 	Metrics   *metrics.Set
 }
@@ -51,9 +49,6 @@
 
 // New returns a gate that knows of no rest, and registers its metrics.
 func New(config Config) *Gate {
-	if config.WallClock == nil {
-		config.WallClock = time.Now
-	}
 	g := &Gate{
 		config:    config,
 		rested:    config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
@@ -95,7 +90,7 @@
 	g.rested.Inc()
 	bounded := min(asked, maxRest)
 	now := g.config.Clock()
-	next := newRest(e.Incarnation(), now, g.config.WallClock(), bounded)
+	next := newRest(e.Incarnation(), now, bounded)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, ok := (*g.rests.Load())[e.ID]
--- a/endpointgate/rest.go
+++ b/endpointgate/rest.go
@@ -18,14 +18,14 @@
 	// return at once.
 	jitterFraction = 0.2
 	maxJitter      = 250 * time.Millisecond
+	// restartListingTime is the time within which an endpoint that has restarted under its ID is listed.
+	restartListingTime = 5 * time.Second
 )
 
 // rest is a period in which an endpoint wants no requests from this node, and the ramp after it.
 type rest struct {
-	// incarnation is the one that the rejected request was meant for, receivedMillis when its response arrived in Unix
-	// milliseconds.
-	incarnation    domain.EndpointID
-	receivedMillis int64
+	// incarnation is the one that the rejected request was meant for.
+	incarnation domain.EndpointID
 	// asked is how long the endpoint asked for, from receivedAt on.
 	asked      time.Duration
 	receivedAt boottime.Instant
@@ -34,18 +34,20 @@
 	sent *atomic.Int64
 }
 
-func newRest(incarnation domain.EndpointID, now boottime.Instant, wall time.Time, asked time.Duration) rest {
+func newRest(incarnation domain.EndpointID, now boottime.Instant, asked time.Duration) rest {
 	jitter := min(time.Duration(jitterFraction*float64(asked)), maxJitter)
 	return rest{
-		incarnation: incarnation, receivedMillis: wall.UnixMilli(),
-		asked: asked, receivedAt: now, endsAt: now.Add(asked + rand.N(jitter+1)), sent: new(atomic.Int64),
+		incarnation: incarnation, asked: asked, receivedAt: now, endsAt: now.Add(asked + rand.N(jitter+1)), sent: new(atomic.Int64),
 	}
 }
 
-// binds reports whether the rest is one of this incarnation. An endpoint that has restarted under its ID gets the requests meant
-// for its predecessor until it is listed, so one that was started before the response may have sent it.
-func (r rest) binds(e *directory.Endpoint) bool {
-	return r.incarnation == e.Incarnation() || e.Born != 0 && e.Born <= r.receivedMillis
+// boundTo returns the rest as it binds the endpoint's incarnation. An endpoint that has restarted under its ID gets the requests
+// meant for its predecessor until it is listed, so that the rest may be its own.
+func (r rest) boundTo(e *directory.Endpoint) rest {
+	if r.incarnation != e.Incarnation() {
+		r.endsAt = min(r.endsAt, r.receivedAt.Add(restartListingTime))
+	}
+	return r
 }
 
 // over reports whether the rest and its ramp have ended.
