--- a/endpoint/onesend/rest.go
+++ b/endpoint/onesend/rest.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -55,14 +56,9 @@
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	until, ok := r.until[request.URL.Host]
-	if !ok {
-		return nil
-	}
-	if left := until.Sub(now); left > 0 {
+	if left := r.until[request.URL.Host].Sub(now); left > 0 {
 		return fmt.Errorf("%w, %v left", ErrResting, left)
 	}
-	delete(r.until, request.URL.Host)
 	return nil
 }
 
@@ -76,16 +72,21 @@
 		return
 	}
 	kept := min(asked, r.max)
-	r.extend(host, r.clock().Add(kept))
+	r.extend(host, kept)
 	if r.onRest != nil {
 		r.onRest(Rest{Host: host, Asked: asked, Kept: kept, Err: err})
 	}
 }
 
-func (r *rests) extend(host string, until boottime.Instant) {
+// extend keeps the longer of the host's rests, and drops those of all hosts that are over.
+func (r *rests) extend(host string, kept time.Duration) {
+	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.until[host] = max(until, r.until[host])
+	maps.DeleteFunc(r.until, func(_ string, until boottime.Instant) bool { return until <= now })
+	if until := now.Add(kept); until > now {
+		r.until[host] = max(until, r.until[host])
+	}
 }
 
 // LogRests returns an Options.OnRest that writes a line for each rest.
--- a/endpoint/onesend/rest_test.go
+++ b/endpoint/onesend/rest_test.go
@@ -112,3 +112,15 @@
 		assert.NilError(t, s.send(t, transport, http.MethodPost))
 	}
 }
+
+func TestEndedRestsAreForgotten(t *testing.T) {
+	r := newRests(Options{MaxRest: time.Minute})
+	now := boottime.Instant(time.Hour)
+	r.clock = func() boottime.Instant { return now }
+	for _, host := range []string{"a", "b", "c"} {
+		r.extend(host, time.Second)
+		now = now.Add(time.Second)
+	}
+	r.extend("d", 0)
+	assert.Equal(t, len(r.until), 0)
+}
