--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -44,16 +44,16 @@
 	// mu serialises changes.
 	mu sync.Mutex
 
-	rested, left, malformed *metrics.Counter
+	restNotices, leavingNotices, malformedNotices *metrics.Counter
 }
 
 // New returns a gate that knows of no rest, and registers its metrics.
 func New(config Config) *Gate {
 	g := &Gate{
-		config:    config,
-		rested:    config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
-		left:      config.Metrics.NewCounter("hawthornrill_endpoint_leaving_notices_total"),
-		malformed: config.Metrics.NewCounter("hawthornrill_endpoint_notices_malformed_total"),
+		config:           config,
+		restNotices:      config.Metrics.NewCounter("hawthornrill_endpoint_rests_total"),
+		leavingNotices:   config.Metrics.NewCounter("hawthornrill_endpoint_leaving_notices_total"),
+		malformedNotices: config.Metrics.NewCounter("hawthornrill_endpoint_notices_malformed_total"),
 	}
 	g.rests.Store(&map[domain.EndpointID]rest{})
 	config.Metrics.NewGauge("hawthornrill_endpoints_resting", func() float64 { return float64(g.resting()) })
@@ -64,7 +64,7 @@
 func (g *Gate) Record(e *directory.Endpoint, request string, n Notice) {
 	id := e.Incarnation()
 	if n.Err != nil {
-		g.malformed.Inc()
+		g.malformedNotices.Inc()
 		g.config.Log.Warn().Err(n.Err).Str("endpoint", string(id)).Str("request", request).Dur("rest_ms", n.Rest).
 			Bool("leaving", n.Leaving).Msg("malformed notice in an endpoint's response")
 	}
@@ -81,13 +81,13 @@
 	if !g.config.Directory.AnnounceLeaving(g.config.Clock(), id) {
 		return
 	}
-	g.left.Inc()
+	g.leavingNotices.Inc()
 	g.config.Log.Info().Str("endpoint", string(id)).Str("request", request).Msg("endpoint says that it is leaving")
 }
 
 // recordRest begins a rest or extends the one in force. A shorter one does not end it.
 func (g *Gate) recordRest(e *directory.Endpoint, request string, asked time.Duration) {
-	g.rested.Inc()
+	g.restNotices.Inc()
 	bounded := min(asked, maxRest)
 	now := g.config.Clock()
 	next := newRest(e.Incarnation(), now, bounded)
--- a/endpointgate/gate_test.go
+++ b/endpointgate/gate_test.go
@@ -78,5 +78,5 @@
 		assert.Equal(t, strings.Count(g.log.String(), line), 1, g.log.String())
 	}
 	assert.Equal(t, *g.State()[0].LeavingMS, int64(0))
-	assert.Equal(t, g.malformed.Get(), uint64(1))
+	assert.Equal(t, g.malformedNotices.Get(), uint64(1))
 }
