--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -62,6 +62,9 @@
 
 // Record records the notice in an endpoint's response to the request with the given ID.
 func (g *Gate) Record(e *directory.Endpoint, request string, n Notice) {
+	if n.Err == nil && !n.Leaving && n.Rest <= 0 {
+		return
+	}
 	id := e.Incarnation()
 	if n.Err != nil {
 		g.malformedNotices.Inc()
