--- a/endpointgate/decision.go
+++ b/endpointgate/decision.go
@@ -48,7 +48,10 @@
 		return rest{}, false
 	}
 	r, ok := rests[e.ID]
-	return r.boundTo(e), ok
+	if !ok {
+		return rest{}, false
+	}
+	return r.boundTo(e), true
 }
 
 // Check returns why a request that was granted a place at the endpoint's incarnation must not be sent any more, nil if it may.
