wslink: a request is never queued behind the close frame

Callers saw calls in progress on a link fail with peer.ErrUnreachable while the link was closed gracefully, because another call was made at that moment.

Cause: a call is registered while the link is open, and its frame is queued later without the link's lock. If the link began to close in between, the frame followed the close frame, which the remote end takes for a protocol violation and ends the link with all its calls. One-way messages had the same gap.

Change: the queue refuses requests and one-way messages once the close frame is in it. Such a call is made on another link, or fails with peer.ErrNotSent if the transport closes.

--- /dev/null
+++ b/peer/wslink/close_test.go
@@ -0,0 +1,69 @@
+package wslink
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/peer"
+)
+
+// Guards against a request that is queued behind the close frame: the remote end took it for a protocol violation and cut off
+// the calls in progress on the link.
+func TestRequestRegisteredBeforeCloseIsNotSentAfterIt(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *fixture) {
+		a, b := r.start(memberOf("a", 1), nil), r.start(memberOf("b", 1), nil)
+		held := startCall(a, b.Self(), holdMethod)
+		synctest.Wait()
+		l := a.links()[0]
+		late, err := l.register()
+		assert.NilError(t, err)
+		l.drain()
+		request := &frame{Kind: kindRequest, ID: late.id, Method: echoMethod}
+		assert.ErrorIs(t, l.enqueue(request, late), errDraining)
+		assert.ErrorIs(t, l.enqueue(&frame{Kind: kindOneWay, Method: echoMethod}, &pending{}), errDraining)
+		l.unregister(late)
+		close(r.release)
+		assert.NilError(t, <-held)
+		synctest.Wait()
+		assert.Equal(t, len(a.State().Links)+len(b.State().Links), 0)
+		assert.Equal(t, b.metrics.violations.Get(), uint64(0))
+	})
+}
+
+// Guards against the same failure from outside: calls made while both ends close end with a reply or were not sent.
+func TestCallsDuringCloseAreRepliedToOrNotSent(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *fixture) {
+		a, b := r.start(memberOf("a", 1), nil), r.start(memberOf("b", 1), nil)
+		held := startCall(a, b.Self(), holdMethod)
+		synctest.Wait()
+		const callers = 64
+		failures := make(chan error, callers)
+		for i := range callers {
+			from, to := a, b
+			if i%2 == 0 {
+				from, to = b, a
+			}
+			go func() {
+				var err error
+				for err == nil {
+					_, err = echo(t.Context(), from, to.Self(), "x")
+				}
+				failures <- err
+			}()
+		}
+		closed := make(chan error, 2)
+		for _, transport := range []*Transport{a, b} {
+			go func() { closed <- transport.Close(context.Background()) }()
+		}
+		for range callers {
+			assert.ErrorIs(t, <-failures, peer.ErrNotSent)
+		}
+		close(r.release)
+		assert.NilError(t, <-held)
+		assert.NilError(t, <-closed)
+		assert.NilError(t, <-closed)
+	})
+}
--- a/peer/wslink/link.go
+++ b/peer/wslink/link.go
@@ -145,7 +145,7 @@
 	if len(data) > l.transport.options.MaxFrameBytes {
 		return fmt.Errorf("%w: %w: %d bytes", peer.ErrNotSent, ErrTooLarge, len(data))
 	}
-	err = l.queue.push(outgoing{data: data, message: message})
+	err = l.queue.push(outgoing{data: data, message: message, closesRequests: f.Kind == kindClose})
 	if err == nil {
 		l.markUsed()
 		l.transport.metrics.sent(f.Method, len(data))
--- a/peer/wslink/queue.go
+++ b/peer/wslink/queue.go
@@ -11,6 +11,9 @@
 	// closeMarker marks the last entry, without a frame: the connection is closed when
 	// it is reached.
 	closeMarker bool
+	// closesRequests marks the close frame, behind which no requests or one-way messages
+	// are queued.
+	closesRequests bool
 }
 
 // sendQueue is the queue of frames to be written on a link, limited in bytes.
@@ -20,6 +23,8 @@
 	bytes    int
 	maxBytes int
 	closed   bool
+	// closing is true once the close frame is queued.
+	closing bool
 	// wake receives a value when a frame is added.
 	wake chan struct{}
 }
@@ -33,12 +38,13 @@
 func (q *sendQueue) push(o outgoing) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
+	if q.closed || q.closing && o.message != nil {
 		return errDraining
 	}
 	if q.bytes > 0 && q.bytes+len(o.data) > q.maxBytes {
 		return ErrOverload
 	}
+	q.closing = q.closing || o.closesRequests
 	q.frames = append(q.frames, o)
 	q.bytes += len(o.data)
 	select {
