wslink: the close frame is queued beyond the queue's limit

Callers saw calls in progress fail with peer.ErrUnreachable when a link with a full queue began to close.

Cause: the limit on queued bytes applied to the close frame too, and a link whose close frame can't be queued is ended.

Change: the queue accepts the close frame and the mark that ends the connection beyond its limit.

Before: TestCloseIsQueuedBeyondTheLimit failed in 60 of 60 runs ("link overloaded"), -race, -cpu 1,2,8. After: 450 of 450 passes with -race and 900 of 900 without, -cpu 1, 2 and 8.

--- a/peer/wslink/close_test.go
+++ b/peer/wslink/close_test.go
@@ -67,3 +67,12 @@
 		assert.NilError(t, <-closed)
 	})
 }
+
+// Guards against a close frame that finds the queue at its limit: the link was ended at once, with the calls in progress.
+func TestCloseIsQueuedBeyondTheLimit(t *testing.T) {
+	q := newSendQueue(10)
+	assert.NilError(t, q.push(outgoing{data: make([]byte, 10)}))
+	assert.ErrorIs(t, q.push(outgoing{data: make([]byte, 1)}), ErrOverload)
+	assert.NilError(t, q.push(outgoing{data: make([]byte, 1), closesRequests: true}))
+	assert.NilError(t, q.push(outgoing{closeMarker: true}))
+}
--- a/peer/wslink/queue.go
+++ b/peer/wslink/queue.go
@@ -34,14 +34,15 @@
 }
 
 // push appends a frame, or returns ErrOverload or errDraining. An empty queue accepts
-// a frame of any size.
+// a frame of any size. What closes the link is accepted beyond the limit, since
+// refusing it would cut off the calls in progress.
 func (q *sendQueue) push(o outgoing) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed || q.closing && o.message != nil {
 		return errDraining
 	}
-	if q.bytes > 0 && q.bytes+len(o.data) > q.maxBytes {
+	if q.bytes > 0 && q.bytes+len(o.data) > q.maxBytes && !o.closesRequests && !o.closeMarker {
 		return ErrOverload
 	}
 	q.closing = q.closing || o.closesRequests
