wslink: links end before the handlers are cancelled

What callers saw: the caller of a node that closes got the result of a handler that had returned only because it was cancelled: an error of the handler, or an empty reply without an error, in place of peer.ErrUnreachable. It could take that for the node's decision on its request.

Cause: Close cancelled the handlers' context and then ended the links, so that a handler could still queue its result. Evidence: a handler that returns an empty reply once cancelled gets it to its caller on each run; a reply in transit at the deadline is ruled out, since the test's handler returns only when it is cancelled.

Change: Close ends the links and then cancels the handlers.

--- a/peer/wslink/close_test.go
+++ b/peer/wslink/close_test.go
@@ -2,14 +2,50 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/peer"
 )
 
+const pollMethod peer.Method = "test.poll"
+
+// poll holds a call like a long poll: it returns an empty reply without an error when its context ends.
+func (r *fixture) poll(ctx context.Context, _ domain.Member, _ []byte) ([]byte, error) {
+	r.served.Add(1)
+	<-ctx.Done()
+	return nil, nil
+}
+
+// Guards against replies that a handler makes only because Close cancelled it: their callers took an empty reply or an error
+// for the peer's answer, although nobody knows what became of the request.
+func TestCloseSendsNoRepliesOfCancelledHandlers(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *fixture) {
+		const callers = 24
+		closing := r.start(memberOf("a", 1), nil)
+		closing.Handle(pollMethod, r.poll)
+		var calls []<-chan error
+		for i := range callers {
+			node := domain.NodeID(fmt.Sprint("caller-", i))
+			caller := r.start(domain.Member{Node: node, Incarnation: 1, Address: fmt.Sprint("127.0.0.1:", 100+i)}, nil)
+			calls = append(calls, startCall(caller, closing.Self(), pollMethod))
+		}
+		synctest.Wait()
+		assert.Equal(t, r.served.Load(), int32(callers))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, closing.Close(ctx), context.DeadlineExceeded)
+		for _, call := range calls {
+			assert.ErrorIs(t, <-call, peer.ErrUnreachable)
+		}
+	})
+}
+
 // Guards against a request that is queued behind the close frame: the remote end took it for a protocol violation and cut off
 // the calls in progress on the link.
 func TestRequestRegisteredBeforeCloseIsNotSentAfterIt(t *testing.T) {
--- a/peer/wslink/transport.go
+++ b/peer/wslink/transport.go
@@ -165,19 +165,28 @@
 // Close accepts and makes no new calls, lets outstanding calls in both directions
 // finish until the context ends, and closes all links. It then cancels the contexts
 // of handlers that still run and waits for them. It returns the context's error if
-// links had to be ended before they were drained.
+// links had to be ended before they were drained. Callers at both ends are told of
+// their outstanding calls:
+//
+//   - replied to before the context ends: the reply
+//   - not written yet: peer.ErrNotSent
+//   - written, and not replied to: peer.ErrUnreachable, whatever the handler returns
+//     once it is cancelled
+//   - made later: peer.ErrNotSent
 func (t *Transport) Close(ctx context.Context) error {
 	links := t.beginClose()
 	for _, l := range links {
 		l.drain()
 	}
 	err := awaitLinks(ctx, links)
-	t.mu.Lock()
-	t.cancel()
-	t.mu.Unlock()
+	// The links end before the handlers are cancelled: the result of a cancelled handler
+	// says nothing about its request and must not reach the caller as a reply.
 	for _, l := range links {
 		l.end(ErrClosed)
 	}
+	t.mu.Lock()
+	t.cancel()
+	t.mu.Unlock()
 	t.running.Wait()
 	return err
 }
--- a/peer/wslink/transport_test.go
+++ b/peer/wslink/transport_test.go
@@ -187,6 +187,7 @@
 	})
 }
 
+// Guards against the error of a handler that Close has cancelled being sent as its reply.
 func TestCloseDeadlineEndsCalls(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *fixture) {
 		a, b := r.start(memberOf("a", 1), nil), r.start(memberOf("b", 1), nil)
