entrynode: requests left at the end of the grace period get their final response

What callers saw: a request that was still in progress when the grace period of a stopping node ended lost its connection without an answer. One that was queued could not be told from one that had run.

Cause: the connections were closed, which cancels the requests' contexts, and the gateway takes that for callers who have left.

Change: the node ends the requests with a cause of its own and closes the connections once the final responses are written, at the latest 200 ms later. Queued requests get 503, not_run and Retry-After; dispatched ones 502, unknown.

Before: TestRequestsLeftAtTheEndOfTheGracePeriodAreAnswered failed: seven of seven requests got EOF, three of them had run nowhere. After: it passes, as does TestStopGivesRequestsInProgressTheirFinalResponse.

--- a/cmd/hawthornrill-entry/main_test.go
+++ b/cmd/hawthornrill-entry/main_test.go
@@ -41,6 +41,8 @@
 	endpoints    []*platformtest.Endpoint
 	nodes        []*runningNode
 	requests     atomic.Int64
+	// graceS is the nodes' shutdown.grace_s.
+	graceS float64
 }
 
 // runningNode is an entry node that runs until shutDown is called; done then receives the result of Run.
@@ -51,8 +53,10 @@
 	done     chan error
 }
 
-func newCluster(t *testing.T, nodes int) *cluster {
-	c := &cluster{t: t, store: platformtest.NewStore()}
+func newCluster(t *testing.T, nodes int) *cluster { return newClusterWithGrace(t, nodes, 20) }
+
+func newClusterWithGrace(t *testing.T, nodes int, graceS float64) *cluster {
+	c := &cluster{t: t, store: platformtest.NewStore(), graceS: graceS}
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
 	c.storeAddress = server.Listener.Addr().String()
@@ -89,7 +93,7 @@
 		Keys:     entrynode.Keys{Strict: true, MaxAgeMS: 5000},
 		Retry:    entrynode.Retry{Ratio: 1, WindowS: 10, Slack: 100},
 		Limit:    entrynode.Limit{WindowS: 8},
-		Shutdown: entrynode.Shutdown{GraceS: 20},
+		Shutdown: entrynode.Shutdown{GraceS: c.graceS},
 	}
 	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{DialTimeout: storeDialTimeout, DeadPeerTimeout: storeSilentTimeout}))
 	node, err := entrynode.New(settings, entrynode.Adapters{Protocol: platform.HeaderCodec{}, Source: client, Registry: client}, zerolog.Nop())
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gateway"
 )
 
 type endpointID = domain.EndpointID
@@ -16,7 +16,8 @@
 
 // serveCallers serves callers until the context ends, then drains the node. From then on the node is not ready and asks
 // callers to close their connections. It accepts new connections until the balancer has taken it out, and then finishes
-// the requests in progress.
+// the requests in progress. Those that are left at the end of the grace period get their final response: one that is queued
+// is told that it has not run.
 func (n *Node) serveCallers(ctx context.Context, listener *callerListener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- n.callerServer.Serve(listener) }()
@@ -38,9 +39,24 @@
 	remaining := seconds(n.settings.Shutdown.GraceS) - graceMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
-	err := errors.Join(n.callerServer.Shutdown(ctx), listener.awaitDeferredCloses(ctx))
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are cut off")
+	if err := n.awaitRequests(ctx, listener); err != nil {
+		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are given up")
+		n.giveUpRequests(listener)
 	}
 	return errDrained
 }
+
+// awaitRequests waits until the requests in progress are answered and their connections closed, or the context ends.
+func (n *Node) awaitRequests(ctx context.Context, listener *callerListener) error {
+	return errors.Join(n.callerServer.Shutdown(ctx), listener.awaitDeferredCloses(ctx))
+}
+
+// giveUpRequests ends the requests in progress and waits for their final responses to be written.
+func (n *Node) giveUpRequests(listener *callerListener) {
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
+	defer cancel()
+	n.stopRequests(gateway.ErrStopped)
+	if err := n.awaitRequests(ctx, listener); err != nil {
+		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are cut off")
+	}
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -57,10 +57,12 @@
 	endpointClient     *exchange.Client
 	gateway            *gateway.Gateway
 	callerServer       *http.Server
-	readyServer        *http.Server
-	operatorServer     *http.Server
-	draining           atomic.Bool
-	lastReady          atomic.Bool
+	// stopRequests ends the contexts of all requests with a cause.
+	stopRequests   context.CancelCauseFunc
+	readyServer    *http.Server
+	operatorServer *http.Server
+	draining       atomic.Bool
+	lastReady      atomic.Bool
 }
 
 // New creates a node and opens its gossip socket.
@@ -253,7 +255,10 @@
 }
 
 func (n *Node) openServers() {
+	requests, stop := context.WithCancelCause(context.Background())
+	n.stopRequests = stop
 	n.callerServer = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		Addr:              n.settings.Listen.Callers,
 		Handler:           n.gateway,
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -16,6 +16,9 @@
 	drainNoticePeriod = 2600 * time.Millisecond
 	// graceMargin is subtracted from the time until the process is killed.
 	graceMargin = 400 * time.Millisecond
+	// finalResponseTimeout limits the writing of the final responses at the end of the grace period. It is part of
+	// graceMargin.
+	finalResponseTimeout = 200 * time.Millisecond
 	// memoryFraction is the fraction of the host's memory that is set as the memory limit of the Go runtime. The rest is for
 	// the C library, stacks and the kernel's buffers.
 	memoryFraction = 0.6
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -235,10 +235,10 @@
 	if a.blamesEndpoint(cause) && errors.Is(cause, endpoint.ErrBroken) {
 		t.gateway.deps.Quarantine.RecordFailure(a.slot.Endpoint.Incarnation(), t.contentHash)
 	}
-	if t.request.Context().Err() != nil {
+	if t.callerGone() {
 		return attemptResult{final: true, abort: true, err: errCallerGone}
 	}
-	if errors.Is(cause, errTimeout) {
+	if errors.Is(cause, errTimeout) || errors.Is(cause, ErrStopped) {
 		return t.giveUp(cause)
 	}
 	if !t.canRetry() {
@@ -271,11 +271,11 @@
 // retry logs the failure and requests another attempt, unless the deadline has passed or the caller has disconnected.
 func (a *attempt) retry(err error, notSent bool) attemptResult {
 	t := a.task
+	if t.callerGone() {
+		return attemptResult{final: true, abort: true, err: errCallerGone}
+	}
 	if t.ctx.Err() != nil {
-		if t.request.Context().Err() != nil {
-			return attemptResult{final: true, abort: true, err: errCallerGone}
-		}
-		return t.giveUp(errTimeout)
+		return t.giveUp(context.Cause(t.ctx))
 	}
 	t.gateway.metrics.retries.Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(a.slot.Endpoint.Incarnation())).
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -21,6 +21,10 @@
 	errCallerGone = errors.New("gateway: caller disconnected")
 )
 
+// ErrStopped is the cause with which the node ends the contexts of the requests that are still in progress when its time to
+// shut down is over. Each gets its final response: not_run if it was not dispatched, otherwise unknown.
+var ErrStopped = errors.New("gateway: node stopped")
+
 // task is one request in progress; one goroutine runs it.
 type task struct {
 	gateway *Gateway
@@ -144,6 +148,12 @@
 	return t.dispatch(slot)
 }
 
+// callerGone reports whether the caller has disconnected.
+func (t *task) callerGone() bool {
+	ctx := t.request.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStopped)
+}
+
 func (t *task) slotRequest() *places.Request {
 	request := &places.Request{
 		ID:           t.call.ID,
@@ -221,8 +231,8 @@
 				refusal.Limited),
 		}
 		return attemptResult{final: true, refusal: t.unknownIfMayHaveRun(p), err: err}
-	case errors.Is(err, errTimeout):
-		return attemptResult{final: true, refusal: t.timeoutProblem(), err: err}
+	case errors.Is(err, errTimeout), errors.Is(err, ErrStopped):
+		return t.giveUp(err)
 	default:
 		return attemptResult{final: true, err: errCallerGone, abort: true}
 	}
@@ -236,6 +246,11 @@
 		r.refusal = t.timeoutProblem()
 	case t.mayHaveRun:
 		r.refusal = &problem{Status: http.StatusBadGateway, Title: "the endpoint's answer was lost", Outcome: outcomeUnknown, Cause: err}
+	case errors.Is(err, ErrStopped):
+		r.refusal = &problem{
+			Status: http.StatusServiceUnavailable, Title: "the node stopped before the request was dispatched", Outcome: outcomeNotRun,
+			RetryAfter: shortRetryAfter,
+		}
 	default:
 		r.refusal = &problem{
 			Status: http.StatusServiceUnavailable, Title: "no endpoint took the request", Outcome: outcomeNotRun,
