Soak: signals, restarts and changes in series and overlapping

Now signals wait for nothing; a restart is serialised per node. Seeds with series (a stream of draws of its own, so that the kept seeds keep their draws) add rolling stops, repeated SIGTERM, kills and freezes during a stop, kills and SIGHUP during a start, bursts of SIGHUP with changed settings, configurations and endpoints in quick succession, and for each node a caller that sends it everything on the connection that it has open. -soak.callers and -soak.nodes size a run.

Checks that became stricter: a process that exits without a signal that ends it fails the run; a request sent to a draining endpoint is excused only by a fault of the node that sent it, or of the store, not by any fault anywhere; a connection that is cut before its request was dispatched is excused only by a kill or freeze of its node.

The seeds 5001 and 5004 are kept.

--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -36,6 +36,11 @@
 			s.t.Errorf("%s\n%s\nlogs in %s", violation, s.history.timeline(o), s.dir)
 		}
 	}
+	for _, n := range s.nodes {
+		if n.unexpectedExits > 0 {
+			s.t.Errorf("%s exited %d times without a signal that ends it\n%s\nlogs in %s", n.name, n.unexpectedExits, s.history.timeline(outcome{node: n.name}), s.dir)
+		}
+	}
 	s.checkDraining()
 	s.checkLimits()
 	s.checkNotices()
@@ -77,6 +82,8 @@
 		return "a request with a revoked key ran"
 	case o.status == http.StatusUnauthorized && !isRevoked:
 		return "a valid key was refused"
+	case o.err != nil && o.connected && runs == 0 && !s.history.explainsCut(o):
+		return "a connection was cut before the request was dispatched"
 	case o.status == http.StatusNotFound:
 		return "a configured route was not found"
 	case (o.err != nil && runs > 0 || o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout) && !s.history.explainsFailure(o):
@@ -86,20 +93,20 @@
 }
 
 // checkDraining fails the test if an endpoint received a request later than maxDrainDelay after it was marked as draining,
-// unless a fault explains it. A reload explains nothing.
+// unless a fault of the sending node or of the store explains it.
 func (s *soak) checkDraining() {
+	nodes := make(map[string]string, len(s.history.outcomes))
+	for _, o := range s.history.outcomes {
+		nodes[o.id] = o.node
+	}
 	for e, since := range s.drainingSince {
-		delay := e.LastAcceptedAt().Sub(since)
-		if delay <= maxDrainDelay {
-			continue
-		}
-		o := outcome{id: e.ID, sent: since, ended: e.LastAcceptedAt()}
-		explained := false
-		for _, f := range s.history.faults {
-			explained = explained || f.kind != "reload" && f.overlaps(since, e.LastAcceptedAt(), faultRecoveryTime)
-		}
-		if !explained {
-			s.t.Errorf("endpoint %s received a request %v after it was marked as draining\n%s", e.ID, delay, s.history.timeline(o))
+		for _, a := range e.Arrivals() {
+			delay := a.At.Sub(since)
+			if delay <= maxDrainDelay || a.Refused || s.history.explainsLateDrain(nodes[a.ID], since, a.At) {
+				continue
+			}
+			o := outcome{id: a.ID, node: nodes[a.ID], sent: since, ended: a.At}
+			s.t.Errorf("endpoint %s received a request %v after it was marked as draining\n%s\nlogs in %s", e.ID, delay, s.history.timeline(o), s.dir)
 		}
 	}
 }
--- a/cmd/hawthornrill-soak/faults_test.go
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -20,29 +20,34 @@
 	}
 }
 
+// maxExitTime bounds the time from SIGTERM to the exit of a process that is not frozen meanwhile.
+const maxExitTime = 10 * time.Second
+
+// restart starts a process that has exited, unless another fault has started it, and waits until it is ready or ends again.
 func (s *soak) restart(n *process) {
-	n.start(s.t, binary)
-	for deadline := time.Now().Add(20 * time.Second); !s.ready(n) && time.Now().Before(deadline); {
+	n.restarting.Lock()
+	defer n.restarting.Unlock()
+	if !n.running() {
+		n.start(s.t, binary)
+	}
+	for deadline := time.Now().Add(20 * time.Second); n.running() && !s.ready(n) && time.Now().Before(deadline); {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
 func (s *soak) kill(node int, _ time.Duration, _ uint64) {
 	defer s.history.beginFault("kill", s.nodes[node].name)()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.nodes[node].killAndWait()
 	s.restart(s.nodes[node])
 }
 
 func (s *soak) stopGracefully(node int, _ time.Duration, _ uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	n := s.nodes[node]
 	endFault := s.history.beginFault("stop", n.name)
-	n.signal(syscall.SIGTERM)
-	if !n.waitExit(10 * time.Second) {
-		s.t.Errorf("%s did not exit within 10 s of SIGTERM", n.name)
+	sent := time.Now()
+	exited := n.signal(syscall.SIGTERM)
+	if !s.exitsInTime(n, exited, sent) {
+		s.t.Errorf("%s did not exit within %v of SIGTERM\n%s", n.name, maxExitTime, s.history.timeline(outcome{node: n.name, sent: sent, ended: time.Now()}))
 		n.killAndWait()
 	}
 	endFault()
@@ -50,10 +55,23 @@
 	s.restart(n)
 }
 
+// exitsInTime waits for the exit of a process that got SIGTERM. Time in which it was frozen does not count.
+func (s *soak) exitsInTime(n *process, exited <-chan struct{}, sent time.Time) bool {
+	for {
+		left := time.Until(sent.Add(maxExitTime + s.history.frozenSince(n.name, sent)))
+		if left <= 0 {
+			return false
+		}
+		select {
+		case <-exited:
+			return true
+		case <-time.After(left):
+		}
+	}
+}
+
 func (s *soak) freeze(node int, lasts time.Duration, _ uint64) {
 	defer s.history.beginFault("freeze", s.nodes[node].name)()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.nodes[node].signal(syscall.SIGSTOP)
 	time.Sleep(lasts)
 	s.nodes[node].signal(syscall.SIGCONT)
@@ -61,9 +79,12 @@
 
 func (s *soak) reload(node int, _ time.Duration, _ uint64) {
 	defer s.history.beginFault("reload", s.nodes[node].name)()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nodes[node].signal(syscall.SIGHUP)
+	for range 100 {
+		if s.nodes[node].reload() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func (s *soak) cutStore(node int, lasts time.Duration, choice uint64) {
--- a/cmd/hawthornrill-soak/history_test.go
+++ b/cmd/hawthornrill-soak/history_test.go
@@ -27,6 +27,8 @@
 	status              int
 	body                string
 	err                 error
+	// connected is true if the request had a connection.
+	connected bool
 }
 
 // history records all faults, outcomes and revoked keys of a run.
@@ -74,6 +76,45 @@
 	return false
 }
 
+// explainsLateDrain reports whether a fault may have kept the node from learning that an endpoint is draining: one of its own,
+// or of the store. A reload explains nothing.
+func (h *history) explainsLateDrain(node string, since, arrival time.Time) bool {
+	for _, f := range h.faults {
+		own := f.node == node && f.kind != "reload"
+		if (own || f.kind == "store fails") && f.overlaps(since, arrival, faultRecoveryTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// frozenSince returns how long a node has been frozen since the given time, at least.
+func (h *history) frozenSince(node string, since time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var total time.Duration
+	for _, f := range h.faults {
+		end := f.to
+		if end.IsZero() {
+			end = time.Now()
+		}
+		if f.kind == "freeze" && f.node == node && end.After(since) {
+			total += end.Sub(f.from)
+		}
+	}
+	return total
+}
+
+// explainsCut reports whether the node was killed or frozen while it had the request.
+func (h *history) explainsCut(o outcome) bool {
+	for _, f := range h.faults {
+		if (f.kind == "kill" || f.kind == "freeze") && f.node == o.node && f.overlaps(o.sent, o.ended, 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // explainsLimitBreach reports whether a fault may have kept the node from learning an endpoint's limit: it had just started,
 // was frozen or lost datagrams.
 func (h *history) explainsLimitBreach(node string, at time.Time) bool {
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,6 +26,8 @@
 	seedsFlag    = flag.Int("soak.seeds", 1, "number of seeds, one after the other")
 	durationFlag = flag.Duration("soak.time", 12*time.Second, "`time` of each seed")
 	nodesFlag    = flag.Int("soak.nodes", 5, "number of entry nodes")
+	callersFlag  = flag.Int("soak.callers", 12, "number of callers that choose a node for each request")
+	seriesFlag   = flag.Bool("soak.series", true, "add series of signals, restarts and changes, and callers that stay with a node, to a soak by hand")
 )
 
 // keptSeeds are run by every test run: one seed that has never failed, and each seed that once failed, with the cause of
@@ -34,6 +37,13 @@
 	901, // endpoints got requests during a rest that they asked for, and after their notice of leaving
 }
 
+// keptSeriesSeeds are run like keptSeeds, with series and with callers that stay with a node.
+var keptSeriesSeeds = []int64{
+	1,
+	5001, // a draining node closed connections that callers used
+	5004, // the same; and a node that did not exit, since a connection and the listener waited for each other's locks
+}
+
 // binary is the program under test.
 var binary string
 
@@ -54,16 +64,22 @@
 }
 
 func TestSoak(t *testing.T) {
-	seeds := keptSeeds
 	if *seedFlag != 0 {
-		seeds = nil
 		for i := range *seedsFlag {
-			seeds = append(seeds, *seedFlag+int64(i))
+			runSeed(t, *seedFlag+int64(i), *seriesFlag)
 		}
+		return
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { newSoak(t, seed).run(*durationFlag) })
+	for _, seed := range keptSeeds {
+		runSeed(t, seed, false)
 	}
+	for _, seed := range keptSeriesSeeds {
+		runSeed(t, seed, true)
+	}
+}
+
+func runSeed(t *testing.T, seed int64, series bool) {
+	t.Run(fmt.Sprintf("seed=%d,series=%t", seed, series), func(t *testing.T) { newSoak(t, seed, series).run(*durationFlag) })
 }
 
 // routes covers every kind of call; each route is named after its path.
@@ -86,6 +102,7 @@
 type soak struct {
 	t      *testing.T
 	seed   int64
+	series bool
 	random *rand.Rand
 	dir    string
 	store  *platformtest.Store
@@ -109,9 +126,9 @@
 	limits []*limitPeriod
 }
 
-func newSoak(t *testing.T, seed int64) *soak {
+func newSoak(t *testing.T, seed int64, series bool) *soak {
 	s := &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
+		t: t, seed: seed, series: series, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
 		history: &history{started: time.Now(), revoked: make(map[string]time.Time)}, drainingSince: make(map[*platformtest.Endpoint]time.Time),
 	}
 	dir, err := os.MkdirTemp("", "soak-logs")
@@ -177,13 +194,17 @@
 	s.waitReady()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range 12 {
+	for i := range *callersFlag {
 		random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(i)))
-		callers.Go(func() { s.callUntil(stop, random) })
+		callers.Go(func() { s.callUntil(stop, random, func() *process { return s.nodes[random.IntN(len(s.nodes))] }) })
 	}
 	var faults sync.WaitGroup
 	end := time.Now().Add(length)
 	faults.Go(func() { s.giveNotices(rand.New(rand.NewPCG(uint64(s.seed), noticeStream)), end, faults.Go) })
+	if s.series {
+		s.startStayingCallers(stop, callers.Go)
+		faults.Go(func() { s.giveSeries(rand.New(rand.NewPCG(uint64(s.seed), seriesStream)), end, faults.Go) })
+	}
 	for time.Now().Before(end) {
 		fault := s.faults()[s.random.IntN(len(s.faults()))]
 		node := s.random.IntN(len(s.nodes))
@@ -233,8 +254,20 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// startStayingCallers starts callers that each send all requests to one node, also while it stops, on a connection that they
+// keep open until the node closes it.
+func (s *soak) startStayingCallers(stop chan struct{}, start func(func())) {
+	for i, n := range s.nodes {
+		random := rand.New(rand.NewPCG(uint64(s.seed), uint64(stayingStream+i)))
+		start(func() { s.callUntil(stop, random, func() *process { return n }) })
+	}
+}
+
+// stayingStream separates the draws of callers that stay with a node.
+const stayingStream = 1 << 32
+
 // callUntil sends one request after another until stop is closed. Connections are kept open until the node closes them.
-func (s *soak) callUntil(stop chan struct{}, random *rand.Rand) {
+func (s *soak) callUntil(stop chan struct{}, random *rand.Rand, choose func() *process) {
 	client := &http.Transport{}
 	defer client.CloseIdleConnections()
 	for {
@@ -243,7 +276,7 @@
 			return
 		default:
 		}
-		s.history.addOutcome(s.call(client, s.nodes[random.IntN(len(s.nodes))], paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8))))
+		s.history.addOutcome(s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8))))
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
 	}
 }
@@ -257,7 +290,8 @@
 		s.t.Error(err)
 		return o
 	}
-	response, err := client.RoundTrip(request)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { o.connected = true }}
+	response, err := client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		o.err, o.ended = err, time.Now()
 		return o
