hawthornrill-entry: SIGHUP does not end a process that is starting

What operators saw: a node that was just started exited on SIGHUP and had to be started again.

Cause: the program registered for SIGHUP only after it had read its settings; until then the signal has its default action.

Change: registering is the program's first statement.

--- a/cmd/hawthornrill-entry/main.go
+++ b/cmd/hawthornrill-entry/main.go
@@ -38,6 +38,9 @@
 func main() { os.Exit(start()) }
 
 func start() int {
+	// Registered first, since SIGHUP ends a process that has not.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	path := flag.String("config", "", "path of the settings `file`; without it, where the platform has placed it")
 	check := flag.Bool("check", false, "check the settings and exit")
 	version := flag.Bool("version", false, "print the version and exit")
@@ -58,17 +61,17 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(settings, *path)
+	return serve(settings, *path, reloads)
 }
 
-func serve(settings entrynode.Settings, path string) int {
+func serve(settings entrynode.Settings, path string, reloads <-chan os.Signal) int {
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	level := logging.NewLevel(settings.Log.Level)
 	log := zerolog.New(logging.LevelFilter{Writer: out, Level: level}).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go reload(ctx, path, level, log)
+	go reload(ctx, path, reloads, level, log)
 	client := platform.NewClient(settings.Store, onesend.New(onesend.Options{
 		DialTimeout: storeDialTimeout, DeadPeerTimeout: storeSilentTimeout,
 		MaxRest: maxStoreRest, RestStatuses: platform.RefusalStatuses, OnRest: onesend.LogRests(log),
@@ -85,16 +88,14 @@
 	return exitOK
 }
 
-// reload reloads the settings on each SIGHUP. Only the log level takes effect at once; all other settings need a
+// reload reloads the settings on each signal. Only the log level takes effect at once; all other settings need a
 // restart.
-func reload(ctx context.Context, path string, level *logging.Level, log zerolog.Logger) {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
+func reload(ctx context.Context, path string, signals <-chan os.Signal, level *logging.Level, log zerolog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-reloadSignals:
+		case <-signals:
 		}
 		settings, err := entrynode.Load(path)
 		if err != nil {
