entrynode: a draining node closes no connection that its caller may use

What callers saw: EOF in place of an answer at a planned stop, for a request that had not run: at SIGTERM on an open connection, or right after a long response that had begun before.

Cause: the drain began with net/http's SetKeepAlivesEnabled(false), which closes idle connections at once and all others as soon as their response ends.

Change: during the notice period responses ask their callers to close the connection, and requests on open connections are served. Header fields that the node sets are kept when an endpoint's are copied.

--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -39,17 +39,39 @@
 		l.slots <- struct{}{}
 	}
 	raw, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
 		l.release()
 		return nil, err
 	}
 	c := &callerConn{Conn: raw, listener: l, idle: true}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.open[c] = true
 	return c, nil
 }
 
+// stopAccepting closes the listening socket.
+func (l *callerListener) stopAccepting() error { return l.Listener.Close() }
+
+// closeUnused closes the connections that have not been used since the given time, and reports whether all others have had no
+// request so far.
+func (l *callerListener) closeUnused(since time.Time) bool {
+	unused := true
+	for _, c := range l.openConns() {
+		_ = c.closeIfIdle(since) // the caller may have closed it already
+		unused = unused && !c.usedSince(since)
+	}
+	return unused
+}
+
+// openConns returns the open connections. Their locks must not be taken under that of the listener: a connection that is being
+// closed takes them the other way round.
+func (l *callerListener) openConns() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
 func (l *callerListener) release() {
 	if l.slots != nil {
 		<-l.slots
@@ -69,23 +91,16 @@
 	if limit <= 0 {
 		return
 	}
-	l.mu.Lock()
-	conns := slices.Collect(maps.Keys(l.open))
-	l.mu.Unlock()
 	before := time.Now().Add(-limit - idleTimeoutMargin)
-	for _, c := range conns {
+	for _, c := range l.openConns() {
 		_ = c.closeIfIdle(before) // the caller may have closed it already
 	}
 }
 
-// deferredClosePollInterval is the interval at which awaitDeferredCloses checks for open connections. They are closed
-// after their answer.
-const deferredClosePollInterval = 10 * time.Millisecond
-
 // awaitDeferredCloses waits until the connections whose close was deferred are closed after their answers. It returns the
 // context's error if that ends first.
 func (l *callerListener) awaitDeferredCloses(ctx context.Context) error {
-	ticker := time.NewTicker(deferredClosePollInterval)
+	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
 	for l.deferredCloses.Load() > 0 {
 		select {
@@ -167,6 +182,13 @@
 	return c.Conn.Close()
 }
 
+// usedSince reports whether a request is in progress, or was after the given time.
+func (c *callerConn) usedSince(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle || c.requestStarted || c.idleSince.After(at)
+}
+
 // CloseWrite lets net/http close its sending side first, so that a caller can read an answer that is sent before the
 // request body has been received completely.
 func (c *callerConn) CloseWrite() error {
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gateway"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 type endpointID = domain.EndpointID
@@ -15,9 +17,10 @@
 var errDrained = errors.New("entrynode: drained")
 
 // serveCallers serves callers until the context ends, then drains the node. From then on the node is not ready and asks
-// callers to close their connections. It accepts new connections until the balancer has taken it out, and then finishes
-// the requests in progress. Those that are left at the end of the grace period get their final response: one that is queued
-// is told that it has not run.
+// callers with each response to close their connections. Until the balancer has taken it out it accepts new connections and
+// serves what comes. Then it finishes the requests in progress, refuses those that come on open connections, and closes each
+// connection once it has not been used for a while, so that no request crosses the close of its connection. Requests that
+// are left at the end of the grace period get their final response: one that is queued is told that it has not run.
 func (n *Node) serveCallers(ctx context.Context, listener *callerListener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- n.callerServer.Serve(listener) }()
@@ -33,12 +36,16 @@
 	start := time.Now()
 	n.draining.Store(true)
 	n.log.Info().Int("active", n.gateway.Active()).Msg("leaving: no longer ready")
-	listener.draining.Store(true)
-	n.callerServer.SetKeepAlivesEnabled(false)
 	time.Sleep(drainNoticePeriod)
 	remaining := seconds(n.settings.Shutdown.GraceS) - graceMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
+	if err := listener.stopAccepting(); err != nil {
+		n.log.Warn().Err(err).Msg("leaving: the listener for callers can't be closed")
+	}
+	n.gateway.RefuseRequests()
+	n.closeUnused(ctx, listener)
+	listener.draining.Store(true)
 	if err := n.awaitRequests(ctx, listener); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are given up")
 		n.giveUpRequests(listener)
@@ -46,6 +53,24 @@
 	return errDrained
 }
 
+// closeUnused closes the callers' connections that have not been used for unusedBeforeClose, until no others are left or the
+// context ends.
+func (n *Node) closeUnused(ctx context.Context, listener *callerListener) {
+	for !listener.closeUnused(time.Now().Add(-unusedBeforeClose)) || n.gateway.Active() > 0 {
+		if !pacing.Sleep(ctx, closePollInterval) {
+			return
+		}
+	}
+}
+
+// serveCaller asks the caller to close its connection if the node drains, and passes the request on.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if n.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	n.gateway.ServeHTTP(w, r)
+}
+
 // awaitRequests waits until the requests in progress are answered and their connections closed, or the context ends.
 func (n *Node) awaitRequests(ctx context.Context, listener *callerListener) error {
 	return errors.Join(n.callerServer.Shutdown(ctx), listener.awaitDeferredCloses(ctx))
--- a/entrynode/leave_test.go
+++ b/entrynode/leave_test.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,11 @@
 	"hawthornrill.example/hawthornrill/gateway"
 )
 
+// closedListener is a listener without connections.
+type closedListener struct{ net.Listener }
+
+func (closedListener) Close() error { return nil }
+
 func TestDrainingNodeAcceptsConnectionsDuringNoticePeriod(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &Node{callerServer: &http.Server{}, gateway: &gateway.Gateway{}, log: zerolog.Nop()}
@@ -20,7 +26,7 @@
 		closed := make(chan time.Duration, 1)
 		n.callerServer.RegisterOnShutdown(func() { closed <- time.Since(start) })
 		drained := make(chan error, 1)
-		go func() { drained <- n.drain(newCallerListener(nil, 0)) }()
+		go func() { drained <- n.drain(newCallerListener(closedListener{}, 0)) }()
 		synctest.Wait()
 		ready, _ := n.Ready()
 		assert.Assert(t, !ready, "a draining node must not be ready")
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -260,7 +260,7 @@
 	n.callerServer = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		Addr:              n.settings.Listen.Callers,
-		Handler:           n.gateway,
+		Handler:           http.HandlerFunc(n.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         trackConnState,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	metrics        *metricSet
 	heldBodyBytes  atomic.Int64
 	active         atomic.Int64
+	refusing       atomic.Bool
 	callerTimeouts callerTimeouts
 }
 
@@ -87,6 +88,9 @@
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
+// RefuseRequests makes the gateway refuse all requests that it receives from now on, as not run.
+func (g *Gateway) RefuseRequests() { g.refusing.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
@@ -122,6 +126,9 @@
 		return &problem{Status: http.StatusBadRequest, Title: err.Error()}
 	}
 	t.call = call
+	if t.gateway.refusing.Load() {
+		return unavailable("the node is leaving")
+	}
 	path, _, _ := strings.Cut(t.request.RequestURI, "?")
 	t.route = table.Route(t.request.Host, path)
 	if t.route == nil {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -18,18 +19,18 @@
 	return out
 }
 
-// copyEndToEndHeader copies the fields of from to to, without the hop-by-hop fields.
+// copyEndToEndHeader copies the fields of from to to, without the hop-by-hop fields. Those of to are kept.
 func copyEndToEndHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
+	var connectionOptions []string
 	for _, list := range from["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			to.Del(strings.TrimSpace(name))
+			connectionOptions = append(connectionOptions, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	for _, name := range hopByHop {
-		delete(to, name)
+	for name, values := range from {
+		if !slices.Contains(hopByHop, name) && !slices.Contains(connectionOptions, name) {
+			to[name] = values
+		}
 	}
 	if _, ok := to["Content-Type"]; !ok {
 		// A nil value keeps net/http from detecting a type.
