entrynode: established connections are accepted before the listener is closed

What callers saw: a connection that was established at a planned stop, 2.6 s after SIGTERM, ended without an answer; its request had not run.

Cause: closing a listening socket resets the connections in its queue.

Change: the node accepts what the queue holds right before it closes the socket.

--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -23,6 +23,8 @@
 
 	mu   sync.Mutex
 	open map[*callerConn]bool
+	// pending holds the connections that were established but not accepted when the listener was closed.
+	pending []net.Conn
 }
 
 func newCallerListener(l net.Listener, limit int) *callerListener {
@@ -41,6 +43,10 @@
 	raw, err := l.Listener.Accept()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err != nil && len(l.pending) > 0 {
+		raw, err = l.pending[0], nil
+		l.pending = l.pending[1:]
+	}
 	if err != nil {
 		l.release()
 		return nil, err
@@ -50,8 +56,13 @@
 	return c, nil
 }
 
-// stopAccepting closes the listening socket.
-func (l *callerListener) stopAccepting() error { return l.Listener.Close() }
+// stopAccepting closes the listening socket. Connections that are established already are still accepted.
+func (l *callerListener) stopAccepting() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = acceptEstablished(l.Listener)
+	return l.Listener.Close()
+}
 
 // closeUnused closes the connections that have not been used since the given time, and reports whether all others have had no
 // request so far.
