daemon: operators' requests complete before the node stops

What operators saw: an edit in progress when its node stopped lost its connection after 5 s, without its outcome. Edits take up to 30 s while the store is slow.

Cause: all servers had the same time-out for requests in progress, and the node's own work ended before the operators' server.

Change: the operators' server is shut down first, and its requests have the time that an edit takes, or the limit of the shutdown if that is shorter.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,10 +143,14 @@
 // completed, unless the settings limit the duration of the drain.
 func (d *Daemon) Run(ctx context.Context) error {
 	var group run.Group
+	// The group ends its members in this order: operators' requests complete before the
+	// node stops, callers learn from the stopped node how their requests ended, and peers
+	// read the last answers.
 	d.addDrain(ctx, &group)
+	operatorsTimeout := operatorsShutdownTimeout(d.options.Settings.Shutdown.Limit.Duration)
+	d.addServer(&group, newServer(d.listeners.operators, operatorsTimeout, d.options.Log, d.operatorRoutes), settings.TLS{})
 	d.addNode(&group)
-	d.addServer(&group, newServer(d.listeners.operators, d.options.Log, d.operatorRoutes), settings.TLS{})
-	d.addServer(&group, newServer(d.listeners.callers, d.options.Log, d.callerRoutes), d.options.Settings.Callers.TLS)
+	d.addServer(&group, newServer(d.listeners.callers, shutdownTimeout, d.options.Log, d.callerRoutes), d.options.Settings.Callers.TLS)
 	d.addPeers(&group)
 	listen := d.Addresses()
 	d.options.Log.Info().Str("version", buildinfo.Version).Str("callers", listen.Callers).
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/logging"
+	"hawthornrill.example/hawthornrill/operatorapi"
 )
 
 const (
@@ -19,7 +20,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 2 * time.Minute
-	// shutdownTimeout limits the shutdown of a server after the node was drained.
+	// shutdownTimeout limits the shutdown of the callers' server and of the peer
+	// transport after the node was drained.
 	shutdownTimeout = 5 * time.Second
 )
 
@@ -27,14 +29,27 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	// shutdownTimeout limits how long close waits for active requests.
+	shutdownTimeout time.Duration
+}
+
+// operatorsShutdownTimeout returns the time that requests of operators have to
+// complete, so that each is told the outcome of its edit. The limit is that of the
+// whole shutdown, 0 for none.
+func operatorsShutdownTimeout(limit time.Duration) time.Duration {
+	if limit > 0 {
+		return min(limit, operatorapi.MaxRequestTime)
+	}
+	return operatorapi.MaxRequestTime
 }
 
 // newServer returns a server of the routes that register adds.
-func newServer(listener net.Listener, logger zerolog.Logger, register func(*echo.Echo)) *server {
+func newServer(listener net.Listener, shutdownTimeout time.Duration, logger zerolog.Logger, register func(*echo.Echo)) *server {
 	e := echo.New()
 	register(e)
 	return &server{
-		listener: listener,
+		listener:        listener,
+		shutdownTimeout: shutdownTimeout,
 		http: &http.Server{
 			Handler:           e,
 			ReadHeaderTimeout: readHeaderTimeout,
@@ -65,7 +80,7 @@
 // close shuts the server down. Active requests have shutdownTimeout to complete;
 // then their connections are closed.
 func (s *server) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.shutdownTimeout)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -20,6 +20,8 @@
 	maxRequestBody = "16M"
 	// editTimeout limits an edit, which goes on after its operator's connection broke.
 	editTimeout = 30 * time.Second
+	// MaxRequestTime is the longest time that a request takes: an edit and its response.
+	MaxRequestTime = editTimeout + time.Second
 	// operatorContextKey is the key of the operator's name in the request context.
 	operatorContextKey = "operator"
 )
