coordinator: an order in progress is awaited at shutdown

What operators saw: a node that stopped while an order to an engine was in progress broke the call off; the order counted as unknown, and the lease was released without knowing what became of it.

Cause: the call had the context of the coordinator's work.

Change: an order that was sent is awaited for its own time-out, which is less than the lease's margin; none is sent once the context has ended.

Before: TestOrderInProgressEndsWithItsOutcomeAtShutdown failed in 3 of 3 runs ("stream broken"). After: it passes, and all tests of the package with -race.

--- a/coordinator/order.go
+++ b/coordinator/order.go
@@ -65,14 +65,19 @@
 }
 
 // sendOrder sends an order if the lease is held. After an unknown outcome the
-// engine gets no order for as long as this one may still arrive.
+// engine gets no order for as long as this one may still arrive. Once sent, an order
+// is not broken off when the context ends, so that its outcome is known; it takes
+// less than the lease's margin.
 func (t *term) sendOrder(ctx context.Context, id domain.EndpointID, order endpoint.Order) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	orders, ok := t.options.Engines.Orders(id)
 	if !ok {
 		return errNoOrders
 	}
 	order.Fence = t.fence
-	ctx, cancel := context.WithTimeout(ctx, t.options.OrderTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.options.OrderTimeout)
 	defer cancel()
 	if !t.lease.Held() {
 		return ErrLeaseNotHeld
