scheduler: a finished request is not reported as running

What callers saw: GET /v1/requests/{key} at a node that does not hold the answer said "running", although its callers had the whole response.

Cause: the holder tells the key's home of the end after its callers, and the state came from the home alone. Evidence: 18 failures of TestCallIsNeverRepeated with the reply printed all read {"key":"k","state":"running"}.

Change: where the home says that the request runs, its holder is asked for the end.

Before, -race: TestCallIsNeverRepeated failed in 11 of 1,800 runs (-cpu 1,2,8), TestFinishedCallIsReportedBeforeItsHomeKnows on each run ("running, not finished").

--- a/answer/relay.go
+++ b/answer/relay.go
@@ -12,6 +12,9 @@
 // MethodRead reads a batch of an answer that another node holds.
 const MethodRead peer.Method = "answer.read"
 
+// MethodEnd asks a node for the end of an answer that it holds.
+const MethodEnd peer.Method = "answer.end"
+
 // MaxReadWait limits how long a node blocks a read that finds no new data.
 const MaxReadWait = 10 * time.Second
 
@@ -54,6 +57,7 @@
 func NewRelay(transport peer.Transport, registry *Registry) *Relay {
 	r := &Relay{transport: transport, registry: registry}
 	peer.Handle(transport, MethodRead, r.serve)
+	peer.Handle(transport, MethodEnd, r.serveEnd)
 	return r
 }
 
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -299,3 +299,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got.Home), "palermo")
 }
+
+// Guards against a request that is reported as running after its caller has the whole response: the key's home learns of the
+// end later than the caller.
+func TestFinishedCallIsReportedBeforeItsHomeKnows(t *testing.T) {
+	for _, node := range []string{"a", "b"} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDeployment(t, schedulertest.Script{}, scheduler.Options{}, entry.Options{})
+			defer d.close()
+			d.home.InjectFault(schedulertest.OpFinish, schedulertest.Fault{Delay: time.Minute})
+			d.service.Respond = func(context.Context, endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+				return schedulertest.NewResponse(http.StatusOK, strings.NewReader("clue 7")), nil
+			}
+			w := d.do("a", newRequest("POST", "/services/jobs/unlock", "", "Idempotency-Key", "k"))
+			assert.Equal(t, w.Body.String(), "clue 7")
+			var state struct {
+				State    string
+				Response struct{ Body []byte }
+			}
+			w = d.do(nodeID(node), newRequest("GET", "/v1/requests/k", ""))
+			assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &state))
+			assert.Equal(t, state.State, string(scheduler.ProgressFinished))
+			assert.Equal(t, string(state.Response.Body), "clue 7")
+		})
+	}
+}
--- a/scheduler/find.go
+++ b/scheduler/find.go
@@ -33,7 +33,30 @@
 	if err != nil {
 		return "", nil, err
 	}
-	return progressOf(state), s.holderHandle(key, claim.Holder), nil
+	progress := progressOf(state)
+	if progress == ProgressRunning {
+		progress = s.holderProgress(ctx, key, claim.Holder)
+	}
+	return progress, s.holderHandle(key, claim.Holder), nil
+}
+
+// holderProgress returns the progress of a request that runs, as far as the key's home
+// knows. The home learns of the end later than the request's caller, so the holder is
+// asked; if it can't be reached, the home's knowledge stands.
+func (s *Scheduler) holderProgress(ctx context.Context, key domain.RequestKey, holder domain.Member) Progress {
+	if holder.SameIncarnation(s.deps.Transport.Self()) {
+		if buffer, ok := s.deps.Answers.Get(key); ok {
+			return progressOfBuffer(buffer, ProgressRunning)
+		}
+		return ProgressRunning
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.ClaimTimeout)
+	defer cancel()
+	end, err := s.deps.Relay.End(ctx, holder, key)
+	if err != nil || end == nil {
+		return ProgressRunning
+	}
+	return progressOfEnd(*end)
 }
 
 func (s *Scheduler) findLocal(key domain.RequestKey) (Progress, *Handle, bool) {
@@ -47,16 +70,26 @@
 }
 
 func (t *task) progress() Progress {
-	if end, ended := t.buffer.Ended(); ended {
-		if end.Complete() {
-			return ProgressFinished
-		}
-		return ProgressFailed
-	}
 	if t.currentPhase() == PhaseRunning {
-		return ProgressRunning
+		return progressOfBuffer(t.buffer, ProgressRunning)
+	}
+	return progressOfBuffer(t.buffer, ProgressWaiting)
+}
+
+// progressOfBuffer returns the progress according to the end of an answer, or the given
+// one if it has not ended.
+func progressOfBuffer(buffer *answer.Buffer, unended Progress) Progress {
+	if end, ended := buffer.Ended(); ended {
+		return progressOfEnd(end)
+	}
+	return unended
+}
+
+func progressOfEnd(end answer.End) Progress {
+	if end.Complete() {
+		return ProgressFinished
 	}
-	return ProgressWaiting
+	return ProgressFailed
 }
 
 func progressOf(state ledger.State) Progress {
