membership: a crash is noticed within a time that does not rest on chance

Cause: each node probed one peer in 0.5 s in a random round of its own, so that nothing but a full round (23.5 s for 48 nodes) made sure that the crashed one was probed; a change went to random peers, and one that a ping happened to carry before its push was not pushed at all; unreachable peers were tried again at random.

Change: all nodes derive the same ring from the list of members. Every second probe goes to one of a node's two successors in turn; a node with an unanswered probe goes on to the next successors. Each node pushes a change once, to the peers at three distances in the ring that reach all nodes within 3(b-1) hops. Unreachable peers are tried again in turn.

--- a/membership/broadcast.go
+++ b/membership/broadcast.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 )
@@ -21,13 +22,17 @@
 	record       *record
 	reachability *reachability
 	sent         int
+	// pushed is true once a push has carried the change.
+	pushed bool
 }
 
 // broadcasts is the queue of changes to disseminate. Each is transmitted a
-// bounded number of times, the least often transmitted first.
+// bounded number of times, the least often transmitted first. One of the
+// transmissions is a push; a ping that happens to carry the change before it
+// reaches one node only.
 type broadcasts struct {
 	pending []*broadcast
-	// unsent counts the changes that have not been transmitted yet.
+	// unsent counts the changes that have not been pushed yet.
 	unsent int
 }
 
@@ -50,24 +55,47 @@
 		if !match(o) {
 			return false
 		}
-		if o.sent == 0 {
+		if !o.pushed {
 			b.unsent--
 		}
 		return true
 	})
 }
 
-// take returns up to limit changes to send and counts them as sent. Changes that
-// have reached the retransmission count for the number of nodes are dropped.
+// take returns up to limit changes to push, those that have not been pushed yet
+// first, and counts them as sent. Changes that have reached the retransmission count
+// for the number of nodes are dropped.
 func (b *broadcasts) take(limit, nodes int) (records []record, contacts []reachability) {
-	if len(b.pending) == 0 {
-		return nil, nil
+	slices.SortStableFunc(b.pending, func(x, y *broadcast) int {
+		return cmp.Or(x.pushRank()-y.pushRank(), x.sent-y.sent)
+	})
+	taken := b.pending[:min(limit, len(b.pending))]
+	for _, o := range taken {
+		if !o.pushed {
+			o.pushed = true
+			b.unsent--
+		}
 	}
+	return b.send(taken, nodes)
+}
+
+// piggyback is take for a ping or its reply. It leaves the last transmission of a
+// change to a push.
+func (b *broadcasts) piggyback(limit, nodes int) (records []record, contacts []reachability) {
 	slices.SortStableFunc(b.pending, func(x, y *broadcast) int { return x.sent - y.sent })
-	for _, o := range b.pending[:min(limit, len(b.pending))] {
-		if o.sent == 0 {
-			b.unsent--
+	var taken []*broadcast
+	for _, o := range b.pending {
+		if len(taken) < limit && (o.pushed || o.sent+1 < transmissions(nodes)) {
+			taken = append(taken, o)
 		}
+	}
+	return b.send(taken, nodes)
+}
+
+// send counts the changes as sent, drops those that have been sent often enough, and
+// returns the changes.
+func (b *broadcasts) send(taken []*broadcast, nodes int) (records []record, contacts []reachability) {
+	for _, o := range taken {
 		o.sent++
 		if o.record != nil {
 			records = append(records, *o.record)
@@ -75,7 +103,17 @@
 		}
 		contacts = append(contacts, *o.reachability)
 	}
-	enough := retransmitFactor * bits.Len(uint(nodes))
-	b.pending = slices.DeleteFunc(b.pending, func(o *broadcast) bool { return o.sent >= enough })
+	b.pending = slices.DeleteFunc(b.pending, func(o *broadcast) bool { return o.sent >= transmissions(nodes) })
 	return records, contacts
 }
+
+// transmissions returns how often a node sends a change.
+func transmissions(nodes int) int { return retransmitFactor * bits.Len(uint(nodes)) }
+
+// pushRank sorts changes that have not been pushed before the others.
+func (o *broadcast) pushRank() int {
+	if o.pushed {
+		return 1
+	}
+	return 0
+}
--- a/membership/delegation.go
+++ b/membership/delegation.go
@@ -16,6 +16,7 @@
 	// delegates are the nodes that exchange state with each remote data centre.
 	delegates       map[domain.DataCentre][]domain.NodeID
 	hostListReaders []domain.NodeID
+	ring            ring
 	// nodeCount is the number of responsive nodes of the local data centre.
 	nodeCount int
 	// reachable says for each remote data centre whether it can be reached.
@@ -29,6 +30,7 @@
 	d := delegation{
 		delegates:       make(map[domain.DataCentre][]domain.NodeID),
 		hostListReaders: topRanked(hostListKey, nodes, perDataCentre),
+		ring:            newRing(nodes),
 		nodeCount:       len(nodes),
 		reachable:       make(map[domain.DataCentre]bool),
 	}
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -12,14 +12,23 @@
 	// recheckInterval is how often a node pings one unreachable peer of its data
 	// centre to detect that it has recovered.
 	recheckInterval = 4 * time.Second
+	// maxRecheckStart bounds the random number at which a node begins to count its
+	// rechecks, so that the nodes don't all ping the same peer.
+	maxRecheckStart = 1 << 16
 	// recheckLimit is the maximum number of pings to disputed peers per tick.
 	recheckLimit = 4
 	// disputedLimit bounds the queue of disputed peers.
 	disputedLimit = 256
 )
 
+// monitors is the number of nodes that probe each node regularly: its predecessors
+// in the ring. Each node spends every second probe on one of those that it monitors.
+const monitors = 2
+
 // detector selects the peers to probe.
 type detector struct {
+	// probes counts the probes.
+	probes int
 	// round holds the nodes still to be probed in this round.
 	round []domain.NodeID
 	// probing holds the nodes with a probe in progress.
@@ -27,13 +36,48 @@
 	// disputed holds nodes that others report as healthy and this node as
 	// unreachable.
 	disputed []domain.NodeID
+	// rechecks counts the pings to unreachable peers.
+	rechecks int
 	// lastRecheck is when an unreachable peer was last pinged.
 	lastRecheck time.Time
 }
 
-// next returns the next node to probe. Each round visits all candidates once, in
-// random order.
-func (d *detector) next(t *table, self domain.NodeID, random *rand.Rand) (domain.Member, bool) {
+// next returns the next node to probe: in turn one that this node monitors, and one
+// of a round that visits all candidates once, in random order. While a probe is not
+// answered, it returns the next successors in the ring, so that neighbours that have
+// failed together are found one tick after the other.
+func (d *detector) next(t *table, ring ring, self domain.NodeID, random *rand.Rand) (domain.Member, bool) {
+	d.probes++
+	if len(d.probing) > 0 {
+		if member, ok := d.successor(t, ring, self, 0); ok {
+			return member, true
+		}
+	}
+	if d.probes%2 == 0 {
+		if member, ok := d.successor(t, ring, self, d.probes/2%monitors); ok {
+			return member, true
+		}
+	}
+	return d.nextOfRound(t, self, random)
+}
+
+// successor returns the next node in the ring that is not being probed, after
+// skipping some.
+func (d *detector) successor(t *table, ring ring, self domain.NodeID, skip int) (domain.Member, bool) {
+	for distance := 1; distance < len(ring); distance++ {
+		node, ok := ring.successor(self, distance)
+		if !ok || d.probing[node] || !probeable(t, t.entries[node], self) {
+			continue
+		}
+		if skip == 0 {
+			return t.entries[node].member(), true
+		}
+		skip--
+	}
+	return domain.Member{}, false
+}
+
+func (d *detector) nextOfRound(t *table, self domain.NodeID, random *rand.Rand) (domain.Member, bool) {
 	for refilled := false; ; {
 		if len(d.round) == 0 {
 			if refilled {
@@ -77,9 +121,9 @@
 }
 
 // recheckTargets returns the peers to ping in case they have recovered: disputed
-// ones, and at every recheckInterval one random unreachable peer of the data
-// centre.
-func (d *detector) recheckTargets(t *table, now time.Time, random *rand.Rand) []domain.Member {
+// ones, and at every recheckInterval one unreachable peer of the data centre, in
+// turn.
+func (d *detector) recheckTargets(t *table, now time.Time) []domain.Member {
 	var members []domain.Member
 	for len(d.disputed) > 0 && len(members) < recheckLimit {
 		if e := t.entries[d.disputed[0]]; e != nil && e.Health >= healthUnreachable {
@@ -92,7 +136,8 @@
 	}
 	d.lastRecheck = now
 	if unreachable := t.unreachable(); len(unreachable) > 0 {
-		members = append(members, unreachable[random.IntN(len(unreachable))])
+		members = append(members, unreachable[d.rechecks%len(unreachable)])
+		d.rechecks++
 	}
 	return members
 }
--- a/membership/fault_test.go
+++ b/membership/fault_test.go
@@ -30,6 +30,7 @@
 	return rest
 }
 
+// Guards against a crashed node that nobody probes for seconds. The package's page derives the worst case.
 func TestCrashIsNoticed(t *testing.T) {
 	cases := []struct {
 		dcs, size   int
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -13,7 +13,7 @@
 	defer s.mu.Unlock()
 	payload := s.localPayload()
 	payload.Digest = s.table.digest()
-	payload.Records, payload.Reachability = s.broadcasts.take(piggybackLimit, s.delegation.nodeCount)
+	payload.Records, payload.Reachability = s.broadcasts.piggyback(piggybackLimit, s.delegation.nodeCount)
 	if toRefute := s.recordToRefute(to); toRefute != nil {
 		payload.Records = append(payload.Records, *toRefute)
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -18,7 +18,7 @@
 func (s *Service) dueProbes(time.Time) []domain.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	target, ok := s.detector.next(s.table, s.self.Node, s.random)
+	target, ok := s.detector.next(s.table, s.delegation.ring, s.self.Node, s.random)
 	if !ok {
 		return nil
 	}
@@ -170,7 +170,7 @@
 func (s *Service) dueRechecks(now time.Time) []domain.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.detector.recheckTargets(s.table, now, s.random)
+	return s.detector.recheckTargets(s.table, now)
 }
 
 // recheck pings a peer that is unreachable in this node's table.
--- a/membership/push.go
+++ b/membership/push.go
@@ -12,13 +12,11 @@
 const (
 	// pushDelay is how long changes are collected before a push.
 	pushDelay = 20 * time.Millisecond
-	// pushFanout is the number of peers that receive a push. Changes that a push
-	// misses are piggybacked on pings.
-	pushFanout = 3
 )
 
-// pushLoop sends new changes to a few random peers of the data centre, which do
-// the same, so that a change reaches all nodes within a few hops.
+// pushLoop sends new changes to a few peers of the data centre, which do the same,
+// so that a change reaches all nodes within a few hops. Changes that a push misses
+// are piggybacked on pings.
 func (s *Service) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -54,7 +52,10 @@
 	if s.broadcasts.unsent == 0 {
 		return pushRequest{}, nil
 	}
-	targets := s.table.randomPeers("", s.self.Node, pushFanout, nil, s.random)
+	var targets []domain.Member
+	for _, node := range s.delegation.ring.pushTargets(s.self.Node) {
+		targets = append(targets, s.table.entries[node].member())
+	}
 	payload := s.localPayload()
 	payload.Records, payload.Reachability = s.broadcasts.take(pushLimit, s.delegation.nodeCount)
 	return pushRequest{payload}, targets
--- a/membership/service.go
+++ b/membership/service.go
@@ -62,6 +62,7 @@
 		subscribers:     make(map[int]func(*Snapshot)),
 	}
 	s.detector.probing = make(map[domain.NodeID]bool)
+	s.detector.rechecks = s.random.IntN(maxRecheckStart)
 	s.table = newInitialTable(s.self, options.Seeds, time.Now())
 	s.publish()
 	s.metrics = newServiceMetrics(options.Metrics, s)
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -1,5 +1,3 @@
-// Package membership determines which nodes are alive, leaving or unreachable,
-// from the platform's host list, which lags, and from what the nodes report.
 package membership
 
 import "hawthornrill.example/hawthornrill/domain"
--- a/sizing/events.go
+++ b/sizing/events.go
@@ -33,7 +33,7 @@
 		CallerImpact: "its streams break; callers come back anywhere with their key and get the rest from the engine, or the truth; keys whose home it was are answered `unknown` until it is out of the table",
 		Estimates: []Estimate{
 			{"streams broken", Count, "node_streams"},
-			{"time until its data centre holds it unreachable, at most about", Seconds, "probe_seconds + 2 * probe_timeout + suspicion_seconds"},
+			{"time until a node of its data centre holds it unreachable, at most", Seconds, "2 * 2 * probe_seconds + probe_timeout + 2 * probe_timeout + suspicion_seconds"},
 			{"time until its places are free", Seconds, "grant_ttl_seconds"},
 			{"time until its keys have a new home, at least", Seconds, "gone_seconds"},
 			{"attempts answered `unknown` meanwhile, at the peak and at most", Count, "node_requests * gone_seconds"},
