--- a/cmd/hawthornrill-soak/history_test.go
+++ b/cmd/hawthornrill-soak/history_test.go
@@ -27,8 +27,9 @@
 	status              int
 	body                string
 	err                 error
-	// connected is true if the request had a connection.
-	connected bool
+	// connected is true if the request had a connection, connectionIdle is how long that had been unused.
+	connected      bool
+	connectionIdle time.Duration
 }
 
 // history records all faults, outcomes and revoked keys of a run.
@@ -151,7 +152,7 @@
 		}
 	}
 	lines = append(lines, at(o.sent)+" request "+o.id+" sent to "+o.node+o.path,
-		at(o.ended)+fmt.Sprintf(" request %s ends: %d %q %v", o.id, o.status, o.body, o.err))
+		at(o.ended)+fmt.Sprintf(" request %s ends: %d %q %v; its connection had been unused for %v", o.id, o.status, o.body, o.err, o.connectionIdle))
 	sort.Strings(lines)
 	return strings.Join(lines, "\n")
 }
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -290,7 +290,7 @@
 		s.t.Error(err)
 		return o
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { o.connected = true }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { o.connected, o.connectionIdle = true, c.IdleTime }}
 	response, err := client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		o.err, o.ended = err, time.Now()
