operatorapi: the test's unused address stays unused

The test took a free port by closing a listener, and a test process beside it could listen there before the client connected.

--- a/operatorapi/client_test.go
+++ b/operatorapi/client_test.go
@@ -2,20 +2,24 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
-// unusedAddress returns an address without a listener.
+// unusedAddress returns an address without a listener. Its socket stays bound until the test ends, so that no other process
+// listens there meanwhile.
 func unusedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return "http://" + listener.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	return fmt.Sprintf("http://127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
 }
 
 func TestIsNotAccepted(t *testing.T) {
