Soak: one place says to which node a request was sent

The check of draining endpoints wrote again what the check of limits had. Both call the history now; the checks are the same.

--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -95,10 +95,7 @@
 // checkDraining fails the test if an endpoint received a request later than maxDrainDelay after it was marked as draining,
 // unless a fault of the sending node or of the store explains it.
 func (s *soak) checkDraining() {
-	nodes := make(map[string]string, len(s.history.outcomes))
-	for _, o := range s.history.outcomes {
-		nodes[o.id] = o.node
-	}
+	nodes := s.history.nodesByRequest()
 	for e, since := range s.drainingSince {
 		for _, a := range e.Arrivals() {
 			delay := a.At.Sub(since)
--- a/cmd/hawthornrill-soak/limit_test.go
+++ b/cmd/hawthornrill-soak/limit_test.go
@@ -23,10 +23,7 @@
 
 // checkLimits fails the test if the nodes together sent an endpoint more requests than its advertised limit allows.
 func (s *soak) checkLimits() {
-	nodes := make(map[string]string, len(s.history.outcomes))
-	for _, o := range s.history.outcomes {
-		nodes[o.id] = o.node
-	}
+	nodes := s.history.nodesByRequest()
 	for _, l := range s.limits {
 		counted := s.countedArrivals(l, nodes)
 		allowed := limittest.MaxRequests(float64(l.perSecond))
