scheduler: nothing is dispatched once the scheduler has stopped

Close ends the tasks' contexts one after the other, and a slot that the first one gave back was granted to a task whose own context had not ended yet.

--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -38,7 +38,8 @@
 	return t.runWithGrant(claim, permit, grant)
 }
 
-// acquire waits for a slot until the request's deadline.
+// acquire waits for a slot until the request's deadline. A slot that a stopped task has released may be granted to one whose
+// own context has not ended yet; it is given back.
 func (t *task) acquire() (capacity.Grant, error) {
 	remaining := t.timeLeft()
 	ctx, cancel := context.WithTimeoutCause(t.ctx, remaining, errDeadline)
@@ -50,6 +51,10 @@
 	if err != nil && ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
+	if err == nil && t.scheduler.ctx.Err() != nil {
+		grant.Release(capacity.Result{})
+		return nil, context.Cause(t.scheduler.ctx)
+	}
 	return grant, err
 }
 
