entrynode: a request that has arrived is not dropped with an idle connection

Cause: a connection was closed as idle unless a byte of a request had been noted. Bytes in the kernel's buffer, and bytes that a goroutine had read without having run since, did not count. http.Server.Shutdown has the same gap between reading the state and closing.

TestConnectionWithUnreadRequestIsNotClosed fails 150 of 150 before, without a reader and with one.

Change: bytes are read and noted under the connection's lock; a close as idle looks at the kernel's buffer first. The drain closes the connections itself and calls Shutdown when none is open.

--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -1,13 +1,13 @@
 package entrynode
 
 import (
-	"context"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -18,8 +18,6 @@
 	slots chan struct{}
 	// draining is true once idle connections are being closed because the node drains.
 	draining atomic.Bool
-	// deferredCloses counts the open connections whose close was deferred while draining.
-	deferredCloses atomic.Int64
 
 	mu   sync.Mutex
 	open map[*callerConn]bool
@@ -51,7 +49,7 @@
 		l.release()
 		return nil, err
 	}
-	c := &callerConn{Conn: raw, listener: l, idle: true}
+	c := &callerConn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
 	l.open[c] = true
 	return c, nil
 }
@@ -64,15 +62,15 @@
 	return l.Listener.Close()
 }
 
-// closeUnused closes the connections that have not been used since the given time, and reports whether all others have had no
-// request so far.
+// closeUnused closes the connections that have not been used since the given time, or that never had a request, once
+// readHeaderTimeout has passed. It reports whether none is open.
 func (l *callerListener) closeUnused(since time.Time) bool {
-	unused := true
 	for _, c := range l.openConns() {
-		_ = c.closeIfIdle(since) // the caller may have closed it already
-		unused = unused && !c.usedSince(since)
+		_ = c.closeIfUnused(since) // the caller may have closed it already
 	}
-	return unused
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)+len(l.pending) == 0
 }
 
 // openConns returns the open connections. Their locks must not be taken under that of the listener: a connection that is being
@@ -108,21 +106,6 @@
 	}
 }
 
-// awaitDeferredCloses waits until the connections whose close was deferred are closed after their answers. It returns the
-// context's error if that ends first.
-func (l *callerListener) awaitDeferredCloses(ctx context.Context) error {
-	ticker := time.NewTicker(closePollInterval)
-	defer ticker.Stop()
-	for l.deferredCloses.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 // callerConn is a caller's connection that records whether part of a request has arrived.
 //
 // net/http treats a connection as idle until it has read a complete request head. When the node drains, net/http may close
@@ -132,7 +115,10 @@
 // dispatched.
 type callerConn struct {
 	net.Conn
+	// socket is nil if the connection is not a kernel socket.
+	socket   syscall.RawConn
 	listener *callerListener
+	accepted time.Time
 
 	mu sync.Mutex
 	// idle is true between requests. idleSince is when the last request ended, zero before the first one. requestStarted
@@ -146,58 +132,84 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.socket != nil {
+		return c.readSocket(p)
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	c.recordRead(n)
+	return n, err
+}
+
+// recordRead records that n bytes have been read. The mutex must be held.
+func (c *callerConn) recordRead(n int) {
 	if n > 0 && c.idle {
 		c.requestStarted = true
 	}
-	return n, err
 }
 
 // Close implements net.Conn. While the node drains, net/http closes idle connections; that call is deferred if part of a
 // request has arrived. The next call, after the answer, closes the connection.
 func (c *callerConn) Close() error {
+	if c.deferClose() {
+		return nil
+	}
+	c.mu.Lock()
+	c.markClosed()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *callerConn) deferClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && c.requestStarted && !c.closeDeferred && c.listener.draining.Load() {
-		c.closeDeferred = true
-		c.listener.deferredCloses.Add(1)
-		return nil
+	if !c.idle || c.closeDeferred || !c.listener.draining.Load() || !c.requestStarted && !c.hasUnread() {
+		return false
 	}
-	return c.closeLocked()
+	c.closeDeferred = true
+	return true
 }
 
 // closeIfIdle closes the connection if it has been idle since before the given time and no part of a request has arrived.
 func (c *callerConn) closeIfIdle(before time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.idle || c.requestStarted || c.idleSince.IsZero() || !c.idleSince.Before(before) {
+	if !c.endIfIdle(func() bool { return !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
 		return nil
 	}
-	return c.closeLocked()
+	return c.Conn.Close()
 }
 
-// closeLocked closes the connection. The mutex must be held.
-func (c *callerConn) closeLocked() error {
-	if !c.closed {
-		c.closed = true
-		c.listener.remove(c)
-		if c.closeDeferred {
-			c.listener.deferredCloses.Add(-1)
-		}
+// closeIfUnused is like closeIfIdle, but also closes a connection on which no request has arrived within readHeaderTimeout.
+func (c *callerConn) closeIfUnused(before time.Time) error {
+	neverUsed := func() bool { return c.idleSince.IsZero() && time.Since(c.accepted) > readHeaderTimeout }
+	if !c.endIfIdle(func() bool { return neverUsed() || !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
+		return nil
 	}
 	return c.Conn.Close()
 }
 
-// usedSince reports whether a request is in progress, or was after the given time.
-func (c *callerConn) usedSince(at time.Time) bool {
+// endIfIdle marks the connection as closed if the condition holds, it is idle and no part of a request has arrived.
+func (c *callerConn) endIfIdle(condition func() bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idle || c.requestStarted || c.idleSince.After(at)
+	if c.closed || !c.idle || c.requestStarted || !condition() || !c.endIfNothingUnread() {
+		return false
+	}
+	c.markClosed()
+	return true
+}
+
+// markClosed makes further reads return nothing and releases the connection's slot. The mutex must be held. The connection is
+// closed without it, since net waits for a read in progress.
+func (c *callerConn) markClosed() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.listener.remove(c)
 }
 
 // CloseWrite lets net/http close its sending side first, so that a caller can read an answer that is sent before the
--- /dev/null
+++ b/entrynode/callersocket.go
@@ -0,0 +1,90 @@
+package entrynode
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// socketOf returns the connection's kernel socket, nil if it has none.
+func socketOf(c net.Conn) syscall.RawConn {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// readSocket reads with the mutex held, so that no bytes are in flight between the kernel's buffer and requestStarted when the
+// connection is closed as idle.
+func (c *callerConn) readSocket(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	waitErr := c.socket.Read(func(fd uintptr) bool {
+		n, err = c.readAvailable(int(fd), p)
+		return err != unix.EAGAIN //nolint:errorlint // a bare errno, never wrapped
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (c *callerConn) readAvailable(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, err := unix.Read(fd, p)
+		if err == unix.EINTR { //nolint:errorlint // a bare errno, never wrapped
+			continue
+		}
+		c.recordRead(n)
+		return max(n, 0), err
+	}
+}
+
+// hasUnread reports whether bytes have arrived that were not read yet.
+func (c *callerConn) hasUnread() (unread bool) {
+	if c.socket == nil {
+		return false
+	}
+	_ = c.socket.Control(func(fd uintptr) { unread = unreadBytes(int(fd)) }) // fails if the connection is closed
+	return unread
+}
+
+// endIfNothingUnread ends the connection for its caller at once, unless bytes have arrived that were not read yet. It reports
+// whether there were none.
+func (c *callerConn) endIfNothingUnread() bool {
+	if c.socket == nil {
+		return true
+	}
+	ended := true
+	_ = c.socket.Control(func(fd uintptr) { // fails if the connection is closed
+		if ended = !unreadBytes(int(fd)); ended {
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR) // fails if the caller has closed it
+		}
+	})
+	return ended
+}
+
+func unreadBytes(fd int) bool {
+	var b [1]byte
+	n, _, _ := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0
+}
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -46,23 +46,24 @@
 	// What was sent before the listener was closed is still served.
 	pacing.Sleep(ctx, unusedBeforeClose)
 	n.gateway.RefuseRequests()
-	n.closeUnused(ctx, listener)
-	listener.draining.Store(true)
-	if err := n.awaitRequests(ctx, listener); err != nil {
+	if err := closeConnections(ctx, listener, unusedBeforeClose); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are given up")
 		n.giveUpRequests(listener)
+		return errDrained
 	}
-	return errDrained
+	listener.draining.Store(true)
+	return errors.Join(errDrained, n.callerServer.Shutdown(ctx))
 }
 
-// closeUnused closes the callers' connections that have not been used for unusedBeforeClose, until no others are left or the
-// context ends.
-func (n *Node) closeUnused(ctx context.Context, listener *callerListener) {
-	for !listener.closeUnused(time.Now().Add(-unusedBeforeClose)) || n.gateway.Active() > 0 {
+// closeConnections closes each connection once it has been unused for the given time, until none is open or the context ends.
+// http.Server.Shutdown must not do it: it may close a connection on which a request has just begun.
+func closeConnections(ctx context.Context, listener *callerListener, unused time.Duration) error {
+	for !listener.closeUnused(time.Now().Add(-unused)) {
 		if !pacing.Sleep(ctx, closePollInterval) {
-			return
+			return context.Cause(ctx)
 		}
 	}
+	return nil
 }
 
 // serveCaller asks the caller to close its connection if the node drains, and passes the request on.
@@ -73,18 +74,13 @@
 	n.gateway.ServeHTTP(w, r)
 }
 
-// awaitRequests waits until the requests in progress are answered and their connections closed, or the context ends.
-func (n *Node) awaitRequests(ctx context.Context, listener *callerListener) error {
-	return errors.Join(n.callerServer.Shutdown(ctx), listener.awaitDeferredCloses(ctx))
-}
-
 // giveUpRequests ends the requests in progress and waits for their final responses to be written.
 func (n *Node) giveUpRequests(listener *callerListener) {
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
 	defer cancel()
 	n.gateway.StopDispatching()
 	n.stopRequests(gateway.ErrStopped)
-	if err := n.awaitRequests(ctx, listener); err != nil {
+	if err := closeConnections(ctx, listener, 0); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are cut off")
 	}
 }
