entrynode: connections established while the listener is closed are accepted

What callers saw: "connection reset by peer" on a new connection 2.74 s after SIGTERM of its node, in the soak.

Cause: the listening socket is closed only when an accept in progress has returned. What is established between the last accept and that moment is reset.

Change: a packet filter on the listening socket ignores requests for new connections for 20 ms before the last accept. The listener for callers does without Multipath TCP, whose sockets take no filter.

--- a/entrynode/backlog.go
+++ b/entrynode/backlog.go
@@ -1,6 +1,8 @@
 package entrynode
 
 import (
+	"context"
+	"errors"
 	"net"
 	"os"
 	"syscall"
@@ -8,6 +10,47 @@
 	"golang.org/x/sys/unix"
 )
 
+// listenTCP listens without Multipath TCP, whose sockets take no packet filter.
+func listenTCP(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// ignoreNewConnections makes the kernel drop requests for new connections to a listening socket, while those that are being
+// established still are. It has no effect if the listener is not a kernel socket.
+func ignoreNewConnections(l net.Listener) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	program := dropInitialSegments()
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	})
+	return errors.Join(controlErr, os.NewSyscallError("setsockopt", err))
+}
+
+// dropInitialSegments returns a packet filter that drops TCP segments with SYN and without ACK.
+func dropInitialSegments() []unix.SockFilter {
+	const (
+		flagsOffset = 13
+		syn, ack    = 0x02, 0x10
+		wholePacket = 0xffffffff
+	)
+	return []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: syn | ack},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: syn, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: wholePacket},
+	}
+}
+
 // acceptEstablished accepts the connections that a listening socket holds in its queue, without waiting. Closing the socket
 // would reset them, although their callers may have sent requests. It returns none if the listener is not a kernel socket.
 func acceptEstablished(l net.Listener) (conns []net.Conn) {
--- a/entrynode/backlog_test.go
+++ b/entrynode/backlog_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -40,3 +42,55 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against connections that are reset because they were established while the listener was being closed.
+func TestConnectionsEstablishedDuringTheCloseAreAccepted(t *testing.T) {
+	const rounds, dialers = 20, 16
+	var running sync.WaitGroup
+	for range rounds {
+		running.Go(func() { closeWhileDialling(t, dialers) })
+	}
+	running.Wait()
+}
+
+func closeWhileDialling(t *testing.T, dialers int) {
+	raw, err := listenTCP("127.0.0.1:0")
+	if !assert.Check(t, err) {
+		return
+	}
+	l := newCallerListener(raw, 0)
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				_, _ = io.Copy(c, io.LimitReader(c, 1))
+				_ = c.Close()
+			}()
+		}
+	}()
+	var dialling sync.WaitGroup
+	for range dialers {
+		dialling.Go(func() { dialUntilRefused(t, raw.Addr().String()) })
+	}
+	time.Sleep(time.Millisecond)
+	assert.Check(t, l.ignoreNewConnections())
+	assert.Check(t, l.stopAccepting())
+	dialling.Wait()
+	<-accepted
+}
+
+// dialUntilRefused opens connections until one is refused, and checks that each was served.
+func dialUntilRefused(t *testing.T, address string) {
+	for {
+		c, err := net.Dial("tcp4", address)
+		if err != nil {
+			return
+		}
+		_, err = io.WriteString(c, "x")
+		assert.Check(t, err)
+		_, err = io.ReadFull(c, make([]byte, 1))
+		assert.Check(t, err)
+		_ = c.Close()
+	}
+}
--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -54,6 +54,16 @@
 	return c, nil
 }
 
+// ignoreNewConnections lets connections that are being established become so, and no others, until the listener is closed. It
+// returns an error if the kernel can't do that.
+func (l *callerListener) ignoreNewConnections() error {
+	if err := ignoreNewConnections(l.Listener); err != nil {
+		return err
+	}
+	time.Sleep(handshakePeriod)
+	return nil
+}
+
 // stopAccepting closes the listening socket. Connections that are established already are still accepted.
 func (l *callerListener) stopAccepting() error {
 	l.mu.Lock()
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -40,6 +40,9 @@
 	remaining := seconds(n.settings.Shutdown.GraceS) - graceMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
+	if err := listener.ignoreNewConnections(); err != nil {
+		n.log.Warn().Err(err).Msg("leaving: connections that are established in this moment may be reset")
+	}
 	if err := listener.stopAccepting(); err != nil {
 		n.log.Warn().Err(err).Msg("leaving: the listener for callers can't be closed")
 	}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -284,7 +284,7 @@
 
 // Run serves until the context ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.callerServer.Addr)
+	listener, err := listenTCP(n.callerServer.Addr)
 	if err != nil {
 		return fmt.Errorf("entrynode: listen for callers: %w", err)
 	}
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -14,6 +14,9 @@
 	// drainNoticePeriod is how long a draining node still accepts new connections. The balancer checks once a second and
 	// takes a node out after two failed checks.
 	drainNoticePeriod = 2600 * time.Millisecond
+	// handshakePeriod is how long a draining node waits for connections that are being established before it closes its
+	// listener. New ones are ignored meanwhile; a caller's kernel tries again a second later and is refused.
+	handshakePeriod = 20 * time.Millisecond
 	// unusedBeforeClose is how long a connection must be unused before a draining node closes it. A caller that was not asked
 	// to close it, because its response had begun before the drain, may send its next request meanwhile and is refused.
 	unusedBeforeClose = 200 * time.Millisecond
