hawthornrill: SIGHUP does not end the process

What callers saw: all requests in progress cut off when an operator, or a tool that expects reloads, sends SIGHUP.

Cause: the program did not register for the signal, whose default action ends a process.

Change: the signal is registered for first and logged; settings are read at start only, as before.

--- a/cmd/hawthornrill/main.go
+++ b/cmd/hawthornrill/main.go
@@ -10,6 +10,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"hawthornrill.example/hawthornrill/buildinfo"
 	"hawthornrill.example/hawthornrill/daemon"
 	"hawthornrill.example/hawthornrill/logging"
@@ -17,7 +19,7 @@
 )
 
 const usage = `usage:
-  hawthornrill -config FILE          run the node until SIGINT or SIGTERM, then drain
+  hawthornrill -config FILE          run the node until SIGINT or SIGTERM, then drain; SIGHUP has no effect
   hawthornrill check -config FILE    check the settings and exit
   hawthornrill -version
 
@@ -33,6 +35,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// Registered first, since SIGHUP ends a process that has not.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	checkOnly := len(args) > 0 && args[0] == "check"
 	if checkOnly {
 		args = args[1:]
@@ -63,7 +68,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(s)
+	return serve(s, hangUps)
 }
 
 func load(path string, rest []string) (settings.Settings, error) {
@@ -76,13 +81,25 @@
 	return settings.Load(path)
 }
 
-func serve(s settings.Settings) int {
+func serve(s settings.Settings, hangUps <-chan os.Signal) int {
 	log := logging.New(s.Log, os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	go logHangUps(ctx, hangUps, log)
 	if err := daemon.Run(ctx, s, log); err != nil {
 		log.Error().Err(err).Msg("node failed")
 		return exitFailure
 	}
 	return exitOK
 }
+
+func logHangUps(ctx context.Context, signals <-chan os.Signal, log zerolog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			log.Warn().Msg("SIGHUP has no effect: settings are read at start only")
+		}
+	}
+}
