callers: connections that are closed without dropping a request have a package

Moved from entrynode, so that the daemon can use it too; no behaviour changes. Tests moved with it, their checks unchanged. Names: Listener, TrackState and Listen for callerListener, trackConnState and listenTCP.

--- a/entrynode/backlog.go
+++ b/callers/backlog.go
@@ -1,4 +1,4 @@
-package entrynode
+package callers
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// listenTCP listens without Multipath TCP, whose sockets take no packet filter.
-func listenTCP(address string) (net.Listener, error) {
+// Listen listens without Multipath TCP, whose sockets take no packet filter.
+func Listen(address string) (net.Listener, error) {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false)
 	return config.Listen(context.Background(), "tcp", address)
--- a/entrynode/backlog_test.go
+++ b/callers/backlog_test.go
@@ -1,4 +1,4 @@
-package entrynode
+package callers
 
 import (
 	"io"
@@ -16,7 +16,7 @@
 	const connections = 5
 	raw, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := newCallerListener(raw, 0)
+	l := NewListener(raw, 0)
 	var callers []net.Conn
 	for range connections {
 		c, err := net.Dial("tcp4", raw.Addr().String())
@@ -26,7 +26,7 @@
 		assert.NilError(t, err)
 		callers = append(callers, c)
 	}
-	assert.NilError(t, l.stopAccepting())
+	assert.NilError(t, l.StopAccepting())
 	for range connections {
 		c, err := l.Accept()
 		assert.NilError(t, err)
@@ -54,11 +54,11 @@
 }
 
 func closeWhileDialling(t *testing.T, dialers int) {
-	raw, err := listenTCP("127.0.0.1:0")
+	raw, err := Listen("127.0.0.1:0")
 	if !assert.Check(t, err) {
 		return
 	}
-	l := newCallerListener(raw, 0)
+	l := NewListener(raw, 0)
 	accepted := make(chan struct{})
 	go func() {
 		defer close(accepted)
@@ -74,8 +74,8 @@
 		dialling.Go(func() { dialUntilRefused(t, raw.Addr().String()) })
 	}
 	time.Sleep(time.Millisecond)
-	assert.Check(t, l.ignoreNewConnections())
-	assert.Check(t, l.stopAccepting())
+	assert.Check(t, l.IgnoreNewConnections())
+	assert.Check(t, l.StopAccepting())
 	dialling.Wait()
 	<-accepted
 }
--- /dev/null
+++ b/callers/conn.go
@@ -0,0 +1,138 @@
+package callers
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is a caller's connection that records whether part of a request has arrived.
+//
+// net/http treats a connection as idle until it has read a complete request head. When the server shuts down, net/http may close
+// a connection on which part of a head has arrived; the request would then be dispatched and its response lost. conn defers such
+// a close until after the answer. Once the connection is closed, Read returns no more bytes, so that a request that arrives
+// during the close is not dispatched.
+type conn struct {
+	net.Conn
+	// socket is nil if the connection is not a kernel socket.
+	socket   syscall.RawConn
+	listener *Listener
+	accepted time.Time
+
+	mu sync.Mutex
+	// idle is true between requests. idleSince is when the last request ended, zero before the first one. requestStarted
+	// is true once bytes of the next request have been read.
+	idle           bool
+	idleSince      time.Time
+	requestStarted bool
+	closeDeferred  bool
+	closed         bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.socket != nil {
+		return c.readSocket(p)
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.recordRead(n)
+	return n, err
+}
+
+// recordRead records that n bytes have been read. The mutex must be held.
+func (c *conn) recordRead(n int) {
+	if n > 0 && c.idle {
+		c.requestStarted = true
+	}
+}
+
+// Close implements net.Conn. While the server shuts down, net/http closes idle connections; that call is deferred if part of a
+// request has arrived. The next call, after the answer, closes the connection.
+func (c *conn) Close() error {
+	if c.deferClose() {
+		return nil
+	}
+	c.mu.Lock()
+	c.markClosed()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *conn) deferClose() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.closeDeferred || !c.listener.draining.Load() || !c.requestStarted && !c.hasUnread() {
+		return false
+	}
+	c.closeDeferred = true
+	return true
+}
+
+// closeIfIdle closes the connection if it has been idle since before the given time and no part of a request has arrived.
+func (c *conn) closeIfIdle(before time.Time) error {
+	if !c.endIfIdle(func() bool { return !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// closeIfUnused is like closeIfIdle, but also closes a connection on which no request has arrived within neverUsedTimeout.
+func (c *conn) closeIfUnused(before time.Time) error {
+	neverUsed := func() bool { return c.idleSince.IsZero() && time.Since(c.accepted) > neverUsedTimeout }
+	if !c.endIfIdle(func() bool { return neverUsed() || !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// endIfIdle marks the connection as closed if the condition holds, it is idle and no part of a request has arrived.
+func (c *conn) endIfIdle(condition func() bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.idle || c.requestStarted || !condition() || !c.endIfNothingUnread() {
+		return false
+	}
+	c.markClosed()
+	return true
+}
+
+// markClosed makes further reads return nothing and releases the connection's slot. The mutex must be held. The connection is
+// closed without it, since net waits for a read in progress.
+func (c *conn) markClosed() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.listener.remove(c)
+}
+
+// CloseWrite lets net/http close its sending side first, so that a caller can read an answer that is sent before the
+// request body has been received completely.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// setState records net/http's state of the connection.
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.idle, c.requestStarted, c.idleSince = true, false, time.Now()
+	case http.StateActive:
+		c.idle = false
+	}
+}
+
+// TrackState is the ConnState callback of a server whose connections all come from a Listener.
+func TrackState(c net.Conn, state http.ConnState) { c.(*conn).setState(state) }
--- a/entrynode/callers_test.go
+++ b/callers/conn_test.go
@@ -1,4 +1,4 @@
-package entrynode
+package callers
 
 import (
 	"bufio"
@@ -37,19 +37,19 @@
 const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // sendTwoRequests sends two requests on one connection and calls drain while the head of the second one is being read.
-func sendTwoRequests(t *testing.T, drain func(*http.Server, *callerListener)) (*http.Response, error) {
+func sendTwoRequests(t *testing.T, drain func(*http.Server, *Listener)) (*http.Response, error) {
 	raw, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
 	t.Cleanup(func() { _ = server.Close() })
 	reads := 0
-	var listener *callerListener
-	listener = newCallerListener(hookedListener{raw, func() {
+	var listener *Listener
+	listener = NewListener(hookedListener{raw, func() {
 		if reads++; reads == len(testRequest)+len(testRequest)/2 {
 			drain(server, listener)
 		}
 	}}, 0)
-	server.ConnState = trackConnState
+	server.ConnState = TrackState
 	go func() { _ = server.Serve(listener) }()
 	c, err := net.Dial("tcp4", raw.Addr().String())
 	assert.NilError(t, err)
@@ -72,7 +72,7 @@
 // A request whose head has arrived in part when the node starts to drain must be served: net/http would close the
 // connection as idle, and the request would be dispatched and its response lost.
 func TestPartialRequestIsServedDuringDrain(t *testing.T) {
-	response, err := sendTwoRequests(t, func(server *http.Server, l *callerListener) {
+	response, err := sendTwoRequests(t, func(server *http.Server, l *Listener) {
 		l.draining.Store(true)
 		server.SetKeepAlivesEnabled(false)
 	})
@@ -83,7 +83,7 @@
 
 func TestIdleSweepKeepsConnectionWithPartialRequest(t *testing.T) {
 	near, far := net.Pipe()
-	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true, idleSince: time.Now()}
+	c := &conn{Conn: near, listener: NewListener(nil, 0), idle: true, idleSince: time.Now()}
 	go func() { _, _ = far.Write([]byte("G")) }()
 	_, err := c.Read(make([]byte, 1))
 	assert.NilError(t, err)
@@ -95,7 +95,7 @@
 
 func TestReadFailsAfterIdleClose(t *testing.T) {
 	near, far := net.Pipe()
-	c := &callerConn{Conn: near, listener: newCallerListener(nil, 0), idle: true, idleSince: time.Now()}
+	c := &conn{Conn: near, listener: NewListener(nil, 0), idle: true, idleSince: time.Now()}
 	read := make(chan error, 1)
 	go func() {
 		_, err := c.Read(make([]byte, 1))
@@ -117,7 +117,7 @@
 
 func TestConnectionsWaitAtLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newCallerListener(pipeListener{}, 2)
+		l := NewListener(pipeListener{}, 2)
 		accepted := make(chan net.Conn, 3)
 		go func() {
 			for range 3 {
@@ -143,7 +143,7 @@
 
 func TestReadDuringCloseReturnsNoBytes(t *testing.T) {
 	near, _ := net.Pipe()
-	c := &callerConn{listener: newCallerListener(nil, 0), idle: true, idleSince: time.Now()}
+	c := &conn{listener: NewListener(nil, 0), idle: true, idleSince: time.Now()}
 	c.Conn = closedWhileRead{near, func() error { return c.closeIfIdle(time.Now().Add(time.Hour)) }}
 	n, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, net.ErrClosed)
@@ -153,25 +153,25 @@
 func TestIdleSweepClosesIdleConnections(t *testing.T) {
 	tests := []struct {
 		name   string
-		conn   callerConn
+		conn   conn
 		limit  time.Duration
 		closed bool
 	}{
-		{"idle for longer than the limit", callerConn{idle: true, idleSince: time.Now().Add(-time.Hour)}, time.Minute, true},
-		{"idle for less than the limit", callerConn{idle: true, idleSince: time.Now().Add(-time.Hour)}, 2 * time.Hour, false},
-		{"no limit", callerConn{idle: true, idleSince: time.Now().Add(-time.Hour)}, 0, false},
-		{"request in progress", callerConn{idleSince: time.Now().Add(-time.Hour)}, time.Minute, false},
-		{"part of a request read", callerConn{idle: true, requestStarted: true, idleSince: time.Now().Add(-time.Hour)}, time.Minute, false},
-		{"no request yet", callerConn{idle: true}, time.Minute, false},
+		{"idle for longer than the limit", conn{idle: true, idleSince: time.Now().Add(-time.Hour)}, time.Minute, true},
+		{"idle for less than the limit", conn{idle: true, idleSince: time.Now().Add(-time.Hour)}, 2 * time.Hour, false},
+		{"no limit", conn{idle: true, idleSince: time.Now().Add(-time.Hour)}, 0, false},
+		{"request in progress", conn{idleSince: time.Now().Add(-time.Hour)}, time.Minute, false},
+		{"part of a request read", conn{idle: true, requestStarted: true, idleSince: time.Now().Add(-time.Hour)}, time.Minute, false},
+		{"no request yet", conn{idle: true}, time.Minute, false},
 	}
 	for i := range tests {
 		test := &tests[i]
-		l := newCallerListener(nil, 0)
+		l := NewListener(nil, 0)
 		c := &test.conn
 		c.Conn, _ = net.Pipe()
 		c.listener = l
 		l.open[c] = true
-		l.closeIdle(test.limit)
+		l.CloseIdle(test.limit)
 		assert.Equal(t, c.closed, test.closed, test.name)
 		assert.Equal(t, len(l.open) == 0, test.closed, test.name)
 	}
--- /dev/null
+++ b/callers/listener.go
@@ -0,0 +1,142 @@
+// Package callers accepts callers' connections for a net/http server and closes them without dropping a request that has
+// arrived.
+//
+// A server that drains calls IgnoreNewConnections and StopAccepting, then CloseConnections, and then Shutdown. Its ConnState is
+// TrackState.
+package callers
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hawthornrill.example/hawthornrill/pacing"
+)
+
+// Listener accepts callers' connections. It limits the number of open connections; further ones wait to be accepted.
+type Listener struct {
+	net.Listener
+	// slots holds a token for each open connection, up to its capacity; nil for no limit.
+	slots chan struct{}
+	// draining is true once net/http may close idle connections because the server is shut down.
+	draining atomic.Bool
+
+	mu   sync.Mutex
+	open map[*conn]bool
+	// pending holds the connections that were established but not accepted when the listener was closed.
+	pending []net.Conn
+}
+
+// NewListener returns a listener that holds at most limit connections open; 0 means no limit.
+func NewListener(l net.Listener, limit int) *Listener {
+	c := &Listener{Listener: l, open: make(map[*conn]bool)}
+	if limit > 0 {
+		c.slots = make(chan struct{}, limit)
+	}
+	return c
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	if l.slots != nil {
+		l.slots <- struct{}{}
+	}
+	raw, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && len(l.pending) > 0 {
+		raw, err = l.pending[0], nil
+		l.pending = l.pending[1:]
+	}
+	if err != nil {
+		l.release()
+		return nil, err
+	}
+	c := &conn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
+	l.open[c] = true
+	return c, nil
+}
+
+// IgnoreNewConnections lets connections that are being established become so, and no others, until the listener is closed. It
+// returns an error if the kernel can't do that.
+func (l *Listener) IgnoreNewConnections() error {
+	if err := ignoreNewConnections(l.Listener); err != nil {
+		return err
+	}
+	time.Sleep(handshakePeriod)
+	return nil
+}
+
+// StopAccepting closes the listening socket. Connections that are established already are still accepted.
+func (l *Listener) StopAccepting() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = acceptEstablished(l.Listener)
+	return l.Listener.Close()
+}
+
+// CloseConnections closes each connection once it has been unused for the given time, until none is open or the context ends,
+// whose cause it returns. http.Server.Shutdown must not do it: it may close a connection on which a request has just begun.
+func (l *Listener) CloseConnections(ctx context.Context, unused time.Duration) error {
+	for !l.closeUnused(time.Now().Add(-unused)) {
+		if !pacing.Sleep(ctx, closePollInterval) {
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// Shutdown shuts down the server that the listener accepts for.
+func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
+	l.draining.Store(true)
+	return server.Shutdown(ctx)
+}
+
+// closeUnused closes the connections that have not been used since the given time, or that never had a request, once
+// neverUsedTimeout has passed. It reports whether none is open.
+func (l *Listener) closeUnused(since time.Time) bool {
+	for _, c := range l.openConns() {
+		_ = c.closeIfUnused(since) // the caller may have closed it already
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)+len(l.pending) == 0
+}
+
+// openConns returns the open connections. Their locks must not be taken under that of the listener: a connection that is being
+// closed takes them the other way round.
+func (l *Listener) openConns() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
+func (l *Listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// remove removes a closed connection and releases its slot.
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	delete(l.open, c)
+	l.mu.Unlock()
+	l.release()
+}
+
+// CloseIdle closes connections that have been idle for longer than the limit of the configuration; 0 means no limit.
+func (l *Listener) CloseIdle(limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	before := time.Now().Add(-limit - idleTimeoutMargin)
+	for _, c := range l.openConns() {
+		_ = c.closeIfIdle(before) // the caller may have closed it already
+	}
+}
--- a/entrynode/callersocket.go
+++ b/callers/socket.go
@@ -1,4 +1,4 @@
-package entrynode
+package callers
 
 import (
 	"io"
@@ -24,7 +24,7 @@
 
 // readSocket reads with the mutex held, so that no bytes are in flight between the kernel's buffer and requestStarted when the
 // connection is closed as idle.
-func (c *callerConn) readSocket(p []byte) (n int, err error) {
+func (c *conn) readSocket(p []byte) (n int, err error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
@@ -43,7 +43,7 @@
 	return n, nil
 }
 
-func (c *callerConn) readAvailable(fd int, p []byte) (int, error) {
+func (c *conn) readAvailable(fd int, p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -60,7 +60,7 @@
 }
 
 // hasUnread reports whether bytes have arrived that were not read yet.
-func (c *callerConn) hasUnread() (unread bool) {
+func (c *conn) hasUnread() (unread bool) {
 	if c.socket == nil {
 		return false
 	}
@@ -70,7 +70,7 @@
 
 // endIfNothingUnread ends the connection for its caller at once, unless bytes have arrived that were not read yet. It reports
 // whether there were none.
-func (c *callerConn) endIfNothingUnread() bool {
+func (c *conn) endIfNothingUnread() bool {
 	if c.socket == nil {
 		return true
 	}
--- a/entrynode/callersocket_test.go
+++ b/callers/socket_test.go
@@ -1,4 +1,4 @@
-package entrynode
+package callers
 
 import (
 	"io"
@@ -10,24 +10,24 @@
 	"gotest.tools/v3/assert"
 )
 
-// connect returns both ends of a TCP connection, the server's as an idle callerConn.
-func connect(t *testing.T, l *callerListener) (caller net.Conn, server *callerConn) {
+// connect returns both ends of a TCP connection, the server's as an idle conn.
+func connect(t *testing.T, l *Listener) (caller net.Conn, server *conn) {
 	t.Helper()
 	caller, err := net.Dial("tcp4", l.Addr().String())
 	assert.NilError(t, err)
 	accepted, err := l.Accept()
 	assert.NilError(t, err)
-	server = accepted.(*callerConn)
+	server = accepted.(*conn)
 	server.idleSince = time.Now()
 	return caller, server
 }
 
-func listenForCallers(t *testing.T) *callerListener {
+func listenForCallers(t *testing.T) *Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	return newCallerListener(l, 0)
+	return NewListener(l, 0)
 }
 
 // Guards against requests that are lost with a connection that is closed as idle, although they had arrived before: they were
@@ -81,7 +81,7 @@
 	_, server := connect(t, l)
 	server.idleSince = time.Time{}
 	assert.Assert(t, !l.closeUnused(time.Now()))
-	server.accepted = time.Now().Add(-readHeaderTimeout - time.Second)
+	server.accepted = time.Now().Add(-neverUsedTimeout - time.Second)
 	assert.Assert(t, l.closeUnused(time.Now()))
 }
 
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/gateway"
 	"hawthornrill.example/hawthornrill/pacing"
@@ -21,7 +22,7 @@
 // serves what comes. Then it finishes the requests in progress, refuses those that come on open connections, and closes each
 // connection once it has not been used for a while, so that no request crosses the close of its connection. Requests that
 // are left at the end of the grace period get their final response: one that is queued is told that it has not run.
-func (n *Node) serveCallers(ctx context.Context, listener *callerListener) error {
+func (n *Node) serveCallers(ctx context.Context, listener *callers.Listener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- n.callerServer.Serve(listener) }()
 	select {
@@ -32,7 +33,7 @@
 	return n.drain(listener)
 }
 
-func (n *Node) drain(listener *callerListener) error {
+func (n *Node) drain(listener *callers.Listener) error {
 	start := time.Now()
 	n.draining.Store(true)
 	n.log.Info().Int("active", n.gateway.Active()).Msg("leaving: no longer ready")
@@ -40,33 +41,21 @@
 	remaining := seconds(n.settings.Shutdown.GraceS) - graceMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
-	if err := listener.ignoreNewConnections(); err != nil {
+	if err := listener.IgnoreNewConnections(); err != nil {
 		n.log.Warn().Err(err).Msg("leaving: connections that are established in this moment may be reset")
 	}
-	if err := listener.stopAccepting(); err != nil {
+	if err := listener.StopAccepting(); err != nil {
 		n.log.Warn().Err(err).Msg("leaving: the listener for callers can't be closed")
 	}
 	// What was sent before the listener was closed is still served.
 	pacing.Sleep(ctx, unusedBeforeClose)
 	n.gateway.RefuseRequests()
-	if err := closeConnections(ctx, listener, unusedBeforeClose); err != nil {
+	if err := listener.CloseConnections(ctx, unusedBeforeClose); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are given up")
 		n.giveUpRequests(listener)
 		return errDrained
 	}
-	listener.draining.Store(true)
-	return errors.Join(errDrained, n.callerServer.Shutdown(ctx))
-}
-
-// closeConnections closes each connection once it has been unused for the given time, until none is open or the context ends.
-// http.Server.Shutdown must not do it: it may close a connection on which a request has just begun.
-func closeConnections(ctx context.Context, listener *callerListener, unused time.Duration) error {
-	for !listener.closeUnused(time.Now().Add(-unused)) {
-		if !pacing.Sleep(ctx, closePollInterval) {
-			return context.Cause(ctx)
-		}
-	}
-	return nil
+	return errors.Join(errDrained, listener.Shutdown(ctx, n.callerServer))
 }
 
 // serveCaller asks the caller to close its connection if the node drains, and passes the request on.
@@ -78,12 +67,12 @@
 }
 
 // giveUpRequests ends the requests in progress and waits for their final responses to be written.
-func (n *Node) giveUpRequests(listener *callerListener) {
+func (n *Node) giveUpRequests(listener *callers.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
 	defer cancel()
 	n.gateway.StopDispatching()
 	n.stopRequests(gateway.ErrStopped)
-	if err := closeConnections(ctx, listener, 0); err != nil {
+	if err := listener.CloseConnections(ctx, 0); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are cut off")
 	}
 }
--- a/entrynode/leave_test.go
+++ b/entrynode/leave_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/gateway"
 )
 
@@ -26,7 +27,7 @@
 		closed := make(chan time.Duration, 1)
 		n.callerServer.RegisterOnShutdown(func() { closed <- time.Since(start) })
 		drained := make(chan error, 1)
-		go func() { drained <- n.drain(newCallerListener(closedListener{}, 0)) }()
+		go func() { drained <- n.drain(callers.NewListener(closedListener{}, 0)) }()
 		synctest.Wait()
 		ready, _ := n.Ready()
 		assert.Assert(t, !ready, "a draining node must not be ready")
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
 	"hawthornrill.example/hawthornrill/endpointgate"
@@ -263,7 +264,7 @@
 		Handler:           http.HandlerFunc(n.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         trackConnState,
+		ConnState:         callers.TrackState,
 		ErrorLog:          debugLogger(n.log),
 	}
 	n.readyServer = &http.Server{Addr: n.settings.Listen.Ready, Handler: http.HandlerFunc(n.serveReady), ErrorLog: debugLogger(n.log)}
@@ -284,16 +285,16 @@
 
 // Run serves until the context ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := listenTCP(n.callerServer.Addr)
+	listener, err := callers.Listen(n.callerServer.Addr)
 	if err != nil {
 		return fmt.Errorf("entrynode: listen for callers: %w", err)
 	}
 	var group run.Group
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	callers := newCallerListener(listener, n.settings.Host.callerConnections())
-	n.addBackground(&group, background, stop, callers)
-	group.Add(func() error { return n.serveCallers(ctx, callers) }, func(error) { _ = n.callerServer.Close() })
+	callerListener := callers.NewListener(listener, n.settings.Host.callerConnections())
+	n.addBackground(&group, background, stop, callerListener)
+	group.Add(func() error { return n.serveCallers(ctx, callerListener) }, func(error) { _ = n.callerServer.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callerServer.Addr).Msg("node started")
 	err = group.Run()
 	n.log.Info().AnErr("cause", err).Msg("node stopped")
@@ -304,9 +305,9 @@
 }
 
 // addBackground adds the background tasks and the other servers to the run group.
-func (n *Node) addBackground(group *run.Group, ctx context.Context, stop func(), callers *callerListener) {
+func (n *Node) addBackground(group *run.Group, ctx context.Context, stop func(), listener *callers.Listener) {
 	sweep := func(ctx context.Context) error {
-		return pacing.Every(ctx, idleSweepInterval, func() { callers.closeIdle(n.idleTimeout()) })
+		return pacing.Every(ctx, idleSweepInterval, func() { listener.CloseIdle(n.idleTimeout()) })
 	}
 	background := []func(context.Context) error{
 		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep,
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -14,14 +14,9 @@
 	// drainNoticePeriod is how long a draining node still accepts new connections. The balancer checks once a second and
 	// takes a node out after two failed checks.
 	drainNoticePeriod = 2600 * time.Millisecond
-	// handshakePeriod is how long a draining node waits for connections that are being established before it closes its
-	// listener. New ones are ignored meanwhile; a caller's kernel tries again a second later and is refused.
-	handshakePeriod = 20 * time.Millisecond
 	// unusedBeforeClose is how long a connection must be unused before a draining node closes it. A caller that was not asked
 	// to close it, because its response had begun before the drain, may send its next request meanwhile and is refused.
 	unusedBeforeClose = 200 * time.Millisecond
-	// closePollInterval is the interval at which a draining node checks the use of its connections.
-	closePollInterval = 10 * time.Millisecond
 	// graceMargin is subtracted from the time until the process is killed.
 	graceMargin = 400 * time.Millisecond
 	// finalResponseTimeout limits the writing of the final responses at the end of the grace period. It is part of
@@ -36,8 +31,6 @@
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes limits the size of a request head. The limit in the configuration is lower.
 	maxHeaderBytes = 64 << 10
-	// idleSweepInterval is the interval between checks for idle connections. idleTimeoutMargin is added to the idle timeout
-	// in the configuration, since callers reuse connections for almost that long.
+	// idleSweepInterval is the interval between checks for idle connections.
 	idleSweepInterval = time.Second
-	idleTimeoutMargin = 2 * time.Second
 )
