daemon: requests that have arrived are answered at shutdown

What callers saw: EOF for a request on an open connection that was sent just before its node had drained and shut down. Its caller could not know that it had not run.

Cause: as in the entry node. http.Server.Shutdown closes what it takes for idle, and the listener's queue was reset.

Change: the servers for callers and operators close their connections by the package callers. With TLS, where HTTP/2 tells callers which requests were not read, net/http still closes the connections.

--- a/callers/listener.go
+++ b/callers/listener.go
@@ -21,6 +21,7 @@
 // Listener accepts callers' connections. It limits the number of open connections; further ones wait to be accepted.
 type Listener struct {
 	net.Listener
+	closeOnce func() error
 	// slots holds a token for each open connection, up to its capacity; nil for no limit.
 	slots chan struct{}
 	// draining is true once net/http may close idle connections because the server is shut down.
@@ -34,7 +35,7 @@
 
 // NewListener returns a listener that holds at most limit connections open; 0 means no limit.
 func NewListener(l net.Listener, limit int) *Listener {
-	c := &Listener{Listener: l, open: make(map[*conn]bool)}
+	c := &Listener{Listener: l, closeOnce: sync.OnceValue(func() error { return l.Close() }), open: make(map[*conn]bool)}
 	if limit > 0 {
 		c.slots = make(chan struct{}, limit)
 	}
@@ -77,9 +78,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending = acceptEstablished(l.Listener)
-	return l.Listener.Close()
+	return l.Close()
 }
 
+// Close implements net.Listener. The server closes its listener, too.
+func (l *Listener) Close() error { return l.closeOnce() }
+
 // CloseConnections closes each connection once it has been unused for the given time, until none is open or the context ends,
 // whose cause it returns. http.Server.Shutdown must not do it: it may close a connection on which a request has just begun.
 func (l *Listener) CloseConnections(ctx context.Context, unused time.Duration) error {
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/settings"
 )
 
@@ -19,7 +20,7 @@
 	var l listeners
 	var errs []error
 	open := func(field, address string) net.Listener {
-		listener, err := net.Listen("tcp", address)
+		listener, err := callers.Listen(address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("daemon: listen.%s = %q: %w", field, address, err))
 		}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -6,11 +6,13 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/logging"
 	"hawthornrill.example/hawthornrill/operatorapi"
 )
@@ -20,6 +22,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 2 * time.Minute
+	// unusedBeforeClose is how long a connection must be unused before it is closed at
+	// shutdown.
+	unusedBeforeClose = 200 * time.Millisecond
 	// shutdownTimeout limits the shutdown of the callers' server and of the peer
 	// transport after the node was drained.
 	shutdownTimeout = 5 * time.Second
@@ -28,7 +33,10 @@
 // server is an HTTP server with its listener.
 type server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *callers.Listener
+	log      zerolog.Logger
+	// closing is true once the listener is being closed.
+	closing atomic.Bool
 	// shutdownTimeout limits how long close waits for active requests.
 	shutdownTimeout time.Duration
 }
@@ -48,7 +56,8 @@
 	e := echo.New()
 	register(e)
 	return &server{
-		listener:        listener,
+		listener:        callers.NewListener(listener, 0),
+		log:             logger,
 		shutdownTimeout: shutdownTimeout,
 		http: &http.Server{
 			Handler:           e,
@@ -61,17 +70,18 @@
 
 // serve handles requests until close is called.
 func (s *server) serve() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	s.http.ConnState = callers.TrackState
+	return s.result(s.http.Serve(s.listener))
 }
 
 // serveTLS is like serve, with the certificate and the key of the given files.
 func (s *server) serveTLS(certificate, key string) error {
-	err := s.http.ServeTLS(s.listener, certificate, key)
-	if errors.Is(err, http.ErrServerClosed) {
+	return s.result(s.http.ServeTLS(s.listener.Listener, certificate, key))
+}
+
+// result returns the error with which net/http stopped serving, nil if close caused it.
+func (s *server) result(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || s.closing.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -82,7 +92,26 @@
 func (s *server) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), s.shutdownTimeout)
 	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.shutdown(ctx); err != nil {
+		s.log.Warn().Err(err).Str("address", s.listener.Addr().String()).Msg("shutdown: connections are cut off")
 		_ = s.http.Close()
 	}
 }
+
+// shutdown serves what has arrived and closes the connections. With TLS that is left to net/http, as it tells the callers of
+// HTTP/2 which requests it has not read.
+func (s *server) shutdown(ctx context.Context) error {
+	if s.http.ConnState != nil {
+		if err := s.listener.IgnoreNewConnections(); err != nil {
+			s.log.Warn().Err(err).Msg("shutdown: connections that are established in this moment may be reset")
+		}
+		s.closing.Store(true)
+		if err := s.listener.StopAccepting(); err != nil {
+			return err
+		}
+		if err := s.listener.CloseConnections(ctx, unusedBeforeClose); err != nil {
+			return err
+		}
+	}
+	return s.listener.Shutdown(ctx, s.http)
+}
