--- a/callers/listener.go
+++ b/callers/listener.go
@@ -63,8 +63,8 @@
 	return c, nil
 }
 
-// IgnoreNewConnections lets connections that are being established become so, and no others, until the listener is closed. It
-// returns an error if the kernel can't do that.
+// IgnoreNewConnections makes the kernel drop requests for new connections until the listener is closed, and waits for the
+// connections that are being established. It returns an error if the kernel does not support that.
 func (l *Listener) IgnoreNewConnections() error {
 	if err := ignoreNewConnections(l.Listener); err != nil {
 		return err
