daemon: a server knows whether it serves without TLS before it is closed

ConnState was set while serving began and read by the shutdown, which may come first. No fault was seen; the tests pass 2 of 2 with -race at -cpu 1, 2, 8.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -35,8 +35,8 @@
 	http     *http.Server
 	listener *callers.Listener
 	log      zerolog.Logger
-	// closing is true once the listener is being closed.
-	closing atomic.Bool
+	// plain is true once the server serves without TLS, closing once its listener is being closed.
+	plain, closing atomic.Bool
 	// shutdownTimeout limits how long close waits for active requests.
 	shutdownTimeout time.Duration
 }
@@ -55,22 +55,30 @@
 func newServer(listener net.Listener, shutdownTimeout time.Duration, logger zerolog.Logger, register func(*echo.Echo)) *server {
 	e := echo.New()
 	register(e)
-	return &server{
+	s := &server{
 		listener:        callers.NewListener(listener, 0),
 		log:             logger,
 		shutdownTimeout: shutdownTimeout,
-		http: &http.Server{
-			Handler:           e,
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       idleTimeout,
-			ErrorLog:          log.New(logging.LineWriter{Logger: logger, Level: zerolog.DebugLevel}, "", 0),
-		},
+	}
+	s.http = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnState:         s.trackState,
+		ErrorLog:          log.New(logging.LineWriter{Logger: logger, Level: zerolog.DebugLevel}, "", 0),
+	}
+	return s
+}
+
+func (s *server) trackState(c net.Conn, state http.ConnState) {
+	if s.plain.Load() {
+		callers.TrackState(c, state)
 	}
 }
 
 // serve handles requests until close is called.
 func (s *server) serve() error {
-	s.http.ConnState = callers.TrackState
+	s.plain.Store(true)
 	return s.result(s.http.Serve(s.listener))
 }
 
@@ -101,7 +109,7 @@
 // shutdown serves what has arrived and closes the connections. With TLS that is left to net/http, as it tells the callers of
 // HTTP/2 which requests it has not read.
 func (s *server) shutdown(ctx context.Context) error {
-	if s.http.ConnState != nil {
+	if s.plain.Load() {
 		if err := s.listener.IgnoreNewConnections(); err != nil {
 			s.log.Warn().Err(err).Msg("shutdown: connections that are established in this moment may be reset")
 		}
