--- a/callers/backlog.go
+++ b/callers/backlog.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -20,16 +19,13 @@
 // ignoreNewConnections makes the kernel drop requests for new connections to a listening socket, while those that are being
 // established still are. It has no effect if the listener is not a kernel socket.
 func ignoreNewConnections(l net.Listener) error {
-	socket, ok := l.(syscall.Conn)
-	if !ok {
+	socket := socketOf(l)
+	if socket == nil {
 		return nil
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return err
-	}
 	program := dropInitialSegments()
-	controlErr := raw.Control(func(fd uintptr) {
+	var err error
+	controlErr := socket.Control(func(fd uintptr) {
 		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
 	})
 	return errors.Join(controlErr, os.NewSyscallError("setsockopt", err))
@@ -54,15 +50,11 @@
 // acceptEstablished accepts the connections that a listening socket holds in its queue, without waiting. Closing the socket
 // would reset them, although their callers may have sent requests. It returns none if the listener is not a kernel socket.
 func acceptEstablished(l net.Listener) (conns []net.Conn) {
-	socket, ok := l.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	socket := socketOf(l)
+	if socket == nil {
 		return nil
 	}
-	_ = raw.Control(func(fd uintptr) { // fails if the listener is closed
+	_ = socket.Control(func(fd uintptr) { // fails if the listener is closed
 		for {
 			accepted, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if err != nil {
--- a/callers/socket.go
+++ b/callers/socket.go
@@ -9,13 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// socketOf returns the connection's kernel socket, nil if it has none.
-func socketOf(c net.Conn) syscall.RawConn {
-	conn, ok := c.(syscall.Conn)
+// socketOf returns the kernel socket of a connection or listener, nil if it has none.
+func socketOf(c any) syscall.RawConn {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
 	}
-	raw, err := conn.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return nil
 	}
