membership: a change is not dropped before it is pushed

What operators would have seen: a node that takes a whole core and ever more memory after several nodes of its data centre became unreachable at once.

Cause: a change that pings had carried before its push was dropped as sent often enough when the number of nodes fell. The counter of changes that are not pushed kept it, and the loop that pushes runs until that is zero. It came with the pushes along the ring.

Change: a change is dropped only once it has been pushed.

--- a/membership/broadcast.go
+++ b/membership/broadcast.go
@@ -93,7 +93,8 @@
 }
 
 // send counts the changes as sent, drops those that have been sent often enough, and
-// returns the changes.
+// returns the changes. One that has not been pushed is kept, however often it has been
+// sent: the number of nodes may have fallen since.
 func (b *broadcasts) send(taken []*broadcast, nodes int) (records []record, contacts []reachability) {
 	for _, o := range taken {
 		o.sent++
@@ -103,7 +104,7 @@
 		}
 		contacts = append(contacts, *o.reachability)
 	}
-	b.pending = slices.DeleteFunc(b.pending, func(o *broadcast) bool { return o.sent >= transmissions(nodes) })
+	b.pending = slices.DeleteFunc(b.pending, func(o *broadcast) bool { return o.pushed && o.sent >= transmissions(nodes) })
 	return records, contacts
 }
 
