callers: one close, one condition and one period for both servers

Close decides and marks under one lock instead of two, the two closes of idle connections share what they do, and the period after which a draining server closes a connection stands once instead of in entrynode and daemon. Behaviour stays as it is; no test changed.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -56,43 +56,45 @@
 // Close implements net.Conn. While the server shuts down, net/http closes idle connections; that call is deferred if part of a
 // request has arrived. The next call, after the answer, closes the connection.
 func (c *conn) Close() error {
-	if c.deferClose() {
+	if !c.endUnlessDeferred() {
 		return nil
 	}
-	c.mu.Lock()
-	c.markClosed()
-	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
-func (c *conn) deferClose() bool {
+func (c *conn) endUnlessDeferred() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.closeDeferred || !c.listener.draining.Load() || !c.requestStarted && !c.hasUnread() {
+	if c.idle && !c.closeDeferred && c.listener.draining.Load() && (c.requestStarted || c.hasUnread()) {
+		c.closeDeferred = true
 		return false
 	}
-	c.closeDeferred = true
+	c.markClosed()
 	return true
 }
 
 // closeIfIdle closes the connection if it has been idle since before the given time and no part of a request has arrived.
 func (c *conn) closeIfIdle(before time.Time) error {
-	if !c.endIfIdle(func() bool { return !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
-		return nil
-	}
-	return c.Conn.Close()
+	return c.closeIf(func() bool { return c.idleBefore(before) })
 }
 
 // closeIfUnused is like closeIfIdle, but also closes a connection on which no request has arrived within neverUsedTimeout.
 func (c *conn) closeIfUnused(before time.Time) error {
-	neverUsed := func() bool { return c.idleSince.IsZero() && time.Since(c.accepted) > neverUsedTimeout }
-	if !c.endIfIdle(func() bool { return neverUsed() || !c.idleSince.IsZero() && c.idleSince.Before(before) }) {
+	return c.closeIf(func() bool {
+		return c.idleBefore(before) || c.idleSince.IsZero() && time.Since(c.accepted) > neverUsedTimeout
+	})
+}
+
+func (c *conn) idleBefore(t time.Time) bool { return !c.idleSince.IsZero() && c.idleSince.Before(t) }
+
+// closeIf closes the connection if the condition holds, it is idle and no part of a request has arrived.
+func (c *conn) closeIf(condition func() bool) error {
+	if !c.endIfIdle(condition) {
 		return nil
 	}
 	return c.Conn.Close()
 }
 
-// endIfIdle marks the connection as closed if the condition holds, it is idle and no part of a request has arrived.
 func (c *conn) endIfIdle(condition func() bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/callers/options.go
+++ b/callers/options.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// UnusedBeforeClose is how long a connection must be unused before a draining server closes it. A caller that was not asked to
+// close it, because its response had begun before the drain, may send its next request meanwhile and is refused.
+const UnusedBeforeClose = 200 * time.Millisecond
+
 const (
 	// handshakePeriod is how long a draining server waits for connections that are being established before it closes its
 	// listener. New ones are ignored meanwhile; a caller's kernel tries again a second later and is refused.
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -22,9 +22,6 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 2 * time.Minute
-	// unusedBeforeClose is how long a connection must be unused before it is closed at
-	// shutdown.
-	unusedBeforeClose = 200 * time.Millisecond
 	// shutdownTimeout limits the shutdown of the callers' server and of the peer
 	// transport after the node was drained.
 	shutdownTimeout = 5 * time.Second
@@ -117,7 +114,7 @@
 		if err := s.listener.StopAccepting(); err != nil {
 			return err
 		}
-		if err := s.listener.CloseConnections(ctx, unusedBeforeClose); err != nil {
+		if err := s.listener.CloseConnections(ctx, callers.UnusedBeforeClose); err != nil {
 			return err
 		}
 	}
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -48,9 +48,9 @@
 		n.log.Warn().Err(err).Msg("leaving: the listener for callers can't be closed")
 	}
 	// What was sent before the listener was closed is still served.
-	pacing.Sleep(ctx, unusedBeforeClose)
+	pacing.Sleep(ctx, callers.UnusedBeforeClose)
 	n.gateway.RefuseRequests()
-	if err := listener.CloseConnections(ctx, unusedBeforeClose); err != nil {
+	if err := listener.CloseConnections(ctx, callers.UnusedBeforeClose); err != nil {
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are given up")
 		n.giveUpRequests(listener)
 		return errDrained
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -14,9 +14,6 @@
 	// drainNoticePeriod is how long a draining node still accepts new connections. The balancer checks once a second and
 	// takes a node out after two failed checks.
 	drainNoticePeriod = 2600 * time.Millisecond
-	// unusedBeforeClose is how long a connection must be unused before a draining node closes it. A caller that was not asked
-	// to close it, because its response had begun before the drain, may send its next request meanwhile and is refused.
-	unusedBeforeClose = 200 * time.Millisecond
 	// graceMargin is subtracted from the time until the process is killed.
 	graceMargin = 400 * time.Millisecond
 	// finalResponseTimeout limits the writing of the final responses at the end of the grace period. It is part of
