gossip: the test of forwarders reads them under their lock

Cause: forwardersInNextSecond returned the member's own map. The test compared it after the lock was released, while the next reports of the forwarder added to it. The product takes no part in it: both sides of the race are in the test's files, as the detector's two traces say (cmp.compareMap in the test, startFleet's OnReport).

Ruled out elsewhere: all methods of the repository that return a field under a deferred unlock were listed. The two others that return a map or a pointer (coordinator's fleet test, coordinator.Service.refresh) replace it and never change it.

--- a/gossip/forwarding_test.go
+++ b/gossip/forwarding_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 	time.Sleep(time.Second)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.forwarders
+	return maps.Clone(m.forwarders)
 }
 
 func TestLargeDataCentreHasOneForwarder(t *testing.T) {
