callers: a request that crosses the close of its connection is told that it has not run

What callers saw: EOF in place of an answer, 2.8 s after SIGTERM, for a request on a connection that had been unused for over 4 s. The request had not run, but its caller could not know.

Cause: the node ended an unused connection without a word, and the caller wrote before it noticed.

Change: an idle connection gets 408 with Connection: close, not_run and Retry-After in the call that finds nothing unread, right before its end is sent. What arrives after that is discarded, so the promise is true. The receiving side stays open until the caller closes, 0.5 s at most, since the reset of a connection may take the response with it.

The soak's check that a refused request never ran takes in 408.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -29,6 +29,9 @@
 	requestStarted bool
 	closeDeferred  bool
 	closed         bool
+	// finalSentAt is when the listener's final response was sent on the idle connection, zero before. What arrives after
+	// that is discarded until the caller closes the connection.
+	finalSentAt time.Time
 }
 
 // Read implements net.Conn.
@@ -65,7 +68,7 @@
 func (c *conn) endUnlessDeferred() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.closeDeferred && c.listener.draining.Load() && (c.requestStarted || c.hasUnread()) {
+	if c.idle && !c.closeDeferred && c.finalSentAt.IsZero() && c.listener.draining.Load() && (c.requestStarted || c.hasUnread()) {
 		c.closeDeferred = true
 		return false
 	}
@@ -87,7 +90,8 @@
 
 func (c *conn) idleBefore(t time.Time) bool { return !c.idleSince.IsZero() && c.idleSince.Before(t) }
 
-// closeIf closes the connection if the condition holds, it is idle and no part of a request has arrived.
+// closeIf closes the connection if the condition holds, it is idle and no part of a request has arrived. If the listener has a
+// final response, the caller gets that first and has finalReadTimeout to close the connection.
 func (c *conn) closeIf(condition func() bool) error {
 	if !c.endIfIdle(condition) {
 		return nil
@@ -95,16 +99,29 @@
 	return c.Conn.Close()
 }
 
+// endIfIdle reports whether the connection has to be closed now.
 func (c *conn) endIfIdle(condition func() bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || !c.idle || c.requestStarted || !condition() || !c.endIfNothingUnread() {
+	switch {
+	case c.closed:
+		return false
+	case !c.finalSentAt.IsZero():
+		if time.Since(c.finalSentAt) < finalReadTimeout {
+			return false
+		}
+	case !c.idle || c.requestStarted || !condition() || !c.endIfNothingUnread():
+		return false
+	case c.sendsFinalResponse():
+		c.finalSentAt = time.Now()
 		return false
 	}
 	c.markClosed()
 	return true
 }
 
+func (c *conn) sendsFinalResponse() bool { return c.socket != nil && len(c.listener.finalResponse) > 0 }
+
 // markClosed makes further reads return nothing and releases the connection's slot. The mutex must be held. The connection is
 // closed without it, since net waits for a read in progress.
 func (c *conn) markClosed() {
--- a/callers/listener.go
+++ b/callers/listener.go
@@ -1,6 +1,8 @@
 // Package callers accepts callers' connections for a net/http server and closes them without dropping a request that has
 // arrived.
 //
+// SetFinalResponse makes it answer a request that crosses the close of an idle connection.
+//
 // A server that drains calls IgnoreNewConnections and StopAccepting, then CloseConnections, and then Shutdown. Its ConnState is
 // TrackState.
 package callers
@@ -22,6 +24,8 @@
 type Listener struct {
 	net.Listener
 	closeOnce func() error
+	// finalResponse is sent on an idle connection before it is closed; none if empty.
+	finalResponse []byte
 	// slots holds a token for each open connection, up to its capacity; nil for no limit.
 	slots chan struct{}
 	// draining is true once net/http may close idle connections because the server is shut down.
@@ -42,6 +46,11 @@
 	return c
 }
 
+// SetFinalResponse sets the response, in its form on the wire, that the caller of an idle connection gets before the connection
+// is closed: it answers a request that was sent before the caller noticed the close. It must not be called while connections
+// are accepted.
+func (l *Listener) SetFinalResponse(response []byte) { l.finalResponse = response }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	if l.slots != nil {
--- a/callers/options.go
+++ b/callers/options.go
@@ -12,6 +12,8 @@
 	handshakePeriod = 20 * time.Millisecond
 	// neverUsedTimeout is how long a draining server keeps a connection open on which no request has arrived.
 	neverUsedTimeout = 5 * time.Second
+	// finalReadTimeout is how long the caller of an idle connection has to close it after the final response.
+	finalReadTimeout = 500 * time.Millisecond
 	// closePollInterval is the interval at which a draining server checks the use of its connections.
 	closePollInterval = 10 * time.Millisecond
 	// idleTimeoutMargin is added to the idle timeout in the configuration, since callers reuse connections for almost that
--- a/callers/socket.go
+++ b/callers/socket.go
@@ -51,7 +51,7 @@
 	}
 	for {
 		n, err := unix.Read(fd, p)
-		if err == unix.EINTR { //nolint:errorlint // a bare errno, never wrapped
+		if err == unix.EINTR || n > 0 && !c.finalSentAt.IsZero() { //nolint:errorlint // a bare errno, never wrapped
 			continue
 		}
 		c.recordRead(n)
@@ -68,8 +68,8 @@
 	return unread
 }
 
-// endIfNothingUnread ends the connection for its caller at once, unless bytes have arrived that were not read yet. It reports
-// whether there were none.
+// endIfNothingUnread sends the listener's final response and the end of the connection, unless bytes have arrived that were not
+// read yet. It reports whether there were none.
 func (c *conn) endIfNothingUnread() bool {
 	if c.socket == nil {
 		return true
@@ -77,7 +77,9 @@
 	ended := true
 	_ = c.socket.Control(func(fd uintptr) { // fails if the connection is closed
 		if ended = !unreadBytes(int(fd)); ended {
-			_ = unix.Shutdown(int(fd), unix.SHUT_WR) // fails if the caller has closed it
+			// Both fail if the caller has closed the connection.
+			_, _ = unix.SendmsgN(int(fd), c.listener.finalResponse, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR)
 		}
 	})
 	return ended
--- a/cmd/hawthornrill-entry/shutdown_test.go
+++ b/cmd/hawthornrill-entry/shutdown_test.go
@@ -143,6 +143,25 @@
 	assert.NilError(t, <-c.nodes[0].done)
 }
 
+// Guards against a request that crosses the close of its unused connection and gets no answer: its caller does not know that it
+// has not run.
+func TestRequestThatCrossesTheCloseOfItsConnectionIsToldNotRun(t *testing.T) {
+	c := newCluster(t, 1)
+	open := c.connect(c.nodes[0])
+	open.send(c, "/book/x")
+	status, _, _ := open.receive(c)
+	assert.Equal(t, status, http.StatusOK)
+	arrived := c.arrivals("app")
+	c.nodes[0].shutDown()
+	assert.NilError(t, <-c.nodes[0].done)
+	open.send(c, "/book/x")
+	status, body, closes := open.receive(c)
+	assert.Equal(t, status, http.StatusRequestTimeout)
+	assert.Assert(t, strings.Contains(body, "not_run"), body)
+	assert.Assert(t, closes)
+	assert.Equal(t, c.arrivals("app"), arrived)
+}
+
 // arrivals returns the number of requests that arrived at a service's endpoints.
 func (c *cluster) arrivals(service string) int {
 	n := 0
--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +18,9 @@
 	maxDrainDelay = 3 * time.Second
 )
 
+// notRunStatuses are the statuses that promise that the request has not run and never will.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 var completeStream = func() string {
 	var text strings.Builder
 	for i := range platformtest.StreamEvents {
@@ -27,8 +31,11 @@
 
 // check verifies the guarantees against what callers and endpoints observed.
 func (s *soak) check() {
-	answered := 0
+	answered, unread := 0, 0
 	for _, o := range s.history.outcomes {
+		if o.status == http.StatusRequestTimeout {
+			unread++
+		}
 		if o.status == http.StatusOK && o.err == nil {
 			answered++
 		}
@@ -44,7 +51,7 @@
 	s.checkDraining()
 	s.checkLimits()
 	s.checkNotices()
-	s.t.Logf("%d requests, %d answered, %d faults", len(s.history.outcomes), answered, len(s.history.faults))
+	s.t.Logf("%d requests, %d answered, %d not read before a close, %d faults", len(s.history.outcomes), answered, unread, len(s.history.faults))
 	if answered == 0 {
 		s.t.Error("no request was answered")
 	}
@@ -76,8 +83,8 @@
 		return fmt.Sprintf("a non-repeatable request ran %d times", runs)
 	case o.err == nil && o.status == http.StatusOK && !complete:
 		return "a response with status 200 and no read error has an incomplete or wrong body"
-	case (o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests) && runs > 0:
-		return "a request ran although its caller received 429 or 503"
+	case slices.Contains(notRunStatuses, o.status) && runs > 0:
+		return fmt.Sprintf("a request ran although its caller received %d", o.status)
 	case isRevoked && runs > 0 && o.sent.After(revokedAt.Add(maxRevocationDelay)):
 		return "a request with a revoked key ran"
 	case o.status == http.StatusUnauthorized && !isRevoked:
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -20,7 +20,7 @@
 // serveCallers serves callers until the context ends, then drains the node. From then on the node is not ready and asks
 // callers with each response to close their connections. Until the balancer has taken it out it accepts new connections and
 // serves what comes. Then it finishes the requests in progress, refuses those that come on open connections, and closes each
-// connection once it has not been used for a while, so that no request crosses the close of its connection. Requests that
+// connection once it has not been used for a while; a request that crosses the close is told that it has not run. Requests that
 // are left at the end of the grace period get their final response: one that is queued is told that it has not run.
 func (n *Node) serveCallers(ctx context.Context, listener *callers.Listener) error {
 	failed := make(chan error, 1)
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -293,6 +293,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	callerListener := callers.NewListener(listener, n.settings.Host.callerConnections())
+	callerListener.SetFinalResponse(gateway.FinalResponse())
 	n.addBackground(&group, background, stop, callerListener)
 	group.Add(func() error { return n.serveCallers(ctx, callerListener) }, func(error) { _ = n.callerServer.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callerServer.Addr).Msg("node started")
--- /dev/null
+++ b/gateway/final.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// FinalResponse returns the response, in its form on the wire, to a request that the node does not read because it closes the
+// connection: 408 with the outcome "not_run" and the time after which another attempt may be made.
+func FinalResponse() []byte {
+	p := &problem{
+		Status: http.StatusRequestTimeout, Title: "the connection was closed before a request was read",
+		Outcome: outcomeNotRun, RetryAfter: shortRetryAfter,
+	}
+	response := http.Response{StatusCode: p.Status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
+	body := p.header(response.Header)
+	response.ContentLength = int64(len(body))
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	var wire bytes.Buffer
+	_ = response.Write(&wire) // a buffer and a complete body don't fail
+	return wire.Bytes()
+}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -29,17 +29,22 @@
 	return &problem{Status: http.StatusServiceUnavailable, Title: title, Outcome: outcomeNotRun, RetryAfter: staleRetryAfter}
 }
 
-func (p *problem) write(w http.ResponseWriter) {
+// header sets the fields of the response and returns its body.
+func (p *problem) header(h http.Header) (body []byte) {
 	body, err := json.Marshal(p)
 	if err != nil {
 		body = []byte("{}")
 	}
-	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	return body
+}
+
+func (p *problem) write(w http.ResponseWriter) {
+	body := p.header(w.Header())
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body) // fails only if the caller has disconnected
 }
