--- a/cmd/hawthornrill-soak/history_test.go
+++ b/cmd/hawthornrill-soak/history_test.go
@@ -98,7 +98,7 @@
 	return false
 }
 
-// frozenSince returns how long a node has been frozen since the given time, at least.
+// frozenSince returns for how long a node has been frozen since the given time.
 func (h *history) frozenSince(node string, since time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -109,12 +109,19 @@
 			end = time.Now()
 		}
 		if f.kind == "freeze" && f.node == node && end.After(since) {
-			total += end.Sub(f.from)
+			total += end.Sub(later(f.from, since))
 		}
 	}
 	return total
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // explainsCut reports whether the node was killed or frozen while it had the request.
 func (h *history) explainsCut(o outcome) bool {
 	for _, f := range h.faults {
