entrynode: requests that a starved node has not read at its exit are told that they have not run

What callers saw: EOF, 6.9 s after SIGTERM, for a request that had come on a new connection within the notice period. It had not run.

Cause: at the end of the grace period the node gives final responses to the requests that it has read; one that a starved process has not read was dropped with the exit. Ruled out: a reset with the listener (2.6 s after SIGTERM), a kill (the node logs its stop).

Change: right before the exit each connection of whose next request nothing has been read, those not accepted yet included, gets 408, not_run. Nothing is read from it after that.

Before: with the plain close of an exit in its place callers TestUnreadRequestsAreAnsweredAtExit failed 5 of 5, "connection reset by peer". After: 60 of 60 with -race (-cpu 1,2,8).

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -120,6 +120,18 @@
 	return true
 }
 
+// endUnread sends the final response if nothing of the next request has been read, and reports whether it did.
+func (c *conn) endUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.idle || c.requestStarted || !c.finalSentAt.IsZero() || !c.sendsFinalResponse() {
+		return false
+	}
+	c.finalSentAt = time.Now()
+	_ = c.socket.Control(func(fd uintptr) { c.sendEnd(int(fd)) }) // fails if the connection is closed
+	return true
+}
+
 func (c *conn) sendsFinalResponse() bool { return c.socket != nil && len(c.listener.finalResponse) > 0 }
 
 // markClosed makes further reads return nothing and releases the connection's slot. The mutex must be held. The connection is
--- a/callers/final_test.go
+++ b/callers/final_test.go
@@ -75,3 +75,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, n, 1)
 }
+
+// Guards against requests that get no answer because a starved process exits before it has read them.
+func TestUnreadRequestsAreAnsweredAtExit(t *testing.T) {
+	l := listenForCallers(t)
+	l.SetFinalResponse([]byte(testFinalResponse))
+	accepted, server := connect(t, l)
+	begun, beingRead := connect(t, l)
+	waiting, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	for _, caller := range []net.Conn{accepted, begun, waiting} {
+		_, err := io.WriteString(caller, testRequest)
+		assert.NilError(t, err)
+	}
+	_, err = beingRead.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, l.StopAccepting())
+	assert.Assert(t, !l.closeUnused(longAgo()))
+	assert.Equal(t, l.EndUnread(), 2)
+	readFinalResponse(t, accepted)
+	readFinalResponse(t, waiting)
+	assert.NilError(t, accepted.Close())
+	_, err = server.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "the request must not be read")
+	n, err := beingRead.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1)
+}
--- a/callers/listener.go
+++ b/callers/listener.go
@@ -67,11 +67,15 @@
 		l.release()
 		return nil, err
 	}
-	c := &conn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
+	c := l.newConn(raw)
 	l.open[c] = true
 	return c, nil
 }
 
+func (l *Listener) newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
+}
+
 // IgnoreNewConnections makes the kernel drop requests for new connections until the listener is closed, and waits for the
 // connections that are being established. It returns an error if the kernel does not support that.
 func (l *Listener) IgnoreNewConnections() error {
@@ -104,6 +108,28 @@
 	return nil
 }
 
+// EndUnread sends the final response on the connections of whose next request nothing has been read, whether or not it has
+// arrived, and returns their number. It is for a process that exits and has not come round to reading them.
+func (l *Listener) EndUnread() (ended int) {
+	for _, c := range append(l.openConns(), l.takePending()...) {
+		if c.endUnread() {
+			ended++
+		}
+	}
+	return ended
+}
+
+// takePending returns the connections that were not accepted; they won't be.
+func (l *Listener) takePending() (pending []*conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, raw := range l.pending {
+		pending = append(pending, l.newConn(raw))
+	}
+	l.pending = nil
+	return pending
+}
+
 // Shutdown shuts down the server that the listener accepts for.
 func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
 	l.draining.Store(true)
--- a/callers/socket.go
+++ b/callers/socket.go
@@ -77,14 +77,19 @@
 	ended := true
 	_ = c.socket.Control(func(fd uintptr) { // fails if the connection is closed
 		if ended = !unreadBytes(int(fd)); ended {
-			// Both fail if the caller has closed the connection.
-			_, _ = unix.SendmsgN(int(fd), c.listener.finalResponse, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
-			_ = unix.Shutdown(int(fd), unix.SHUT_WR)
+			c.sendEnd(int(fd))
 		}
 	})
 	return ended
 }
 
+// sendEnd sends the listener's final response and the end of the connection.
+func (c *conn) sendEnd(fd int) {
+	// Both fail if the caller has closed the connection.
+	_, _ = unix.SendmsgN(fd, c.listener.finalResponse, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	_ = unix.Shutdown(fd, unix.SHUT_WR)
+}
+
 func unreadBytes(fd int) bool {
 	var b [1]byte
 	n, _, _ := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -66,13 +66,15 @@
 	n.gateway.ServeHTTP(w, r)
 }
 
-// giveUpRequests ends the requests in progress and waits for their final responses to be written.
+// giveUpRequests ends the requests in progress and waits for their final responses to be written. Callers of requests that a
+// starved process has not read by then are told that they have not run.
 func (n *Node) giveUpRequests(listener *callers.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
 	defer cancel()
 	n.gateway.StopDispatching()
 	n.stopRequests(gateway.ErrStopped)
 	if err := listener.CloseConnections(ctx, 0); err != nil {
-		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Msg("leaving: requests are cut off")
+		unread := listener.EndUnread()
+		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Int("unread", unread).Msg("leaving: requests are cut off")
 	}
 }
