Observability: software versions of endpoints, and what a request takes up

Streams held events of two versions, and nothing showed it: the version in an endpoint's entry was validated and dropped, and Resumes was not read. The list holds the version (not its encoded form, which earlier programs read as a fixed array). Log lines of a request and of the list have it, /debug/state counts endpoints by version, a gauge has the most versions of one service. No decision uses it yet.

--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Born is the start time in Unix milliseconds by the endpoint's clock, 0 if unknown.
 	Born int64
+	// Version is the version of the endpoint's software, empty if unknown. Versions of a service have no order. It is not part of
+	// the encoded form, whose length is fixed.
+	Version string `cbor:"-"`
 }
 
 // bornRadix is the radix in which the start time is encoded, chosen for short names since each report between nodes contains
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -143,6 +143,7 @@
 		MaxKeyAge: n.maxKeyAge(keyAgeMargin), MaxConfigLag: n.maxConfigLag(),
 		MaxHeldBodyBytes: int64(bodyFraction * float64(s.Host.MemoryMB) * (1 << 20)), Node: s.Node,
 	})
+	n.metrics.NewGauge("hawthornrill_service_versions", func() float64 { return float64(n.directory.Current().MaxVersions()) })
 	n.openServers()
 	return n, nil
 }
--- a/entrynode/operators.go
+++ b/entrynode/operators.go
@@ -30,6 +30,8 @@
 	Fleet     gossip.Fleet `json:"fleet"`
 	Endpoints int          `json:"endpoints"`
 	Leaving   int          `json:"endpoints_leaving"`
+	// Versions is the number of endpoints that are not leaving, by service and version of their software.
+	Versions map[string]map[string]int `json:"software_versions"`
 	// Notices is what endpoints have said about further requests and is in force.
 	Notices []endpointgate.State `json:"endpoint_notices"`
 	// Report is the node's current gossip report.
@@ -49,6 +51,7 @@
 		Waiting:   n.slots.Waiting(),
 		Fleet:     n.mesh.Fleet(),
 		Endpoints: n.directory.Current().Len(),
+		Versions:  n.directory.Current().Versions(),
 		Notices:   n.endpointGate.State(),
 	}
 	if table := n.follower.Table(); table != nil {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -176,7 +176,7 @@
 func (f *Follower) logEndpoints(change Change) {
 	for _, e := range change.Endpoints {
 		f.deps.Log.Info().Str("endpoint", string(e.ID)).Str("service", e.Service).Bool("leaving", e.Leaving).Int64("born", e.Born).
-			Uint64("revision", uint64(change.Revision)).Msg("endpoint listed")
+			Str("software_version", e.Version).Uint64("revision", uint64(change.Revision)).Msg("endpoint listed")
 	}
 	for _, id := range change.Removed {
 		f.deps.Log.Info().Str("endpoint", string(id)).Uint64("revision", uint64(change.Revision)).Msg("endpoint removed")
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -89,7 +89,7 @@
 	defer a.stopStallTimer()
 	t.unacknowledged = false
 	t.endpoint, t.endpointLoad, t.tokenTime = slot.Endpoint.Incarnation(), slot.Load, slot.TokenTime
-	t.endpointLimit = slot.Limit
+	t.endpointLimit, t.softwareVersion = slot.Limit, slot.Endpoint.Version
 	if !slot.ReportedAt.IsZero() {
 		t.endpointLoadAge = time.Since(slot.ReportedAt)
 	}
@@ -357,7 +357,7 @@
 	}
 	t.gateway.metrics.retries.Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(a.receiver())).
-		Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(a.started)).
+		Str("software_version", t.softwareVersion).Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(a.started)).
 		Int("sends", t.dispatches).Dur("rest_asked_ms", a.head.Notice.Rest).Str("last_event", t.lastEventID).AnErr("cause", err).
 		Msg("attempt failed, trying another endpoint")
 	return attemptResult{err: err}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -57,7 +57,7 @@
 	slot := &forwardSlot{end: t.gateway.deps.Reach.BeginForward(helper.Node)}
 	defer slot.Release(resultNotDispatched)
 	a := &attempt{task: t, slot: slot, helper: helper.Node, ctx: ctx, cancel: cancel, started: time.Now()}
-	t.endpoint, t.unacknowledged = a.receiver(), false
+	t.endpoint, t.softwareVersion, t.unacknowledged = a.receiver(), "", false
 	head := t.newForwardHead()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("to", string(helper.Node)).Str("service", t.service).
 		Int("sends", t.dispatches).Int("endpoints_left", head.MaxEndpoints).Str("last_event", t.lastEventID).Msg("forwarding to another node")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -51,6 +51,9 @@
 	if t.forwarded != nil {
 		line.Str("forwarded_by", string(t.forwarded.From))
 	}
+	if t.call.Resumes != "" || t.call.LastEventID != "" {
+		line.Str("resumes", t.call.Resumes).Str("last_event", t.call.LastEventID)
+	}
 	if len(t.helpersTried) > 0 {
 		line.Int("forwards", len(t.helpersTried))
 	}
@@ -63,7 +66,7 @@
 		line.Str("reason", r.refusal.Title).Dur("retry_after_ms", r.refusal.RetryAfter)
 		line.AnErr("cause", r.refusal.Cause)
 	}
-	line.Int("status", status).Str("endpoint", string(t.endpoint)).Int("sends", t.dispatches).Bool("unacknowledged", t.unacknowledged).
+	line.Int("status", status).Str("endpoint", string(t.endpoint)).Str("software_version", t.softwareVersion).Int("sends", t.dispatches).Bool("unacknowledged", t.unacknowledged).
 		Dur("waited_ms", t.slotWait).Int("endpoint_load", t.endpointLoad).Dur("load_age_ms", t.endpointLoadAge).
 		Float64("endpoint_limit", t.endpointLimit).Dur("endpoint_token_ms", t.tokenTime).Int("prompt_tokens", t.call.PromptTokens).
 		Int("answer_tokens", t.call.AnswerTokens()).Dur("waited_before_ms", t.waitedBefore).
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -27,6 +27,8 @@
 	Prompt []PromptPart
 	// LastEventID is the id of the last event that the caller received, empty if it received none.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the call continues, empty if not stated.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt. An engine that has it and all parts before it in its cache need not prefill it again.
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -75,6 +75,7 @@
 	// longestGap is the longest time between two events of one endpoint.
 	longestGap      time.Duration
 	endpoint        domain.EndpointID
+	softwareVersion string
 	eventCount      int
 	endpointLoad    int
 	endpointLoadAge time.Duration
