--- a/cmd/hawthornrill-entry/main_test.go
+++ b/cmd/hawthornrill-entry/main_test.go
@@ -133,7 +133,7 @@
 func completeStream() string {
 	text := ""
 	for i := range platformtest.StreamEvents {
-		text += fmt.Sprintf("id: %d\ndata: %d\n\n", i+1, i+1)
+		text += fmt.Sprintf("id: %d\ndata: %d %s\n\n", i+1, i+1, platformtest.DefaultVersion)
 	}
 	return text
 }
--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"hawthornrill.example/hawthornrill/platform/platformtest"
@@ -21,13 +20,16 @@
 // notRunStatuses are the statuses that promise that the request has not run and never will.
 var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
-var completeStream = func() string {
-	var text strings.Builder
-	for i := range platformtest.StreamEvents {
-		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", i+1, i+1)
+// completes reports whether the body has all events of a stream after the given one, and nothing else.
+func (s *soak) completes(body string, after int) bool {
+	events, rest := platformtest.ParseEvents(body)
+	for i, e := range events {
+		if e.ID != after+i+1 {
+			return false
+		}
 	}
-	return text.String()
-}()
+	return rest == "" && after+len(events) == s.streamEvents
+}
 
 // check verifies the guarantees against what callers and endpoints observed.
 func (s *soak) check() {
@@ -53,6 +55,7 @@
 	s.checkNotices()
 	s.checkCuts()
 	s.checkBrittle()
+	s.checkStreams()
 	s.t.Logf("%d requests, %d answered, %d not read before a close, %d faults", len(s.history.outcomes), answered, unread, len(s.history.faults))
 	if answered == 0 {
 		s.t.Error("no request was answered")
@@ -75,10 +78,11 @@
 func (s *soak) violation(o outcome) string {
 	runs := s.runs(o.id)
 	repeatable := o.path == "/chat/" || o.path == "/look/"
-	complete := o.body == completeStream
+	complete := s.completes(o.body, o.lastEvent)
 	if o.path == "/book/" || o.path == "/look/" {
 		complete = o.body == "answer to "+o.id
 	}
+	left := o.leaveAfter > 0 && o.err != nil
 	revokedAt, isRevoked := s.history.revoked[o.key]
 	switch {
 	case !repeatable && runs > 1:
@@ -95,7 +99,7 @@
 		return "a connection was cut before the request was dispatched"
 	case o.status == http.StatusNotFound:
 		return "a configured route was not found"
-	case (o.err != nil && runs > 0 || o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout) && !s.history.explainsFailure(o):
+	case !left && (o.err != nil && runs > 0 || o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout) && !s.history.explainsFailure(o):
 		return "a request failed while no fault was active"
 	}
 	return ""
--- a/cmd/hawthornrill-soak/faults_test.go
+++ b/cmd/hawthornrill-soak/faults_test.go
@@ -153,7 +153,8 @@
 	at := int(choice % uint64(len(s.endpoints)))
 	old := s.endpoints[at]
 	s.endpoints = append(s.endpoints[:at:at], s.endpoints[at+1:]...)
-	s.addEndpoint(old.Service, at)
+	s.serving[old].to = time.Now()
+	s.addEndpoint(old.Service, at, s.nextVersion(old))
 	return old
 }
 
@@ -166,6 +167,7 @@
 func (s *soak) breakStreams(_ int, lasts time.Duration, choice uint64) {
 	defer s.history.beginFault("streams break", "")()
 	e := s.pick(choice)
+	s.impair(e)
 	e.AbortStreamsAfter(2)
 	time.Sleep(lasts)
 	e.AbortStreamsAfter(0)
@@ -174,6 +176,7 @@
 func (s *soak) refuse(_ int, lasts time.Duration, choice uint64) {
 	defer s.history.beginFault("endpoint refuses", "")()
 	e := s.pick(choice)
+	s.impair(e)
 	e.SetRefusing(true)
 	time.Sleep(lasts)
 	e.SetRefusing(false)
@@ -202,6 +205,7 @@
 	}
 	l := &limitPeriod{endpoint: e, perSecond: perSecond, from: time.Now()}
 	s.limits = append(s.limits, l)
+	s.serving[e].impaired = true
 	e.AdvertiseLimit(strconv.Itoa(perSecond))
 	return l
 }
--- a/cmd/hawthornrill-soak/history_test.go
+++ b/cmd/hawthornrill-soak/history_test.go
@@ -23,13 +23,22 @@
 // outcome is the result of a request as its caller observed it.
 type outcome struct {
 	id, node, key, path string
-	sent, ended         time.Time
-	status              int
-	body                string
-	err                 error
+	// content is the request's body.
+	content     string
+	sent, ended time.Time
+	status      int
+	body        string
+	err         error
 	// connected is true if the request had a connection, connectionIdle is how long that had been unused.
 	connected      bool
 	connectionIdle time.Duration
+	// lastEvent is the last event that the caller had of a stream, resumes the attempt that had brought its first one.
+	lastEvent int
+	resumes   string
+	// retryAfter is when the caller was asked to come back, zero if it was not.
+	retryAfter time.Duration
+	// leaveAfter is the number of events after which the caller loses its connection, zero if it does not.
+	leaveAfter int
 }
 
 // history records all faults, outcomes and revoked keys of a run.
@@ -38,6 +47,7 @@
 	started  time.Time
 	faults   []*fault
 	outcomes []outcome
+	streams  []*stream
 	revoked  map[string]time.Time
 }
 
--- a/cmd/hawthornrill-soak/notice_test.go
+++ b/cmd/hawthornrill-soak/notice_test.go
@@ -36,6 +36,7 @@
 func (s *soak) askForRest(lasts time.Duration, choice uint64) {
 	defer s.history.beginFault("endpoint asks for rest", "")()
 	e := s.pick(choice)
+	s.impair(e)
 	e.AskForRest([]string{"3", "1.5", "0.7", "4", "3", "soon", "-2"}[choice>>8%7])
 	time.Sleep(lasts)
 	e.AskForRest("")
--- a/cmd/hawthornrill-soak/paths_test.go
+++ b/cmd/hawthornrill-soak/paths_test.go
@@ -90,6 +90,7 @@
 // pauseEndpoint has a sound endpoint send nothing for about a second. It explains no failure.
 func (s *soak) pauseEndpoint(random *rand.Rand) {
 	e := s.pick(random.Uint64())
+	s.impair(e)
 	defer s.history.beginFault("pause", "")()
 	length := 800*time.Millisecond + upTo(random, 600*time.Millisecond)
 	e.Pause(length)
@@ -104,6 +105,7 @@
 	for _, e := range s.endpoints {
 		if e.Service == period.service {
 			period.endpoints = append(period.endpoints, e)
+			s.serving[e].impaired = true
 			e.SetBrittle(maxRejections)
 		}
 	}
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
@@ -146,6 +145,11 @@
 	// cuts and brittlePeriods are the ended periods of these faults.
 	cuts           []*cutPeriod
 	brittlePeriods []*brittlePeriod
+	// versions draws the software versions of endpoints. serving holds when each endpoint served without a fault of its own.
+	versions     *rand.Rand
+	lastVersion  int
+	serving      map[*platformtest.Endpoint]*servingPeriod
+	streamEvents int
 	// cutting is held while nodes are cut off from endpoints.
 	cutting sync.Mutex
 }
@@ -154,6 +158,8 @@
 	s := &soak{
 		t: t, seed: seed, series: series, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
 		history: &history{started: time.Now(), revoked: make(map[string]time.Time)}, drainingSince: make(map[*platformtest.Endpoint]time.Time),
+		versions: rand.New(rand.NewPCG(uint64(seed), versionStream)), serving: make(map[*platformtest.Endpoint]*servingPeriod),
+		streamEvents: platformtest.StreamEvents,
 	}
 	dir, err := os.MkdirTemp("", "soak-logs")
 	if err != nil {
@@ -162,11 +168,12 @@
 	s.dir = dir
 	s.configure(func() { s.keys = []string{"k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7"} })
 	for i := range 4 {
-		s.addEndpoint("llm", i)
+		s.addEndpoint("llm", i, fmt.Sprint("v", 1+i%2))
 	}
 	for i := range 2 {
-		s.addEndpoint("app", i)
+		s.addEndpoint("app", i, platformtest.DefaultVersion)
 	}
+	s.lastVersion = 2
 	for i := range *nodesFlag {
 		links := newEndpointLinks(t)
 		s.links = append(s.links, links)
@@ -218,13 +225,17 @@
 	s.store.Put("op/config", platformtest.Configuration(s.version, routes, s.keys))
 }
 
-func (s *soak) addEndpoint(service string, i int) {
+func (s *soak) addEndpoint(service string, i int, version string) *platformtest.Endpoint {
 	e := platformtest.NewEndpoint(fmt.Sprintf("%s-%d-%d", service, i, s.requests.Add(1)), service, fmt.Sprint("dc-", i%2))
+	e.Version = version
+	e.SetStreamEvents(s.streamEvents)
 	e.SetEventInterval(20 * time.Millisecond)
 	s.t.Cleanup(e.Close)
 	e.Register(s.store, "ready")
 	s.endpoints = append(s.endpoints, e)
 	s.createdEndpoints = append(s.createdEndpoints, e)
+	s.serving[e] = &servingPeriod{from: time.Now()}
+	return e
 }
 
 func (s *soak) allEndpoints() []*platformtest.Endpoint { return s.createdEndpoints }
@@ -330,7 +341,9 @@
 			return
 		default:
 		}
-		s.history.addOutcome(s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8))))
+		o := s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8)))
+		s.history.addOutcome(o)
+		s.follow(o, random)
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
 	}
 }
@@ -343,14 +356,27 @@
 }
 
 func (s *soak) callWithin(client *http.Transport, n *process, path, key string, timeout time.Duration) outcome {
-	o := outcome{id: fmt.Sprint("r", s.requests.Add(1)), node: n.name, key: key, path: path, sent: time.Now()}
-	defer func() { o.ended = time.Now() }()
-	model := path == "/chat/" || path == "/once/"
-	request, err := platformtest.NewRequest("http://"+n.callerAddress+path, o.id, key, timeout, model, strings.NewReader("body"))
+	number := s.requests.Add(1)
+	o := outcome{id: fmt.Sprint("r", number), node: n.name, key: key, path: path, content: "body"}
+	if path == "/chat/" && number%2 == 0 { // other streams have the same content
+		o.content += " of " + o.id
+	}
+	return s.send(client, n, o, timeout)
+}
+
+// send sends the request that the outcome describes so far, and completes it.
+func (s *soak) send(client *http.Transport, n *process, o outcome, timeout time.Duration) outcome {
+	o.sent = time.Now()
+	model := o.path == "/chat/" || o.path == "/once/"
+	request, err := platformtest.NewRequest("http://"+n.callerAddress+o.path, o.id, o.key, timeout, model, strings.NewReader(o.content))
 	if err != nil {
 		s.t.Error(err)
+		o.ended = time.Now()
 		return o
 	}
+	if o.resumes != "" {
+		platformtest.TakeUp(request, o.lastEvent, o.resumes)
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { o.connected, o.connectionIdle = true, c.IdleTime }}
 	response, err := client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
@@ -358,7 +384,8 @@
 		return o
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := readUntil(response.Body, o.leaveAfter)
 	o.status, o.body, o.err, o.ended = response.StatusCode, string(body), err, time.Now()
+	o.retryAfter = retryAfter(response.Header)
 	return o
 }
--- /dev/null
+++ b/cmd/hawthornrill-soak/streams_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hawthornrill.example/hawthornrill/platform/platformtest"
+)
+
+// stream is a stream over all requests of its caller: the first one and those that take it up.
+type stream struct {
+	tries []outcome
+	// began is the software version that sent the first event that the caller got, empty if it got none.
+	began  string
+	events int
+}
+
+// maxTakeUps is how often a caller takes one stream up.
+const maxTakeUps = 4
+
+// follow takes up a stream that may be resumed and that its first request has not brought to its end, at any node.
+func (s *soak) follow(first outcome, random *rand.Rand) {
+	if first.path != "/chat/" {
+		return
+	}
+	st := &stream{}
+	st.add(first)
+	for attempt := first; st.unfinished(s, attempt) && len(st.tries) <= maxTakeUps; {
+		left := callTimeout - time.Since(first.sent)
+		time.Sleep(min(attempt.retryAfter, left/3))
+		n := s.nodes[random.IntN(len(s.nodes))]
+		next := outcome{
+			id: fmt.Sprint("r", s.requests.Add(1)), node: n.name, key: first.key, path: first.path, content: first.content,
+			lastEvent: st.events, resumes: first.id,
+		}
+		client := &http.Transport{}
+		attempt = s.send(client, n, next, callTimeout-time.Since(first.sent))
+		client.CloseIdleConnections()
+		s.history.addOutcome(attempt)
+		st.add(attempt)
+	}
+	s.history.addStream(st)
+}
+
+// readUntil reads a stream to its end or, if events is not zero, until the caller loses its connection after so many events.
+func readUntil(body io.Reader, events int) ([]byte, error) {
+	if events == 0 {
+		return io.ReadAll(body)
+	}
+	var text []byte
+	reader := bufio.NewReader(body)
+	for events > 0 {
+		line, err := reader.ReadBytes('\n')
+		text = append(text, line...)
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		if len(line) == 1 {
+			events--
+		}
+	}
+	return text, errConnectionLost
+}
+
+// errConnectionLost is the error of a caller that closes its connection amid a stream, as if that had been lost.
+var errConnectionLost = errors.New("soak: connection lost")
+
+// unfinished reports whether the caller takes the stream up after the attempt: it has had an event, but not all, and was not
+// told that nobody can go on with it.
+func (st *stream) unfinished(s *soak, last outcome) bool {
+	complete := last.err == nil && last.status == http.StatusOK
+	final := last.status == http.StatusServiceUnavailable && last.retryAfter == 0 || last.status == http.StatusUnauthorized
+	timeLeft := callTimeout - time.Since(st.tries[0].sent)
+	return st.events > 0 && !complete && !final && timeLeft > time.Second
+}
+
+func (st *stream) add(o outcome) {
+	events, _ := platformtest.ParseEvents(o.body)
+	if st.events == 0 && len(events) > 0 {
+		st.began = events[0].Version
+	}
+	st.events += len(events)
+	st.tries = append(st.tries, o)
+}
+
+func (h *history) addStream(st *stream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams = append(h.streams, st)
+}
+
+// retryAfter is the time of a Retry-After field, zero if there is none.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/cmd/hawthornrill-soak/takeup_test.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// versionsTime is the time of a run with several software versions.
+	versionsTime = 10 * time.Second
+	// longStreamEvents and longStreamInterval make streams last so long that many meet a fault.
+	longStreamEvents   = 40
+	longStreamInterval = 25 * time.Millisecond
+	streamCallers      = 16
+)
+
+// versionSeeds are run by every test run; see keptSeeds.
+var versionSeeds = []int64{30000, 30001}
+
+// Guards against streams that go on at another software version than the one that began them, and against streams that don't go on
+// although endpoints of their version serve.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	seeds := versionSeeds
+	if *seedFlag != 0 {
+		seeds = nil
+		for i := range *seedsFlag {
+			seeds = append(seeds, *seedFlag+int64(i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			newVersionsSoak(t, seed).runVersions(seed)
+		})
+	}
+}
+
+// newVersionsSoak has three software versions with unequal shares of the endpoints.
+func newVersionsSoak(t *testing.T, seed int64) *soak {
+	s := newSoak(t, seed, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, version := range []string{"v1", "v1", "v1", "v3", "v3"} {
+		s.addEndpoint("llm", i, version)
+	}
+	s.lastVersion = 3
+	s.streamEvents = longStreamEvents
+	for _, e := range s.endpoints {
+		e.SetStreamEvents(longStreamEvents)
+		e.SetEventInterval(longStreamInterval)
+	}
+	return s
+}
+
+// runVersions has callers stream while nodes and endpoints come and go.
+func (s *soak) runVersions(seed int64) {
+	s.waitReady()
+	stop := make(chan struct{})
+	var callers, faults sync.WaitGroup
+	for i := range streamCallers {
+		random := rand.New(rand.NewPCG(uint64(seed), uint64(stayingStream+i)))
+		callers.Go(func() { s.streamUntil(stop, random) })
+	}
+	end := time.Now().Add(max(versionsTime, *durationFlag))
+	random := rand.New(rand.NewPCG(uint64(seed), versionStream))
+	give := []func(*rand.Rand){s.killSome, s.killSome, s.breakOffEndpoint, s.breakOffEndpoint, s.replaceEndpoints, s.resetCallers,
+		s.rollStops, s.disturbNode}
+	for time.Now().Before(end) {
+		fault, own := give[random.IntN(len(give))], rand.New(rand.NewPCG(random.Uint64(), versionStream))
+		faults.Go(func() { fault(own) })
+		time.Sleep(upTo(random, 1500*time.Millisecond))
+	}
+	faults.Wait()
+	time.Sleep(time.Second)
+	close(stop)
+	callers.Wait()
+	s.check()
+}
+
+// streamUntil sends one stream after another to any node until stop is closed, on connections that are kept open.
+func (s *soak) streamUntil(stop chan struct{}, random *rand.Rand) {
+	client := &http.Transport{}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		n := s.nodes[random.IntN(len(s.nodes))]
+		number := s.requests.Add(1)
+		o := outcome{
+			id: fmt.Sprint("r", number), node: n.name, key: fmt.Sprint("k", random.IntN(8)), path: "/chat/", content: fmt.Sprint("body ", number%64),
+		}
+		if random.IntN(3) == 0 {
+			o.leaveAfter = 1 + random.IntN(longStreamEvents-1)
+		}
+		o = s.send(client, n, o, callTimeout)
+		s.history.addOutcome(o)
+		s.follow(o, random)
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+}
+
+// killSome kills up to half of the nodes at once.
+func (s *soak) killSome(random *rand.Rand) {
+	var kills sync.WaitGroup
+	defer kills.Wait()
+	for _, node := range random.Perm(len(s.nodes))[:1+random.IntN(len(s.nodes)/2)] {
+		kills.Go(func() { s.kill(node, 0, 0) })
+	}
+}
+
+// breakOffEndpoint ends an endpoint amid its streams. Another one of a drawn version takes its place.
+func (s *soak) breakOffEndpoint(random *rand.Rand) {
+	s.crashEndpoint(0, upTo(random, time.Second), random.Uint64())
+}
+
+// resetCallers has an endpoint end its streams early for a while.
+func (s *soak) resetCallers(random *rand.Rand) {
+	defer s.history.beginFault("streams break", "")()
+	e := s.pick(random.Uint64())
+	s.impair(e)
+	e.AbortStreamsAfter(1 + random.IntN(longStreamEvents))
+	time.Sleep(upTo(random, time.Second))
+	e.AbortStreamsAfter(0)
+}
+
+// disturbNode freezes a node, or cuts it off from the store or from the other nodes.
+func (s *soak) disturbNode(random *rand.Rand) {
+	node, lasts, choice := random.IntN(len(s.nodes)), upTo(random, 2*time.Second), random.Uint64()
+	[]func(int, time.Duration, uint64){s.freeze, s.cutStore, s.losePeers}[random.IntN(3)](node, lasts, choice)
+}
