Soak: an arrival is attributed to the connection that was open to its endpoint at that time

Cause: the witness knew a node's connections by their local address alone, for good; the kernel uses an address again, also at the same time for another target, so that another node's requests counted as node-1's. Now the address counts for the endpoint and the time of the connection. The check is as strict: what is attributed is counted as before.

--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -111,10 +111,10 @@
 	for e, since := range s.drainingSince {
 		for _, a := range e.Arrivals() {
 			delay := a.At.Sub(since)
-			if delay <= maxDrainDelay || a.Refused || s.history.explainsLateDrain(s.sender(a), since, a.At) {
+			if delay <= maxDrainDelay || a.Refused || s.history.explainsLateDrain(s.sender(e, a), since, a.At) {
 				continue
 			}
-			o := outcome{id: a.ID, node: s.sender(a), sent: since, ended: a.At}
+			o := outcome{id: a.ID, node: s.sender(e, a), sent: since, ended: a.At}
 			s.t.Errorf("endpoint %s received a request %v after it was marked as draining\n%s\nlogs in %s", e.ID, delay, s.history.timeline(o), s.dir)
 		}
 	}
--- a/cmd/hawthornrill-soak/limit_test.go
+++ b/cmd/hawthornrill-soak/limit_test.go
@@ -42,7 +42,7 @@
 	var counted []time.Time
 	for _, a := range l.endpoint.Arrivals() {
 		inEffect := !a.At.Before(l.from.Add(limitPropagationTime)) && a.At.Before(l.to)
-		if inEffect && !s.history.explainsLimitBreach(s.sender(a), a.At) {
+		if inEffect && !s.history.explainsLimitBreach(s.sender(l.endpoint, a), a.At) {
 			counted = append(counted, a.At)
 		}
 	}
--- a/cmd/hawthornrill-soak/links_test.go
+++ b/cmd/hawthornrill-soak/links_test.go
@@ -100,22 +100,18 @@
 	p.setMode(l.fault.open)
 }
 
-// carries reports whether a connection from the address is one of the node's to an endpoint.
-func (l *endpointLinks) carries(from string) bool {
+// carried reports whether a connection of the node brought the arrival to the endpoint with the address.
+func (l *endpointLinks) carried(address string, a platformtest.Arrival) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, p := range l.proxies {
-		if _, ok := p.dialled.Load(from); ok {
-			return true
-		}
-	}
-	return false
+	p := l.proxies[address]
+	l.mu.Unlock()
+	return p != nil && p.carried(a.From, a.At)
 }
 
 // sender returns the node that sent the endpoint the request: the one that its caller chose, or another that served it for that one.
-func (s *soak) sender(a platformtest.Arrival) string {
+func (s *soak) sender(e *platformtest.Endpoint, a platformtest.Arrival) string {
 	for i, l := range s.links {
-		if l.carries(a.From) {
+		if l.carried(e.Address(), a) {
 			return s.nodes[i].name
 		}
 	}
--- a/cmd/hawthornrill-soak/notice_test.go
+++ b/cmd/hawthornrill-soak/notice_test.go
@@ -72,7 +72,7 @@
 func (s *soak) arrivalsByNode(e *platformtest.Endpoint) map[string][]platformtest.Arrival {
 	byNode := make(map[string][]platformtest.Arrival)
 	for _, a := range e.Arrivals() {
-		sender := s.sender(a)
+		sender := s.sender(e, a)
 		byNode[sender] = append(byNode[sender], a)
 	}
 	return byNode
--- a/cmd/hawthornrill-soak/proxy_test.go
+++ b/cmd/hawthornrill-soak/proxy_test.go
@@ -49,8 +49,9 @@
 	mode     mode
 	newConns newConns
 	conns    map[net.Conn]bool
-	// dialled holds the local addresses of the connections to the target.
-	dialled sync.Map
+	// dialled holds the times of the connections to the target, by local address. The kernel uses an address again, also at the same
+	// time for another target.
+	dialled map[string][]connectionTime
 	// fillers are the connections that fill the listener's queue in newConnsHang.
 	fillers []net.Conn
 }
@@ -72,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: l.(*net.TCPListener), target: target, closed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l.(*net.TCPListener), target: target, closed: make(chan struct{}), conns: make(map[net.Conn]bool), dialled: make(map[string][]connectionTime)}
 	t.Cleanup(func() {
 		close(p.closed)
 		_ = l.Close()
@@ -180,16 +181,37 @@
 		_ = client.Close()
 		return
 	}
-	p.dialled.Store(server.LocalAddr().String(), true)
+	local, opened := server.LocalAddr().String(), time.Now()
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
+	p.dialled[local] = append(p.dialled[local], connectionTime{from: opened})
+	number := len(p.dialled[local]) - 1
 	p.mu.Unlock()
 	go p.copy(server, client, modeSilent)
 	p.copy(client, server, modeSilentFromServer)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.conns, client)
 	delete(p.conns, server)
-	p.mu.Unlock()
+	p.dialled[local][number].to = time.Now()
+}
+
+// connectionTime is the time in which a connection was open; to is zero while it is.
+type connectionTime struct{ from, to time.Time }
+
+// arrivalSlack is the time by which an arrival may be noticed before the dial of its connection has returned, or after its close.
+const arrivalSlack = time.Second
+
+// carried reports whether the proxy had a connection to its target from the local address at the time.
+func (p *proxy) carried(local string, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.dialled[local] {
+		if !at.Before(c.from.Add(-arrivalSlack)) && (c.to.IsZero() || !at.After(c.to.Add(arrivalSlack))) {
+			return true
+		}
+	}
+	return false
 }
 
 // copy forwards one direction of a connection. Data read in modeSilent or silentMode is dropped, and so is everything after
