origin: which software version began a stream, kept where it is looked for

New, and used by nothing yet. The node that forwards a stream's first event records its origin and reports it to three nodes that follow from the stream's content by rendezvous hashing, in different data centres; who takes the stream up asks them. Soft state, bounded in records, time and by organisation; kept up as nodes come and go. Messages are CBOR arrays on the socket of the reports, which earlier programs drop. places: a request can be bound to a version. The list of endpoints passes versions on beside its fixed form; a node that passes on none is not relied on.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -26,7 +26,9 @@
 	missing map[domain.EndpointID]boottime.Instant
 	// announced holds the incarnations that said themselves that they are leaving, with the time at which this node heard so.
 	announced map[domain.EndpointID]boottime.Instant
-	changed   chan struct{}
+	// versionChanges are the endpoints whose software version has changed since TakeVersionChanges.
+	versionChanges []domain.EndpointID
+	changed        chan struct{}
 }
 
 // Snapshot is an immutable copy of the list.
@@ -142,6 +144,9 @@
 		same.Born = listed.Born
 		e = &same
 	}
+	if listed != nil && listed.Version != e.Version {
+		e = d.withChangedVersion(e, listed)
+	}
 	d.endpoints[e.ID] = d.withAnnouncement(e)
 }
 
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
 )
 
 func TestVersionsAreCountedByService(t *testing.T) {
@@ -39,3 +41,26 @@
 	assert.NilError(t, cbor.Unmarshal(data, &later))
 	assert.Equal(t, later.Slots, 3)
 }
+
+// Guards against a version that is believed although two entries of one incarnation contradict each other.
+func TestContradictingVersionsAreUnknown(t *testing.T) {
+	d := New()
+	entry := func(born int64, version string) *Endpoint {
+		return &Endpoint{ID: "a", Service: "s", Born: born, Version: version}
+	}
+	d.Apply(1, []*Endpoint{entry(1000, "v1")}, nil, 0)
+	d.Apply(2, []*Endpoint{entry(1000, "v1")}, nil, 0)
+	assert.Equal(t, len(d.TakeVersionChanges()), 0)
+	d.Apply(3, []*Endpoint{entry(1000, "v2")}, nil, 0)
+	assert.DeepEqual(t, d.TakeVersionChanges(), []domain.EndpointID{"a"})
+	assert.Equal(t, d.Current().Service("s")[0].Version, "")
+	d.Apply(4, []*Endpoint{entry(1000, "v1")}, nil, 0)
+	assert.Equal(t, d.Current().Service("s")[0].Version, "", "believed again")
+	d.TakeVersionChanges()
+	d.Apply(5, []*Endpoint{entry(2000, "v2")}, nil, 0)
+	assert.Equal(t, d.Current().Service("s")[0].Version, "v2", "a later incarnation has a version of its own")
+	assert.DeepEqual(t, d.TakeVersionChanges(), []domain.EndpointID{"a"})
+	d.Apply(6, []*Endpoint{entry(1000, "v1")}, nil, 0)
+	assert.Equal(t, d.Current().Service("s")[0].Version, "v2", "a late entry of the earlier incarnation")
+	assert.Equal(t, len(d.TakeVersionChanges()), 0)
+}
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
@@ -27,6 +29,29 @@
 	return members
 }
 
+// Heard returns the nodes that are neither silent nor leaving, with the incarnations and addresses of their last reports, in the
+// order of their names. This node is one of them, without an address.
+func (m *Mesh) Heard() []domain.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := []domain.Member{{Node: m.deps.Self, Incarnation: domain.Incarnation(m.deps.Incarnation), DataCentre: m.deps.DataCentre}}
+	for id, p := range m.peers {
+		if !p.silent && !p.leaving {
+			heard = append(heard, domain.Member{
+				Node: id, Incarnation: domain.Incarnation(p.incarnation), DataCentre: p.dataCentre, Address: p.address,
+			})
+		}
+	}
+	slices.SortFunc(heard, func(a, b domain.Member) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	return heard
+}
+
+// AllHeard reports whether all nodes that may be alive are heard.
+func (m *Mesh) AllHeard() bool {
+	f := m.Fleet()
+	return f.Heard == f.Known
+}
+
 // Fleet returns the current node counts.
 func (m *Mesh) Fleet() Fleet {
 	m.mu.Lock()
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -68,8 +68,11 @@
 	// OnReport is called with each report of a peer. The report was sent after the instant sent of this node's clock, which
 	// is zero if unknown.
 	OnReport func(report *Report, sent boottime.Instant)
-	Log      zerolog.Logger
-	Metrics  *metrics.Set
+	// OnMessage, if set, is called with each datagram that is a CBOR array: a message of another component (SendMessage). The
+	// datagram is valid until it returns.
+	OnMessage func(datagram []byte, from string)
+	Log       zerolog.Logger
+	Metrics   *metrics.Set
 }
 
 // Mesh sends and receives reports.
@@ -162,6 +165,10 @@
 
 // handleDatagram decodes a report, records it and calls OnReport.
 func (m *Mesh) handleDatagram(datagram []byte, from string) {
+	if m.deps.OnMessage != nil && isArray(datagram) {
+		m.deps.OnMessage(datagram, from)
+		return
+	}
 	var report Report
 	if err := cbor.Unmarshal(datagram, &report); err != nil || report.From == "" || report.From == m.deps.Self {
 		m.dropped.Inc()
@@ -178,6 +185,18 @@
 	m.deps.OnReport(&report, sent)
 }
 
+// isArray reports whether the datagram is a CBOR array (RFC 8949, section 3.1). Reports are maps.
+func isArray(datagram []byte) bool {
+	const majorTypeShift, array = 5, 4
+	return len(datagram) > 0 && datagram[0]>>majorTypeShift == array
+}
+
+// SendMessage sends a datagram that is a CBOR array to the peer at the address; it does not block. Programs that know no messages
+// drop it.
+func (m *Mesh) SendMessage(to string, datagram []byte) error {
+	return m.deps.Transport.Send(to, datagram)
+}
+
 // recordReport updates the sender's state and returns false if the report is not newer than the last one.
 func (m *Mesh) recordReport(report *Report, from string) bool {
 	m.mu.Lock()
@@ -194,7 +213,7 @@
 		m.deps.Log.Info().Str("peer", string(report.From)).Uint64("life", report.Life).Msg("peer reachable")
 	}
 	p.incarnation, p.sentAt, p.lastReportAt, p.address = report.Life, report.SentAt, m.deps.Clock(), from
-	p.silent, p.leaving, p.dataCentre, p.forwardsChanges = false, report.Leaving, report.DataCentre, report.PassesOn
+	p.silent, p.leaving, p.dataCentre, p.forwardsChanges = false, report.Leaving, report.DataCentre, report.forwardsChanges()
 	p.version, p.interval = report.Version, report.Every
 	return true
 }
@@ -272,13 +291,13 @@
 	}
 	report := Report{From: m.deps.Self, Life: m.deps.Incarnation, DataCentre: m.deps.DataCentre}
 	m.deps.Fill(&report)
-	changes := report.Changes
+	changes, versions := report.Changes, report.Versions
 	updates := configurationUpdates{configurationSince: m.deps.ConfigurationSince, cache: make(map[uint64]configurationUpdate)}
 	size := 0
 	for id, to := range targets {
-		report.Changes, report.Every = nil, to.interval
+		report.Changes, report.Versions, report.Every = nil, nil, to.interval
 		if to.local {
-			report.Changes = changes
+			report.Changes, report.Versions = changes, versions
 		}
 		var update configurationUpdate
 		if version, lacks := m.lacksConfiguration(id, &report); lacks {
--- a/gossip/mesh_test.go
+++ b/gossip/mesh_test.go
@@ -122,8 +122,8 @@
 					r.Failed = []domain.EndpointID{domain.EndpointID(strings.Repeat("x", int(n)))}
 				}
 				r.Version = m.version.Load()
-				if r.PassesOn = m.ForwardsChanges(); r.PassesOn {
-					r.Changes = []directory.Change{{After: 1, Last: 2, Revision: 2}}
+				if m.ForwardsChanges() {
+					r.SetEndpointChanges([]directory.Change{{After: 1, Last: 2, Revision: 2}}, true)
 				}
 			},
 			ConfigurationSince: func(uint64) ([]*routetable.Change, []byte) {
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -55,6 +55,10 @@
 	// endpoint changes, sent only to those nodes.
 	PassesOn bool               `cbor:"14,keyasint,omitempty"`
 	Changes  []directory.Change `cbor:"15,keyasint,omitempty"`
+	// Versions are the software versions of the endpoints listed by Changes, change by change in the same order. StatesVersions is
+	// true if the sender passes versions on, too; earlier programs don't.
+	Versions       [][]string `cbor:"26,keyasint,omitempty"`
+	StatesVersions bool       `cbor:"27,keyasint,omitempty"`
 	// Every is the interval between the sender's reports to the receiver.
 	Every time.Duration `cbor:"17,keyasint,omitempty"`
 	// Leaving is true once the sender accepts no more requests.
--- /dev/null
+++ b/origin/keeper.go
@@ -0,0 +1,316 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"hawthornrill.example/hawthornrill/boottime"
+	"hawthornrill.example/hawthornrill/domain"
+)
+
+const (
+	// holders is the number of nodes to which a record is reported, beside the one that makes it. In a fleet of seven nodes three
+	// of them and the one that served the stream may be lost at once before a record is.
+	holders = 3
+	// asked is the number of nodes that are asked. It exceeds holders, since lists of nodes differ while nodes come and go; in a small
+	// fleet it includes the node that served the stream.
+	asked = 8
+	// askTimeout limits the wait for the answers, askAgainAfter the wait before a question is repeated.
+	askTimeout    = 250 * time.Millisecond
+	askAgainAfter = 60 * time.Millisecond
+	// settleTime is the wait for further answers once a node knows the origin, since another one may know of a different one.
+	settleTime = 30 * time.Millisecond
+	// tickInterval is the interval at which the list of nodes is read.
+	tickInterval = 100 * time.Millisecond
+	// mistakenFor is the time before the node sees that an endpoint's version has changed in which that endpoint may have been of
+	// either version: its entry arrives late.
+	mistakenFor = 10 * time.Second
+	// maxRecordsPerMessage keeps datagrams below the usual MTU.
+	maxRecordsPerMessage = 20
+)
+
+// Config is a Keeper's identity and dependencies.
+type Config struct {
+	Self domain.NodeID
+	// Members returns the nodes that are heard and not leaving, in the order of their names; this one counts as one of them.
+	Members func() []domain.Member
+	// VersionChanges returns the IDs of the endpoints whose version has changed since the last call.
+	VersionChanges func() []domain.EndpointID
+	// AllHeard reports whether all nodes that may be alive are heard.
+	AllHeard func() bool
+	// Send sends a message to the node at the address, "IP:port". It does not block; a message may be lost.
+	Send    func(address string, message []byte) error
+	Clock   boottime.Clock
+	Log     zerolog.Logger
+	Metrics *metrics.Set
+}
+
+// Keeper holds the origins of streams. It is safe for concurrent use.
+type Keeper struct {
+	config Config
+	nodes  atomic.Pointer[nodes]
+
+	mu    sync.Mutex
+	table *table
+	// questions are the questions that wait for answers.
+	questions    map[uint64]chan answer
+	lastQuestion uint64
+
+	messages, bytes, malformed, dropped, repeated *metrics.Counter
+}
+
+// New returns a Keeper that knows of no stream. Run keeps its records where they are looked for.
+func New(config Config) *Keeper {
+	k := &Keeper{
+		config: config, table: newTable(), questions: make(map[uint64]chan answer),
+		messages:  config.Metrics.NewCounter("hawthornrill_origin_messages_sent_total"),
+		bytes:     config.Metrics.NewCounter("hawthornrill_origin_bytes_sent_total"),
+		malformed: config.Metrics.NewCounter("hawthornrill_origin_messages_malformed_total"),
+		dropped:   config.Metrics.NewCounter("hawthornrill_origin_records_dropped_total"),
+		repeated:  config.Metrics.NewCounter("hawthornrill_origin_records_repeated_total"),
+	}
+	k.nodes.Store(newNodes(config.Members()))
+	config.Metrics.NewGauge("hawthornrill_origin_records", func() float64 { return float64(k.Len()) })
+	return k
+}
+
+// Len returns the number of records.
+func (k *Keeper) Len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.table.records)
+}
+
+// Begin records that the first event of the attempt's stream came from the endpoint, and reports it to the nodes that will be asked
+// for it. It must be called before the event is forwarded: the caller may be at another node right after. Nothing is recorded of an
+// origin that is not known. The record is kept for the given time, MaxRetention at most.
+func (k *Keeper) Begin(key Key, o Origin, endpoint domain.EndpointID, keepFor time.Duration) {
+	if !o.Known() || !o.valid() {
+		return
+	}
+	now := k.config.Clock()
+	keepFor = min(keepFor, MaxRetention)
+	k.mu.Lock()
+	r, ok := k.table.put(key, o, now.Add(keepFor))
+	if ok {
+		r.endpoint, r.began = endpoint, now
+	}
+	k.mu.Unlock()
+	if !ok {
+		k.dropped.Inc()
+	}
+	m := message{Kind: kindTell, Records: []reportedRecord{{Key: key.bytes(), Origin: o, LeftMillis: keepFor.Milliseconds()}}}
+	k.sendTo(k.nodes.Load().chosen(key.Stream, k.config.Self, holders), m.encode())
+}
+
+// Continue records that a stream goes on which began elsewhere, as Begin does, so that its next attempt finds that out here.
+func (k *Keeper) Continue(key Key, o Origin, keepFor time.Duration) { k.Begin(key, o, "", keepFor) }
+
+// Doubtful reports whether it has become doubtful which version began the stream of this node's own attempt.
+func (k *Keeper) Doubtful(key Key) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r, ok := k.table.records[key]
+	return ok && r.conflicting
+}
+
+// applyVersionChanges takes account of the endpoints whose versions have changed.
+func (k *Keeper) applyVersionChanges() {
+	for _, id := range k.config.VersionChanges() {
+		k.versionChanged(id)
+	}
+}
+
+// versionChanged makes what this node recorded of the endpoint in the last seconds ambiguous, here and at the other nodes: the endpoint
+// has started again with another version, and which of the two began these streams is not known.
+func (k *Keeper) versionChanged(endpoint domain.EndpointID) {
+	now := k.config.Clock()
+	k.mu.Lock()
+	doubtful := make(map[Key]*record)
+	for key, r := range k.table.records {
+		if r.endpoint == endpoint && now.Sub(r.began) < mistakenFor && !r.conflicting {
+			k.table.put(key, Origin{Service: r.origin.Service}, r.expires)
+			doubtful[key] = r
+		}
+	}
+	k.mu.Unlock()
+	k.config.Log.Warn().Str("endpoint", string(endpoint)).Int("streams", len(doubtful)).
+		Msg("endpoint changed its software version, its latest streams may be of either")
+	all := k.nodes.Load()
+	k.report(doubtful, now, func(key Key) []domain.Member { return all.chosen(key.Stream, k.config.Self, holders) })
+}
+
+// Run drops expired records and, when the list of nodes has changed, reports records to the nodes that are new among those that will
+// be asked, until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			k.mu.Lock()
+			k.table.sweep(k.config.Clock())
+			k.mu.Unlock()
+			k.applyVersionChanges()
+			k.refresh()
+		}
+	}
+}
+
+// refresh reads the list of nodes.
+func (k *Keeper) refresh() {
+	members := k.config.Members()
+	before := k.nodes.Load()
+	if before.same(members) {
+		return
+	}
+	after := newNodes(members)
+	k.nodes.Store(after)
+	k.report(k.current(), k.config.Clock(), func(key Key) []domain.Member {
+		had := before.chosen(key.Stream, k.config.Self, holders)
+		return without(after.chosen(key.Stream, k.config.Self, holders), had)
+	})
+}
+
+// without returns the members of a whose incarnations are not in b.
+func without(a, b []domain.Member) []domain.Member {
+	var left []domain.Member
+	for _, m := range a {
+		known := false
+		for _, o := range b {
+			known = known || m.SameIncarnation(o)
+		}
+		if !known {
+			left = append(left, m)
+		}
+	}
+	return left
+}
+
+// current returns copies of the records.
+func (k *Keeper) current() map[Key]*record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	records := make(map[Key]*record, len(k.table.records))
+	for key, r := range k.table.records {
+		same := *r
+		records[key] = &same
+	}
+	return records
+}
+
+// HandOver reports all records to the nodes that will be asked for them once this one has left.
+func (k *Keeper) HandOver() {
+	k.refresh()
+	all := k.nodes.Load()
+	records := k.current()
+	k.report(records, k.config.Clock(), func(key Key) []domain.Member { return all.chosen(key.Stream, k.config.Self, holders) })
+	k.config.Log.Info().Int("streams", len(records)).Msg("origins of streams handed over")
+}
+
+// report reports each record to the nodes that to returns for it, several in one message.
+func (k *Keeper) report(records map[Key]*record, now boottime.Instant, to func(Key) []domain.Member) {
+	batches := make(map[string][]reportedRecord)
+	for key, r := range records {
+		left := min(r.expires.Sub(now), MaxRetention).Milliseconds()
+		if left <= 0 {
+			continue
+		}
+		for _, m := range to(key) {
+			k.repeated.Inc()
+			batch := append(batches[m.Address], reportedRecord{Key: key.bytes(), Origin: r.origin, LeftMillis: left, Conflicting: r.conflicting})
+			if len(batch) == maxRecordsPerMessage {
+				k.send(m.Address, (&message{Kind: kindTell, Records: batch}).encode())
+				batch = nil
+			}
+			batches[m.Address] = batch
+		}
+	}
+	for address, batch := range batches {
+		if len(batch) > 0 {
+			k.send(address, (&message{Kind: kindTell, Records: batch}).encode())
+		}
+	}
+}
+
+func (k *Keeper) sendTo(members []domain.Member, data []byte) {
+	for _, m := range members {
+		k.send(m.Address, data)
+	}
+}
+
+func (k *Keeper) send(address string, data []byte) {
+	k.messages.Inc()
+	k.bytes.Add(len(data))
+	if err := k.config.Send(address, data); err != nil {
+		k.config.Log.Debug().Err(err).Str("peer", address).Msg("failed to send an origin")
+	}
+}
+
+// Receive handles a message from the node at the address.
+func (k *Keeper) Receive(data []byte, from string) {
+	m, err := decode(data)
+	if err != nil {
+		k.malformed.Inc()
+		k.config.Log.Warn().Err(err).Str("peer", from).Msg("message on origins of streams dropped")
+		return
+	}
+	switch m.Kind {
+	case kindTell:
+		k.accept(m.Records)
+	case kindAsk:
+		k.answer(m, from)
+	case kindAnswer:
+		k.resolve(m)
+	}
+}
+
+// accept records what another node reports.
+func (k *Keeper) accept(records []reportedRecord) {
+	now := k.config.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, reported := range records {
+		key, _ := decodeKey(reported.Key) // checked by decode
+		expires := now.Add(reported.left())
+		_, ok := k.table.put(key, reported.Origin, expires)
+		if ok && reported.Conflicting {
+			_, ok = k.table.put(key, Origin{Service: reported.Origin.Service}, expires)
+		}
+		if !ok {
+			k.dropped.Inc()
+		}
+	}
+}
+
+// answer answers another node's question.
+func (k *Keeper) answer(m *message, from string) {
+	reply := message{Kind: kindAnswer, Question: m.Question, Key: []byte(k.config.Self)}
+	if key, ok := decodeKey(m.Key); ok {
+		reply.Known = k.local(key, true)
+	} else if len(m.Key) == len(key.Stream) {
+		copy(key.Stream[:], m.Key)
+		reply.Known = k.local(key, false)
+	} else {
+		k.malformed.Inc()
+		return
+	}
+	k.send(from, reply.encode())
+}
+
+// local returns the origins that this node knows of the attempt or, if it is not named, of the content.
+func (k *Keeper) local(key Key, named bool) []Origin {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if named {
+		return k.table.attempt(key, k.config.Clock())
+	}
+	return k.table.stream(key.Stream)
+}
--- a/places/allocator.go
+++ b/places/allocator.go
@@ -117,7 +117,7 @@
 	request.capacityRequest = request.toCapacityRequest()
 	if !p.hasUsable(request, func(*trackedEndpoint) bool { return true }) {
 		a.refused.Inc()
-		return nil, nil, &Refusal{Err: ErrNoEndpoint, RetryAfter: minRetryAfter}
+		return nil, nil, p.noEndpoint(request)
 	}
 	p.demand.forTier(demandTierOf(request)).requested.add(now)
 	ahead := p.waiting.AheadOf(request.rank(now, p.firstByteTime(request)), request.Organisation, 1)
@@ -238,6 +238,7 @@
 	})
 	for _, p := range a.pools {
 		p.rebuildList()
+		p.refuseWithoutVersion()
 	}
 }
 
--- a/places/choose.go
+++ b/places/choose.go
@@ -97,7 +97,7 @@
 func (p *pool) collectCandidates(request *Request, limits capacityLimits, o Options, fleet gossip.Fleet) {
 	p.candidateStates, p.candidates = p.candidateStates[:0], p.candidates[:0]
 	for _, ep := range p.endpointList {
-		if p.gate.Bars(ep.endpoint) || request.excludes(ep.id()) || !ep.hasCapacity(limits, ep.inSubset(o, fleet)) ||
+		if p.gate.Bars(ep.endpoint) || !request.accepts(ep) || !ep.hasCapacity(limits, ep.inSubset(o, fleet)) ||
 			!p.gate.Allows(ep.endpoint) || p.exceedsShare(ep) {
 			continue
 		}
@@ -116,7 +116,7 @@
 // resting.
 func (p *pool) hasUsable(request *Request, accept func(*trackedEndpoint) bool) bool {
 	for _, ep := range p.endpointList {
-		if !p.gate.Bars(ep.endpoint) && !request.excludes(ep.id()) && accept(ep) {
+		if !p.gate.Bars(ep.endpoint) && request.accepts(ep) && accept(ep) {
 			return true
 		}
 	}
--- a/places/item.go
+++ b/places/item.go
@@ -55,10 +55,10 @@
 }
 
 // selective reports whether there may be capacity that the request can't use: it leaves a reserve for requests that can
-// be on time, needs an endpoint that is fast enough or has enough cache memory, or excludes some endpoints.
+// be on time, needs an endpoint that is fast enough or has enough cache memory, excludes some endpoints, or is bound to a version.
 func (r *Request) selective(now time.Time, start time.Duration, reserves bool) bool {
 	return r.late(now, start) || reserves || r.AnswerTokens >= longAnswerTokens ||
-		r.PromptTokens >= longPromptTokens || len(r.Excluded) > 0
+		r.PromptTokens >= longPromptTokens || len(r.Excluded) > 0 || r.Version != ""
 }
 
 // maxWait is how long the request may stay in the queue.
--- a/places/request.go
+++ b/places/request.go
@@ -1,6 +1,7 @@
 package places
 
 import (
+	"slices"
 	"time"
 
 	"hawthornrill.example/hawthornrill/capacity"
@@ -36,6 +37,8 @@
 	Due          time.Time
 	// Excluded endpoints must not be chosen.
 	Excluded []domain.EndpointID
+	// Version is the only software version whose endpoints may be chosen, empty for any.
+	Version string
 	// Urgent requests continue an answer that has started: they are not refused for a long queue.
 	Urgent bool
 
@@ -43,13 +46,9 @@
 	capacityRequest *capacity.Request
 }
 
-func (r *Request) excludes(id domain.EndpointID) bool {
-	for _, e := range r.Excluded {
-		if e == id {
-			return true
-		}
-	}
-	return false
+// accepts reports whether the request may go to the endpoint.
+func (r *Request) accepts(ep *trackedEndpoint) bool {
+	return (r.Version == "" || ep.endpoint.Version == r.Version) && !slices.Contains(r.Excluded, ep.id())
 }
 
 func (r *Request) toCapacityRequest() *capacity.Request {
--- a/places/rest.go
+++ b/places/rest.go
@@ -19,7 +19,7 @@
 	}
 	shortest := time.Duration(math.MaxInt64)
 	for _, ep := range p.endpointList {
-		if p.gate.Bars(ep.endpoint) || request.excludes(ep.id()) {
+		if p.gate.Bars(ep.endpoint) || !request.accepts(ep) {
 			continue
 		}
 		shortest = min(shortest, p.gate.RestEndsIn(ep.endpoint))
--- a/routetable/route.go
+++ b/routetable/route.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"slices"
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
@@ -45,6 +46,11 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// Serves reports whether requests of the route may go to the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && (s.Weight > 0 || len(r.Splits) == 1) })
+}
+
 // Service returns the service for a request with this hash; the hashes are distributed by weight.
 func (r *Route) Service(hash uint64) string {
 	total := 0
