gateway: a stream goes on only at the software version that began it

Cause: what continues a stream was taken to belong to the service. The version in an endpoint's entry was dropped, Resumes was not read, and no way of the three asked who had begun the stream.

Now a request that continues is bound to the version and the service that brought the first event, as the endpoint's entry said when it was chosen; what is not known does not go on, and is refused without a promise unless a node that may know is silent. The knowledge is told to three nodes before the first event is forwarded, so that it outlives a node killed without a word.

--- a/cmd/hawthornrill-soak/takeup_test.go
+++ b/cmd/hawthornrill-soak/takeup_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// Guards against knowledge of a stream's version that dies with the node that served it.
+func TestStreamsOfKilledNodesGoOn(t *testing.T) {
+	s := newVersionsSoak(t, 30100)
+	s.waitReady()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 2 * streamCallers {
+		random := rand.New(rand.NewPCG(uint64(s.seed), uint64(stayingStream+i)))
+		callers.Go(func() { s.streamUntil(stop, random) })
+	}
+	for kill := range killedNodes {
+		time.Sleep(killInterval)
+		s.kill(kill%len(s.nodes), 0, 0)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	callers.Wait()
+	s.check()
+}
+
+const (
+	killedNodes  = 6
+	killInterval = 1500 * time.Millisecond
+)
+
 // newVersionsSoak has three software versions with unequal shares of the endpoints.
 func newVersionsSoak(t *testing.T, seed int64) *soak {
 	s := newSoak(t, seed, true)
--- a/cmd/hawthornrill-soak/versions_test.go
+++ b/cmd/hawthornrill-soak/versions_test.go
@@ -133,17 +133,19 @@
 // sample is a request of a stream at a node without a fault of its own.
 type sample struct {
 	sent time.Time
-	// takesUp is true if the request takes the stream up, false if it is the first one.
-	takesUp, served bool
+	// takesUp is true if the request takes the stream up, false if it is the first one. afterKill is true if the node that served
+	// the first one was killed meanwhile.
+	takesUp, afterKill, served bool
 }
 
 // checkTakeUps checks the streams that go on, over the whole run and over each window.
 func (s *soak) checkTakeUps() {
 	samples := s.samples()
 	whole := tally(samples)
-	s.t.Log(whole)
-	if whole.insufficient() {
-		s.t.Errorf("in the whole run %v; logs in %s", whole, s.dir)
+	killed := tally(slices.DeleteFunc(slices.Clone(samples), func(p sample) bool { return p.takesUp && !p.afterKill }))
+	s.t.Logf("%v; of killed nodes: %v", whole, killed)
+	if whole.insufficient() || killed.insufficient() {
+		s.t.Errorf("in the whole run %v; of killed nodes: %v; logs in %s", whole, killed, s.dir)
 	}
 	for i, first := range samples {
 		window := samples[i:]
@@ -184,13 +186,22 @@
 			}
 			events, _ := platformtest.ParseEvents(o.body)
 			served := len(events) > 0 || o.status == http.StatusOK && o.err == nil
-			samples = append(samples, sample{sent: o.sent, takesUp: i > 0, served: served})
+			samples = append(samples, sample{
+				sent: o.sent, takesUp: i > 0, afterKill: s.history.killed(st.tries[0].node, st.tries[0].sent, o.sent), served: served,
+			})
 		}
 	}
 	slices.SortFunc(samples, func(a, b sample) int { return a.sent.Compare(b.sent) })
 	return samples
 }
 
+// killed reports whether the node was killed in the period.
+func (h *history) killed(node string, from, to time.Time) bool {
+	return slices.ContainsFunc(h.faults, func(f *fault) bool {
+		return f.kind == "kill" && f.node == node && f.from.After(from) && f.from.Before(to)
+	})
+}
+
 func count(counts bool) int {
 	if counts {
 		return 1
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -37,6 +37,7 @@
 	start := time.Now()
 	n.draining.Store(true)
 	n.log.Info().Int("active", n.gateway.Active()).Msg("leaving: no longer ready")
+	n.origins.HandOver()
 	time.Sleep(drainNoticePeriod)
 	remaining := seconds(n.settings.Shutdown.GraceS) - graceMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -25,6 +25,7 @@
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/gateway"
 	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/reach"
@@ -58,6 +59,7 @@
 	brittle            *brittle.Tracker
 	slots              *places.Allocator
 	quarantine         *quarantine.Tracker
+	origins            *origin.Keeper
 	endpointClient     *exchange.Client
 	// reach tells which services this node reaches. peerClient forwards requests for the others to nodes that do.
 	reach        *reach.Monitor
@@ -112,6 +114,10 @@
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Gate: n.endpointGate, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.quarantine = quarantine.NewTracker(log)
+	n.origins = origin.New(origin.Config{
+		Self: s.Node, Members: n.mesh.Heard, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage, VersionChanges: n.directory.TakeVersionChanges,
+		Clock: boottime.Now, Log: log, Metrics: n.metrics,
+	})
 	n.endpointClient = exchange.New(exchange.Options{MaxConnections: s.Host.endpointConnections(), MaxIdle: n.maxIdleConnections}, n.metrics)
 	n.reach = reach.New(reach.Config{
 		DataCentre: s.DataCentre, Directory: n.directory, Connect: connect, Address: s.Listen.Peers, OnLost: n.closeConnections,
@@ -133,6 +139,7 @@
 		}, boottime.Now, n.nodeCount),
 		Places:         n.slots,
 		Quarantine:     n.quarantine,
+		Origins:        n.origins,
 		EndpointClient: n.endpointClient,
 		Reach:          n.reach,
 		PeerClient:     n.peerClient,
@@ -211,6 +218,7 @@
 		Fill:               n.fillReport,
 		ConfigurationSince: n.follower.ConfigurationSince,
 		OnReport:           n.handleReport,
+		OnMessage:          func(datagram []byte, from string) { n.origins.Receive(datagram, from) },
 		Log:                n.log,
 		Metrics:            n.metrics,
 	})
@@ -235,7 +243,7 @@
 	}
 	_, last := n.follower.Revision(follow.Endpoints)
 	report.Endpoints = uint64(last)
-	report.Changes, report.PassesOn = n.follower.EndpointChanges()
+	report.SetEndpointChanges(n.follower.EndpointChanges())
 	n.slots.FillReport(report)
 	n.reach.FillReport(report)
 	report.Broken = n.quarantine.RecentEvidence()
@@ -265,7 +273,7 @@
 	}
 	n.follower.ApplyConfigurationChanges(report.From, changes)
 	n.follower.ApplyConfiguration(report.From, report.Version, report.Document)
-	n.follower.ApplyEndpointChanges(report.Changes)
+	n.follower.ApplyEndpointChanges(report.EndpointChanges())
 	n.follower.ObservePeer(update)
 }
 
@@ -349,7 +357,7 @@
 		return pacing.Every(ctx, idleSweepInterval, func() { listener.CloseIdle(n.idleTimeout()) })
 	}
 	background := []func(context.Context) error{
-		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep, n.reach.Run,
+		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep, n.reach.Run, n.origins.Run,
 	}
 	for _, execute := range background {
 		group.Add(func() error { return execute(ctx) }, func(error) {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -186,7 +186,7 @@
 
 // canRetry reports whether the request may go to another endpoint after an attempt that may have run.
 func (t *task) canRetry() bool {
-	return t.route.Repeatable() && t.endpointsTried() < t.maxEndpoints()
+	return t.route.Repeatable() && t.endpointsTried() < t.maxEndpoints() && t.mayContinue()
 }
 
 // endpointsTried is the number of dispatches that reached the intended endpoint. One that reached a later incarnation does
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/gossip"
+	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
@@ -36,7 +38,7 @@
 
 func (testProtocol) ReadCall(h http.Header) (Call, error) {
 	tokens, _ := strconv.Atoi(h.Get("X-Tokens"))
-	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("X-Last"), PromptTokens: tokens}, nil
+	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("X-Last"), Resumes: h.Get("X-Resumes"), PromptTokens: tokens}, nil
 }
 
 func (testProtocol) WriteDispatch(h http.Header, d Dispatch) {
@@ -92,8 +94,10 @@
 	url        string
 	gateway    *Gateway
 	dispatches atomic.Int64
-	retries    retrybudget.Options
-	bodyBytes  int64
+	// perEndpoint counts the dispatches by endpoint.
+	perEndpoint sync.Map
+	retries     retrybudget.Options
+	bodyBytes   int64
 
 	endpointLimits *endpointlimit.Limiter
 	endpointGate   *endpointgate.Gate
@@ -124,7 +128,7 @@
 		edit(&route)
 	}
 	organisation := routetable.Organisation{ID: "o", Keys: []string{"key"}, CountTokens: true, PlainTokens: 10, Rate: 500, Burst: 500}
-	table, err := routetable.New(1, []routetable.Route{route}, []routetable.Service{{Name: "s", Engine: true}},
+	table, err := routetable.New(1, []routetable.Route{route}, []routetable.Service{{Name: "s", Engine: true}, {Name: "other", Engine: true}},
 		[]routetable.Organisation{organisation}, routetable.Limits{MaxBodyBytes: 1 << 10, MaxHeaderBytes: 4 << 10})
 	assert.NilError(t, err)
 	f.config.table = table
@@ -138,14 +142,26 @@
 func (f *fixture) addEndpoint(id string, handler http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.dispatches.Add(1)
+		f.countAt(id)
 		handler(w, r)
 	}))
 	f.t.Cleanup(server.Close)
 	f.directory.Apply(0, []*directory.Endpoint{{
-		ID: domain.EndpointID(id), Service: "s", Address: server.Listener.Addr().String(), Slots: 4,
+		ID: domain.EndpointID(id), Service: "s", Address: server.Listener.Addr().String(), Slots: 4, Version: "v1",
 	}}, nil, 0)
 }
 
+func (f *fixture) countAt(id string) {
+	count, _ := f.perEndpoint.LoadOrStore(id, new(atomic.Int64))
+	count.(*atomic.Int64).Add(1)
+}
+
+// dispatchesTo returns the number of dispatches to an endpoint.
+func (f *fixture) dispatchesTo(id string) int {
+	count, _ := f.perEndpoint.LoadOrStore(id, new(atomic.Int64))
+	return int(count.(*atomic.Int64).Load())
+}
+
 func (f *fixture) now() boottime.Instant { return boottime.Instant(f.clock.Load()) }
 
 func (f *fixture) start() {
@@ -175,6 +191,7 @@
 		Brittle:            f.brittle,
 		RetryBudget:        retrybudget.New(f.retries, f.now, one),
 		Quarantine:         quarantine.NewTracker(zerolog.Nop()),
+		Origins:            f.origins(set),
 		Places:             places.New(places.Options{Gate: f.endpointGate}, f.directory, alone, set),
 		EndpointClient:     exchange.New(exchange.Options{}, set),
 		Reach:              f.reach,
@@ -190,6 +207,15 @@
 	f.url = server.URL
 }
 
+// origins returns a keeper of a fleet of one node.
+func (f *fixture) origins(set *metrics.Set) *origin.Keeper {
+	return origin.New(origin.Config{
+		Self: "n", Members: func() []domain.Member { return []domain.Member{{Node: "n"}} }, AllHeard: func() bool { return true },
+		Send: func(string, []byte) error { return nil }, VersionChanges: f.directory.TakeVersionChanges, Clock: f.now,
+		Log: zerolog.Nop(), Metrics: set,
+	})
+}
+
 // result is the response that a caller got. Err is the error of reading the body, nil if it was complete.
 type result struct {
 	Status int
@@ -198,17 +224,23 @@
 	Err    error
 }
 
-func (f *fixture) call(edit func(*http.Request)) result {
-	f.t.Helper()
+// request returns a caller's request with the id 1.
+func (f *fixture) request(edit func(*http.Request)) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, f.url+"/r/x?q=1", http.NoBody)
 	assert.NilError(f.t, err)
+	request.RequestURI = ""
 	request.Host = "h.example"
 	request.Header.Set("X-Id", "1")
 	request.Header.Set("X-Key", "key")
 	if edit != nil {
 		edit(request)
 	}
-	response, err := http.DefaultTransport.RoundTrip(request)
+	return request
+}
+
+func (f *fixture) call(edit func(*http.Request)) result {
+	f.t.Helper()
+	response, err := http.DefaultTransport.RoundTrip(f.request(edit))
 	if err != nil {
 		return result{Err: err}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -99,12 +99,17 @@
 	return forwardHead{
 		From: t.gateway.options.Node, TimeLeft: t.timeLeft(), WaitedBefore: t.waitedBefore + time.Since(t.started),
 		LastEventID: t.lastEventID, Tried: t.tried, MaxEndpoints: max(left-1, 1), MayHaveRun: t.mayHaveRun,
+		Origin: t.origin,
 	}
 }
 
 func (t *task) forwardRequest(helper reach.Helper, head forwardHead) *exchange.Request {
 	header := endToEndHeader(t.request.Header)
-	setField(header, fieldForward, head)
+	field := fieldForward
+	if head.Origin.Known() {
+		field = fieldForwardResumption
+	}
+	setField(header, field, head)
 	return &exchange.Request{
 		Endpoint: domain.EndpointID(helper.Node), Address: helper.Address, Method: t.request.Method, Target: t.request.RequestURI,
 		Host: t.request.Host, Header: header, Body: t.body, Handshake: min(handshakeTimeout, max(head.TimeLeft, 1)),
--- a/gateway/forwardhead.go
+++ b/gateway/forwardhead.go
@@ -9,12 +9,18 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/origin"
 )
 
 // Header fields between nodes. Callers' and endpoints' fields of these names are not forwarded.
 const (
 	fieldForward       = "Hawthornrill-Forward"
 	fieldForwardResult = "Hawthornrill-Forward-Result"
+	// fieldForwardResumption takes the place of fieldForward if the request continues a stream. Programs that know no software
+	// versions refuse it.
+	fieldForwardResumption = "Hawthornrill-Forward-Resumption"
+	// fieldOrigin is what sends the response's first event.
+	fieldOrigin = "Hawthornrill-Origin"
 	// fieldAnsweredBy is the endpoint's incarnation in a response of an endpoint that the other node passes on.
 	fieldAnsweredBy = "Hawthornrill-Endpoint"
 )
@@ -32,6 +38,8 @@
 	MaxEndpoints int                 `cbor:"6,keyasint"`
 	// MayHaveRun is true if an earlier attempt may have run.
 	MayHaveRun bool `cbor:"7,keyasint,omitempty"`
+	// Origin is what began the stream that the request continues.
+	Origin origin.Origin `cbor:"8,keyasint"`
 }
 
 // forwardResult is what the other node says of a request to which it responds itself.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"hawthornrill.example/hawthornrill/endpointgate"
 	"hawthornrill.example/hawthornrill/endpointlimit"
 	"hawthornrill.example/hawthornrill/follow"
+	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
@@ -62,7 +63,9 @@
 	// Brittle records which services must not have to reject requests. It may be nil.
 	Brittle     *brittle.Tracker
 	RetryBudget *retrybudget.Budget
-	Places      *places.Allocator
+	// Origins knows which software version began each stream.
+	Origins *origin.Keeper
+	Places  *places.Allocator
 	// Quarantine identifies request contents that crash the endpoints that run them.
 	Quarantine     *quarantine.Tracker
 	EndpointClient *exchange.Client
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -10,7 +10,8 @@
 // computed for each message.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", fieldForward, fieldForwardResult, fieldAnsweredBy,
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", fieldForward, fieldForwardResult, fieldForwardResumption,
+	fieldAnsweredBy, fieldOrigin,
 }
 
 // endToEndHeader returns a copy of h without the hop-by-hop fields.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornrill.example/hawthornrill/origin"
 )
 
 // metricSet holds the gateway's counters and histograms.
@@ -13,16 +15,22 @@
 	retries *metrics.Counter
 	// forwarded counts the requests that another node took for this one.
 	forwarded *metrics.Counter
+	// takeUps counts the requests that take up a stream, by what is known of its origin.
+	takeUps [origin.States]*metrics.Counter
 }
 
 func newMetricSet(set *metrics.Set, g *Gateway) *metricSet {
 	set.NewGauge("hawthornrill_requests_active", func() float64 { return float64(g.active.Load()) })
 	set.NewGauge("hawthornrill_request_body_bytes_held", func() float64 { return float64(g.heldBodyBytes.Load()) })
 	set.NewGauge("hawthornrill_requests_taken_over", func() float64 { return float64(g.takeovers.Load()) })
-	return &metricSet{
+	m := &metricSet{
 		set: set, retries: set.NewCounter("hawthornrill_request_retries_total"),
 		forwarded: set.NewCounter("hawthornrill_requests_forwarded_total"),
 	}
+	for state := range m.takeUps {
+		m.takeUps[state] = set.NewCounter(fmt.Sprintf("hawthornrill_streams_taken_up_total{origin=%q}", origin.State(state)))
+	}
+	return m
 }
 
 // recordRequest updates the counter and histograms of a completed request; first is zero if no event was received.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,6 +13,7 @@
 var (
 	errEndpointFailed = errors.New("gateway: the endpoint answered that it failed")
 	errUnsigned       = errors.New("gateway: response has no endpoint signature")
+	errOtherVersion   = errors.New("gateway: the events are of another software version than those before")
 	errTruncatedEvent = errors.New("gateway: stream ended in the middle of an event")
 )
 
@@ -30,6 +31,9 @@
 			return a.responseLost(err)
 		}
 		a.recordEvent()
+		if !a.recordOrigin(response) {
+			return a.responseLost(errOtherVersion)
+		}
 		if err := a.forwardEvent(response, event); err != nil {
 			a.release(capacity.Result{})
 			return attemptResult{final: true, abort: true, err: errCallerGone}
@@ -56,7 +60,7 @@
 	t := a.task
 	h := t.writer.Header()
 	copyEndToEndHeader(h, response.Header)
-	a.nameEndpoint(h)
+	a.nameEndpoint(h, response)
 	h.Del("Content-Length")
 	t.headSent = true
 	t.writer.WriteHeader(response.StatusCode)
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/endpoint/exchange"
 )
 
 const (
@@ -35,11 +36,15 @@
 	}()
 	t := newTask(g, w, r)
 	t.forwarded = &forwardHead{}
-	if err := readField(r.Header, fieldForward, t.forwarded); err != nil {
+	field := fieldForward
+	if r.Header.Get(fieldForwardResumption) != "" {
+		field = fieldForwardResumption
+	}
+	if err := readField(r.Header, field, t.forwarded); err != nil {
 		t.refuse(&problem{Status: http.StatusBadRequest, Title: "the request was not forwarded by a node", Cause: err})
 		return
 	}
-	r.Header.Del(fieldForward)
+	r.Header.Del(field)
 	w.WriteHeader(http.StatusProcessing) // tells the first node that this one is alive
 	if refused := t.admit(); refused != nil {
 		t.refuse(refused)
@@ -60,7 +65,13 @@
 	t.tried = append(t.tried, t.forwarded.Tried...)
 	t.triedBefore = len(t.tried)
 	t.call.LastEventID = t.forwarded.LastEventID
-	t.service = t.chooseService()
+	t.service, t.origin = t.chooseService(), t.forwarded.Origin
+	if t.forwarded.LastEventID != "" || t.takesUp() {
+		if !t.origin.Known() {
+			return notResumable("the other node does not tell which software version began the stream")
+		}
+		t.service = t.origin.Service
+	}
 	if r := t.gateway.deps.Reach; r != nil && r.Lost(t.service) {
 		return unavailable("the node does not reach the service either")
 	}
@@ -99,10 +110,14 @@
 	return nil
 }
 
-// nameEndpoint tells the node that forwarded the request whose response it gets.
-func (a *attempt) nameEndpoint(h http.Header) {
-	if a.task.forwarded != nil {
-		h.Set(fieldAnsweredBy, string(a.receiver()))
+// nameEndpoint tells the node that forwarded the request whose response it gets, and of which software version.
+func (a *attempt) nameEndpoint(h http.Header, response *exchange.Response) {
+	if a.task.forwarded == nil {
+		return
+	}
+	h.Set(fieldAnsweredBy, string(a.receiver()))
+	if from, _ := a.origin(response); from.Known() {
+		setField(h, fieldOrigin, from)
 	}
 }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -11,6 +11,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/routetable"
 )
@@ -19,6 +20,8 @@
 	errTimeout    = errors.New("gateway: request deadline exceeded")
 	errStalled    = errors.New("gateway: endpoint stalled, no data received in time")
 	errCallerGone = errors.New("gateway: caller disconnected")
+
+	errVersionChanged = errors.New("gateway: the endpoint's software version has changed")
 )
 
 // ErrStopped is the cause with which the node ends the contexts of the requests that are still in progress when its time to
@@ -68,6 +71,10 @@
 	// headSent is true once a response header was forwarded; lastEventID is the id of the last event forwarded.
 	headSent    bool
 	lastEventID string
+	// origin is what began the stream. Once it is known the request goes to no other version.
+	origin origin.Origin
+	// triedAgain is true once the endpoints of the version have been tried, so that they may be a second time.
+	triedAgain bool
 
 	// The remaining fields are for the log.
 	slotWait         time.Duration
@@ -103,8 +110,11 @@
 	t.ctx = ctx
 	t.setWriteDeadline(time.Now().Add(max(t.timeLeft(), 0) + writeGrace))
 	t.lastEventID = t.call.LastEventID
-	t.service = t.chooseService()
-	if t.forwarded == nil { // the node that forwards it has counted it
+	if t.forwarded == nil { // the node that forwards it has bound and counted it
+		if refused := t.bind(); refused != nil {
+			t.finish(attemptResult{final: true, refusal: refused, err: refused.Cause})
+			return
+		}
 		t.gateway.deps.RetryBudget.Request(t.service)
 	}
 	for tries := 0; ; tries++ {
@@ -120,7 +130,7 @@
 	}
 }
 
-// chooseService chooses a service by the route's split. All attempts of the request go to the same one.
+// chooseService chooses a service by the route's split. All endpoints that the request is sent to are of the same one.
 func (t *task) chooseService() string { return t.route.Service(xxhash.Sum64String(t.call.ID)) }
 
 // maxEndpoints is the number of endpoints to which this node may send the request.
@@ -173,8 +183,12 @@
 		slot.Release(resultNotDispatched)
 		return attemptResult{final: true, refusal: refusal, err: refusal.Cause}
 	}
-	if err := t.gateway.deps.EndpointGate.Check(slot.Endpoint.Incarnation()); err != nil {
-		// The endpoint started to leave, left or asked for rest while the request was queued.
+	err = t.gateway.deps.EndpointGate.Check(slot.Endpoint.Incarnation())
+	if err == nil && t.leftVersion(slot.Endpoint.Incarnation()) {
+		err = errVersionChanged
+	}
+	if err != nil {
+		// The endpoint started to leave, left, asked for rest or changed its version while the request was queued.
 		slot.Release(resultNotDispatched)
 		t.logNotSent(slot.Endpoint.Incarnation(), slot.Waited, err)
 		return attemptResult{err: err}
@@ -210,7 +224,8 @@
 		FirstByteDue: t.started.Add(t.route.FirstByte - t.waitedBefore),
 		Due:          t.started.Add(t.timeout),
 		Excluded:     t.tried,
-		Urgent:       t.headSent || t.mayHaveRun || t.forwarded != nil && t.forwarded.MayHaveRun,
+		Version:      t.origin.Version,
+		Urgent:       t.headSent || t.mayHaveRun || t.origin.Known() || t.forwarded != nil && t.forwarded.MayHaveRun,
 	}
 	request.Blocks, request.BlockTokens = t.call.prefixBlocks()
 	if t.organisation != nil {
@@ -271,6 +286,14 @@
 func (t *task) noSlot(err error) attemptResult {
 	var refusal *places.Refusal
 	switch {
+	case errors.Is(err, places.ErrNoEndpoint) && t.origin.Known() && !t.triedAgain:
+		// All endpoints of the version were tried. One of them may be back.
+		t.triedAgain = true
+		t.tried = t.tried[:t.triedBefore]
+		return attemptResult{err: err}
+	case errors.Is(err, places.ErrNoVersion):
+		p := notResumable("no endpoint runs the software version that began the stream")
+		return attemptResult{final: true, refusal: t.unknownIfMayHaveRun(p), err: err}
 	case errors.As(err, &refusal):
 		p := &problem{
 			Status: http.StatusServiceUnavailable, Title: "no endpoint can take the request", Outcome: outcomeNotRun,
@@ -308,8 +331,12 @@
 	return r
 }
 
-// retryAfter is the Retry-After of a request that no endpoint took: after the endpoints' rest if all of them rest.
+// retryAfter is the Retry-After of a request that no endpoint took: after the endpoints' rest if all of them rest, zero if no
+// endpoint of the version is left to which the request is bound.
 func (t *task) retryAfter() time.Duration {
+	if t.origin.Known() && !t.gateway.deps.Places.Serves(t.service, t.origin.Version) {
+		return 0
+	}
 	return max(t.gateway.deps.Places.RestEndsIn(t.service), t.helperRetryAfter, shortRetryAfter)
 }
 
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -52,7 +52,7 @@
 	t := a.task
 	h := t.writer.Header()
 	copyEndToEndHeader(h, response.Header)
-	a.nameEndpoint(h)
+	a.nameEndpoint(h, response)
 	if len(body) <= maxBufferedBytes && t.request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
