--- a/gateway/takeup_test.go
+++ b/gateway/takeup_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -55,6 +56,11 @@
 	f.gateway.deps.Origins.Begin(origin.NewKey("o", content, id), origin.Origin{Service: service, Version: version}, "e", time.Minute)
 }
 
+// attemptNumber gives a request an id of its own.
+func attemptNumber(n int) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("X-Id", fmt.Sprint("attempt ", n)) }
+}
+
 // takeUp makes a request take up the stream of an attempt after its second event.
 func takeUp(attempt string) func(*http.Request) {
 	return func(r *http.Request) {
@@ -73,8 +79,8 @@
 		f.ofVersion(other, "v2")
 	}
 	resumed := 0
-	for range 20 {
-		got := f.call(nil)
+	for i := range 20 {
+		got := f.call(attemptNumber(i))
 		if got.Err != nil {
 			assert.Assert(t, strings.HasPrefix(got.Body, twoEvents) && !strings.Contains(got.Body, thirdOnly), got.Body)
 			resumed++
@@ -82,8 +88,8 @@
 	}
 	assert.Assert(t, resumed > 0, "no stream broke")
 	f.ofVersion("e1", "v1")
-	for range 20 {
-		got := f.call(nil)
+	for i := range 20 {
+		got := f.call(attemptNumber(20 + i))
 		assert.NilError(t, got.Err)
 		assert.Equal(t, got.Body, threeEvents)
 	}
@@ -92,8 +98,8 @@
 func TestAttemptBeforeTheFirstEventIsFree(t *testing.T) {
 	f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) { abortConnection() }, streaming)
 	f.ofVersion("e1", "v2")
-	for range 20 {
-		got := f.call(nil)
+	for i := range 20 {
+		got := f.call(attemptNumber(i))
 		assert.NilError(t, got.Err)
 		assert.Equal(t, got.Body, threeEvents)
 	}
@@ -252,8 +258,8 @@
 	f.helpedBy("first", first.asHelper())
 	f.helpedBy("second", second.asHelper())
 	resumed := 0
-	for range 20 {
-		got := f.call(nil)
+	for i := range 20 {
+		got := f.call(attemptNumber(i))
 		assert.NilError(t, got.Err)
 		assert.Equal(t, got.Body, threeEvents)
 		if first.dispatches.Load() > int64(resumed) {
