brittle: an answer without a statement ends that of its own version only

Where two versions serve side by side, each answer of endpoints that say nothing ended what the others go on saying, at all nodes. Found by reading. The test failed before.

--- a/brittle/statement.go
+++ b/brittle/statement.go
@@ -26,6 +26,8 @@
 type known struct {
 	brittle       bool
 	maxRejections int
+	// version is the software version of the endpoint that stated it, empty if it is not known.
+	version string
 	// statedAt is when the request was sent whose response stated it, receivedAt when this node received one itself.
 	statedAt, receivedAt boottime.Instant
 }
--- a/brittle/tracker.go
+++ b/brittle/tracker.go
@@ -63,8 +63,9 @@
 	return t
 }
 
-// Record records the statement in a response of an endpoint of the service. Sent is when the request was sent.
-func (t *Tracker) Record(service string, sent boottime.Instant, s Statement) {
+// Record records the statement in a response of an endpoint of the service and the software version. Sent is when the request was
+// sent. A response without a statement ends that of its own version only: others may go on saying so.
+func (t *Tracker) Record(service, version string, sent boottime.Instant, s Statement) {
 	if s.Kind == Invalid {
 		t.malformed.Inc()
 		t.config.Log.Warn().Str("service", service).Msg("malformed statement of brittleness in an endpoint's response")
@@ -77,10 +78,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := (*t.services.Load())[service]
-	if sent < before.statedAt {
+	if sent < before.statedAt || s.Kind == None && before.brittle && before.version != "" && before.version != version {
 		return
 	}
-	next := known{brittle: s.Kind == Stated, maxRejections: s.MaxRejections, statedAt: sent, receivedAt: now}
+	next := known{brittle: s.Kind == Stated, maxRejections: s.MaxRejections, version: version, statedAt: sent, receivedAt: now}
 	// Most answers repeat the statement; the map is replaced only now and then for these.
 	if next.brittle == before.brittle && next.maxRejections == before.maxRejections && now.Sub(before.receivedAt) < reportFor/4 {
 		return
--- a/brittle/tracker_test.go
+++ b/brittle/tracker_test.go
@@ -58,7 +58,7 @@
 	for _, nodes := range []int{1, 2, 7, 72} {
 		for _, slots := range []int{1, 6, 8, 11} {
 			c := newCluster(nodes)
-			c.trackers[0].Record("s", c.now, stated)
+			c.trackers[0].Record("s", "v1", c.now, stated)
 			c.tell(0)
 			for i := range 10 {
 				sum := 0
@@ -76,7 +76,7 @@
 func TestEveryNodeHasSlotsSomewhere(t *testing.T) {
 	c := newCluster(7)
 	for _, tracker := range c.trackers {
-		tracker.Record("s", c.now, stated)
+		tracker.Record("s", "v1", c.now, stated)
 		sum := 0
 		for i := range 4 {
 			share, _ := tracker.Share(endpoint(fmt.Sprint("e", i), 6))
@@ -93,17 +93,17 @@
 		return ok
 	}
 	sentBefore := c.now
-	c.trackers[0].Record("s", c.now, Statement{})
+	c.trackers[0].Record("s", "v1", c.now, Statement{})
 	assert.Assert(t, !bound(0))
 	c.now = c.now.Add(time.Second)
-	c.trackers[0].Record("s", c.now, stated)
+	c.trackers[0].Record("s", "v1", c.now, stated)
 	c.tell(0)
 	assert.Assert(t, bound(0) && bound(1))
-	c.trackers[0].Record("s", sentBefore, Statement{})
-	c.trackers[1].Record("s", c.now, Statement{Kind: Invalid})
+	c.trackers[0].Record("s", "v1", sentBefore, Statement{})
+	c.trackers[1].Record("s", "v1", c.now, Statement{Kind: Invalid})
 	assert.Assert(t, bound(0) && bound(1), "an answer to an earlier request ended it")
 	c.now = c.now.Add(time.Second)
-	c.trackers[1].Record("s", c.now, Statement{})
+	c.trackers[1].Record("s", "v1", c.now, Statement{})
 	c.tell(1)
 	assert.Assert(t, !bound(0) && !bound(1))
 	c.tell(0)
@@ -112,7 +112,7 @@
 
 func TestStatementThatIsNotRepeatedIsForgotten(t *testing.T) {
 	c := newCluster(1)
-	c.trackers[0].Record("s", c.now, stated)
+	c.trackers[0].Record("s", "v1", c.now, stated)
 	_, bound := c.trackers[0].Share(endpoint("e", 4))
 	assert.Assert(t, bound)
 	c.now = c.now.Add(expireAfter + 1)
@@ -125,10 +125,22 @@
 func TestRepeatedStatementStaysInForce(t *testing.T) {
 	c := newCluster(1)
 	for range 100 {
-		c.trackers[0].Record("s", c.now, stated)
+		c.trackers[0].Record("s", "v1", c.now, stated)
 		c.now = c.now.Add(expireAfter / 20)
 		c.trackers[0].Sweep()
 		_, bound := c.trackers[0].Share(endpoint("e", 4))
 		assert.Assert(t, bound)
 	}
 }
+
+// Guards against a version whose endpoints say nothing ending what those of another one say.
+func TestStatementEndsByItsOwnVersion(t *testing.T) {
+	c := newCluster(2)
+	c.trackers[0].Record("s", "v1", c.now, stated)
+	c.trackers[0].Record("s", "v2", c.now+1, Statement{})
+	_, bound := c.trackers[0].Share(endpoint("e", 4))
+	assert.Assert(t, bound)
+	c.trackers[0].Record("s", "v1", c.now+2, Statement{})
+	_, bound = c.trackers[0].Share(endpoint("e", 4))
+	assert.Assert(t, !bound)
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -144,7 +144,7 @@
 	tracker := a.task.gateway.deps.Brittle
 	own := status != http.StatusMisdirectedRequest && (head.Signed || head.NotRun)
 	if tracker != nil && (own || head.Brittle.Kind != brittle.None) {
-		tracker.Record(a.task.service, sent, head.Brittle)
+		tracker.Record(a.task.service, a.endpoint.Version, sent, head.Brittle)
 	}
 }
 
