--- a/cmd/hawthornrill-soak/cutoff_test.go
+++ b/cmd/hawthornrill-soak/cutoff_test.go
@@ -140,6 +140,9 @@
 			failures[fmt.Sprint(o.status, " ", o.path, " ", strings.SplitN(o.body, ",", 2)[0])]++
 		}
 	}
+	for _, e := range s.endpoints {
+		s.t.Logf("endpoint %s: %v between two events, meant to be %v", e.ID, e.EventTime(), eventInterval)
+	}
 	s.t.Logf("cut off: %d of %d served, others: %d of %d; failures %v", served[true], sent[true], served[false], sent[false], failures)
 	if 3*served[true]*sent[false] < 2*served[false]*sent[true] {
 		s.t.Errorf("nodes cut off from the endpoints served %d of %d requests, the others %d of %d\nlogs in %s",
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -225,11 +225,14 @@
 	s.store.Put("op/config", platformtest.Configuration(s.version, routes, s.keys))
 }
 
+// eventInterval is the time between two events of an endpoint's stream.
+const eventInterval = 20 * time.Millisecond
+
 func (s *soak) addEndpoint(service string, i int, version string) *platformtest.Endpoint {
 	e := platformtest.NewEndpoint(fmt.Sprintf("%s-%d-%d", service, i, s.requests.Add(1)), service, fmt.Sprint("dc-", i%2))
 	e.Version = version
 	e.SetStreamEvents(s.streamEvents)
-	e.SetEventInterval(20 * time.Millisecond)
+	e.SetEventInterval(eventInterval)
 	s.t.Cleanup(e.Close)
 	e.Register(s.store, "ready")
 	s.endpoints = append(s.endpoints, e)
