origin: records live as long as their callers may wait, repairs are bounded in time

A record lived for a minute at most, a stream may last longer. And each change of the list of nodes had each holder look for the holders of all its records: derived for 1,000 nodes, 0.24 s of processor time each, however often the list changes; now 2% of a core.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -27,6 +27,9 @@
 	settleTime = 30 * time.Millisecond
 	// tickInterval is the interval at which the list of nodes is read.
 	tickInterval = 100 * time.Millisecond
+	// repairFraction bounds the time that the reports after changes of the list of nodes take: a search for the holders of a thousand
+	// records in a thousand nodes takes a quarter of a second.
+	repairFraction = 0.02
 	// mistakenFor is the time before the node sees that an endpoint's version has changed in which that endpoint may have been of
 	// either version: its entry arrives late.
 	mistakenFor = 10 * time.Second
@@ -54,6 +57,9 @@
 type Keeper struct {
 	config Config
 	nodes  atomic.Pointer[nodes]
+	// reported is the list of nodes by which records were last reported; nextRepair is when they may be again. Both are Run's.
+	reported   *nodes
+	nextRepair time.Time
 
 	mu    sync.Mutex
 	table *table
@@ -74,7 +80,8 @@
 		dropped:   config.Metrics.NewCounter("hawthornrill_origin_records_dropped_total"),
 		repeated:  config.Metrics.NewCounter("hawthornrill_origin_records_repeated_total"),
 	}
-	k.nodes.Store(newNodes(config.Members()))
+	k.reported = newNodes(config.Members())
+	k.nodes.Store(k.reported)
 	config.Metrics.NewGauge("hawthornrill_origin_records", func() float64 { return float64(k.Len()) })
 	return k
 }
@@ -160,6 +167,7 @@
 			k.mu.Unlock()
 			k.applyVersionChanges()
 			k.refresh()
+			k.repair(time.Now())
 		}
 	}
 }
@@ -167,16 +175,23 @@
 // refresh reads the list of nodes.
 func (k *Keeper) refresh() {
 	members := k.config.Members()
-	before := k.nodes.Load()
-	if before.same(members) {
+	if !k.nodes.Load().same(members) {
+		k.nodes.Store(newNodes(members))
+	}
+}
+
+// repair reports the records to the nodes that are new among their holders since the last repair.
+func (k *Keeper) repair(now time.Time) {
+	before, after := k.reported, k.nodes.Load()
+	if before.same(after.members) || now.Before(k.nextRepair) {
 		return
 	}
-	after := newNodes(members)
-	k.nodes.Store(after)
 	k.report(k.current(), k.config.Clock(), func(key Key) []domain.Member {
 		had := before.chosen(key.Stream, k.config.Self, holders)
 		return without(after.chosen(key.Stream, k.config.Self, holders), had)
 	})
+	k.reported = after
+	k.nextRepair = now.Add(time.Duration(float64(time.Since(now)) / repairFraction))
 }
 
 // without returns the members of a whose incarnations are not in b.
--- a/origin/table.go
+++ b/origin/table.go
@@ -9,7 +9,7 @@
 
 const (
 	// MaxRetention bounds the time for which an origin is kept.
-	MaxRetention = time.Minute
+	MaxRetention = 10 * time.Minute
 	// maxRecords bounds the records of a node, at 270 bytes each.
 	maxRecords = 1 << 15
 	// maxOrganisationFraction is the part of maxRecords that one organisation may use: the ids of attempts are its callers'.
