--- a/cmd/hawthornrill-soak/takeup_test.go
+++ b/cmd/hawthornrill-soak/takeup_test.go
@@ -58,6 +58,25 @@
 	s.check()
 }
 
+// Guards against new streams that keep streams from going on: under overload these meet at the few endpoints of their version.
+func TestStreamsGoOnUnderOverload(t *testing.T) {
+	s := newVersionsSoak(t, 30200)
+	s.waitReady()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range overloadCallers {
+		random := rand.New(rand.NewPCG(uint64(s.seed), uint64(stayingStream+i)))
+		callers.Go(func() { s.streamUntil(stop, random) })
+	}
+	time.Sleep(versionsTime)
+	close(stop)
+	callers.Wait()
+	s.check()
+}
+
+// overloadCallers are more than four times the slots of the endpoints.
+const overloadCallers = 160
+
 const (
 	killedNodes  = 6
 	killInterval = 1500 * time.Millisecond
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -225,7 +225,8 @@
 		Due:          t.started.Add(t.timeout),
 		Excluded:     t.tried,
 		Version:      t.origin.Version,
-		Urgent:       t.headSent || t.mayHaveRun || t.origin.Known() || t.forwarded != nil && t.forwarded.MayHaveRun,
+		Urgent:       t.headSent || t.mayHaveRun || t.forwarded != nil && t.forwarded.MayHaveRun,
+		Continues:    t.origin.Known(),
 	}
 	request.Blocks, request.BlockTokens = t.call.prefixBlocks()
 	if t.organisation != nil {
--- a/places/choose.go
+++ b/places/choose.go
@@ -17,8 +17,9 @@
 	if ep := p.chooseWithLimits(now, request, limits, a, fleet); ep != nil {
 		return ep
 	}
-	if limits.overcommit || limits.queueFactor > 1 || !p.belowDemandShare(now, limits, a) {
-		// No further capacity may be used, or it has been allowed already: short work may exceed the slots by more.
+	if limits.overcommit || limits.queueFactor > 1 || !request.Continues && !p.belowDemandShare(now, limits, a) {
+		// No further capacity may be used, or it has been allowed already: short work may exceed the slots by more. A stream that
+		// has begun can only go on at some of the endpoints, which new requests fill as well.
 		return nil
 	}
 	limits.overcommit = true
@@ -70,7 +71,7 @@
 	if fleet.Known > sampleMinNodes {
 		limits.foreignReserve = foreignReserve
 	}
-	if request.Urgent {
+	if request.Urgent || request.Continues {
 		return limits
 	}
 	limits.demandReserve = p.demand.reserve(now, demandTierOf(request))
--- a/places/request.go
+++ b/places/request.go
@@ -39,8 +39,11 @@
 	Excluded []domain.EndpointID
 	// Version is the only software version whose endpoints may be chosen, empty for any.
 	Version string
-	// Urgent requests continue an answer that has started: they are not refused for a long queue.
+	// Urgent requests belong to an answer that their caller is receiving: they are not refused for a long queue.
 	Urgent bool
+	// Continues is true if the request continues a stream that has begun, at this node or elsewhere. It counts as on time, and waits for
+	// maxContinueWait at most unless it is urgent.
+	Continues bool
 
 	// capacityRequest is the router's form of the request, built once on arrival.
 	capacityRequest *capacity.Request
