standin: a timed fault clears only its own, a waiting call ends with its caller

Both made tests and soaks milder than they say. A fault set for a time cleared all faults at its end, also what later requests had set; now only those that no later request has set (services, engines), or nothing if all were set again (the store). A call that waits for a worker was served after its caller had left.

--- a/standin/api/api.go
+++ b/standin/api/api.go
@@ -3,12 +3,15 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 
 	"github.com/labstack/echo/v4"
@@ -23,7 +26,26 @@
 // DecodeStrict decodes a JSON body of at most 1 MiB into value. Members that the
 // body omits keep their current values; unknown members are errors.
 func DecodeStrict(c echo.Context, value any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxControlBytes)
+	return decodeStrict(http.MaxBytesReader(c.Response(), c.Request().Body, maxControlBytes), value)
+}
+
+// DecodeNamed is DecodeStrict, and returns the names of the members that the body has.
+func DecodeNamed(c echo.Context, value any) (names []string, err error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxControlBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadRequest, err)
+	}
+	if err := decodeStrict(bytes.NewReader(body), value); err != nil {
+		return nil, err
+	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(body, &members); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadRequest, err)
+	}
+	return slices.Collect(maps.Keys(members)), nil
+}
+
+func decodeStrict(body io.Reader, value any) error {
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -17,7 +17,8 @@
 	// stream.
 	Crash      bool `json:"crash,omitempty"`
 	Disconnect bool `json:"cut,omitempty"`
-	// ForMillis clears all faults after that time; 0 leaves them set.
+	// ForMillis clears the faults that this request sets after that time, unless a
+	// later one has set them; 0 leaves them set.
 	ForMillis int `json:"for_ms,omitempty"`
 }
 
@@ -60,13 +61,14 @@
 // setFaults sets the faults named in the body and leaves the others unchanged.
 func (c *control) setFaults(ctx echo.Context) error {
 	body := FaultRequest{Faults: c.engine.Faults()}
-	if err := api.DecodeStrict(ctx, &body); err != nil {
+	names, err := api.DecodeNamed(ctx, &body)
+	if err != nil {
 		return err
 	}
 	c.engine.SetFaults(body.Faults)
-	if body.ForMillis > 0 {
-		time.AfterFunc(time.Duration(body.ForMillis)*time.Millisecond, func() { c.engine.SetFaults(Faults{}) })
-	}
+	c.engine.timed.Set(names, time.Duration(body.ForMillis)*time.Millisecond, func(names []string) {
+		c.engine.SetFaults(api.Without(c.engine.Faults(), names))
+	})
 	if body.Disconnect {
 		c.engine.DisconnectStreams()
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/standin/api"
 )
 
 // Engine is a simulated model engine. Its methods are safe for concurrent use.
 // A goroutine runs only while there are requests to compute.
 type Engine struct {
 	options Options
+	// timed clears faults that were set for a time.
+	timed api.Timed
 
 	mu              sync.Mutex
 	waiting         []*sequence
--- a/standin/service/control.go
+++ b/standin/service/control.go
@@ -14,8 +14,8 @@
 type FaultRequest struct {
 	Faults
 	Crash bool `json:"crash,omitempty"`
-	// ForMillis is the time after which all faults are cleared; 0 keeps them until
-	// they are changed.
+	// ForMillis is the time after which the faults that this request sets are cleared,
+	// unless a later one has set them; 0 keeps them until they are changed.
 	ForMillis int `json:"for_ms,omitempty"`
 }
 
@@ -30,13 +30,14 @@
 
 func (s *Service) changeFaults(c echo.Context) error {
 	request := FaultRequest{Faults: s.Faults()}
-	if err := api.DecodeStrict(c, &request); err != nil {
+	names, err := api.DecodeNamed(c, &request)
+	if err != nil {
 		return err
 	}
 	s.SetFaults(request.Faults)
-	if request.ForMillis > 0 {
-		time.AfterFunc(time.Duration(request.ForMillis)*time.Millisecond, func() { s.SetFaults(Faults{}) })
-	}
+	s.timed.Set(names, time.Duration(request.ForMillis)*time.Millisecond, func(names []string) {
+		s.SetFaults(api.Without(s.Faults(), names))
+	})
 	if request.Crash {
 		s.Crash()
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -17,6 +17,8 @@
 	options Options
 	router  *echo.Echo
 	workers chan struct{}
+	// timed clears faults that were set for a time.
+	timed api.Timed
 
 	mu     sync.Mutex
 	data   data
@@ -122,12 +124,14 @@
 }
 
 // process holds a worker for the processing time. A call that is being processed
-// is not cancelled when its caller disconnects.
+// is not cancelled when its caller disconnects; one that waits for a worker is.
 func (s *Service) process(ctx context.Context, crashSignal <-chan struct{}) error {
 	select {
 	case s.workers <- struct{}{}:
 	case <-crashSignal:
 		return errAborted
+	case <-ctx.Done():
+		return errAborted
 	}
 	defer func() { <-s.workers }()
 	duration := s.options.ProcessingTime
--- a/standin/storeserver/control.go
+++ b/standin/storeserver/control.go
@@ -21,7 +21,7 @@
 	// LoseAnswers is the number of next writes that take effect but whose connection is
 	// aborted in place of a response.
 	LoseAnswers int `json:"lose_answers"`
-	// ForMillis is the time after which all faults are cleared; 0 keeps them until they
+	// ForMillis is the time after which all faults are cleared, unless a later request has set them; 0 keeps them until they
 	// are changed.
 	ForMillis int `json:"for_ms"`
 }
@@ -29,6 +29,8 @@
 // controlHandler serves the control paths.
 type controlHandler struct {
 	memory *memstore.Store
+	// timed clears faults that were set for a time. Each request sets all of them.
+	timed api.Timed
 
 	mu        sync.Mutex
 	savedCopy memstore.Snapshot
@@ -52,9 +54,7 @@
 		return err
 	}
 	c.apply(f)
-	if f.ForMillis > 0 {
-		time.AfterFunc(millis(f.ForMillis), func() { c.apply(Faults{}) })
-	}
+	c.timed.Set(api.Names(f), millis(f.ForMillis), func([]string) { c.apply(Faults{}) })
 	return ctx.JSON(http.StatusOK, f)
 }
 
