node: adapters and reports of endpoints that left are dropped

Each endpoint that was ever used kept its adapter, the sequence of its cache events and its leaving state.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"sync"
 
 	"hawthornrill.example/hawthornrill/config"
@@ -73,6 +74,7 @@
 	engine := e.adapters.Engine(row)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	prune(e.engines, e.config.Current())
 	e.engines[id] = cachedEngine{address: row.Address, engine: engine}
 	return engine, true
 }
@@ -92,6 +94,15 @@
 	service := e.adapters.Service(row)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	prune(e.services, e.config.Current())
 	e.services[id] = cachedService{address: row.Address, service: service}
 	return service, true
 }
+
+// prune drops the endpoints that are not configured any more.
+func prune[T any](cached map[domain.EndpointID]T, snapshot *config.Snapshot) {
+	maps.DeleteFunc(cached, func(id domain.EndpointID, _ T) bool {
+		_, configured := snapshot.Endpoints[id]
+		return !configured
+	})
+}
--- a/node/reports.go
+++ b/node/reports.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +54,9 @@
 func (r *reportPoller) readAll(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentReads)
-	for _, id := range r.capacity.Owned() {
+	owned := r.capacity.Owned()
+	r.prune(owned)
+	for _, id := range owned {
 		group.Go(func() error {
 			r.read(ctx, id)
 			return nil
@@ -61,6 +65,18 @@
 	_ = group.Wait()
 }
 
+// prune drops the state of endpoints that this node does not own any more.
+func (r *reportPoller) prune(owned []domain.EndpointID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gone := func(id domain.EndpointID) bool {
+		_, found := slices.BinarySearch(owned, id)
+		return !found
+	}
+	maps.DeleteFunc(r.lastEvents, func(id domain.EndpointID, _ uint64) bool { return gone(id) })
+	maps.DeleteFunc(r.leaving, func(id domain.EndpointID, _ struct{}) bool { return gone(id) })
+}
+
 // read polls one endpoint. If it does not answer, its state stays unchanged, since
 // the owner's own accounting is exact.
 func (r *reportPoller) read(ctx context.Context, id domain.EndpointID) {
