document: a part beyond the store's limit is refused before anything is written

An author that divides a value itself could give a part over the platform's megabyte: the parts before it were written, and the error was the store's ('unavailable'). The test failed before.

--- a/document/edit.go
+++ b/document/edit.go
@@ -117,6 +117,11 @@
 	if c.size > MaxValueBytes {
 		return attempt{}, fmt.Errorf("document: value of %d bytes exceeds the limit of %d", c.size, MaxValueBytes)
 	}
+	for _, part := range c.parts {
+		if len(part) > store.MaxValueBytes {
+			return attempt{}, fmt.Errorf("document: part of %d bytes exceeds the limit of %d", len(part), store.MaxValueBytes)
+		}
+	}
 	if c.root == current.version.Root && current.version.Generation > 0 {
 		return attempt{head: head{Version: current.version}}, nil
 	}
--- a/document/value.go
+++ b/document/value.go
@@ -8,7 +8,8 @@
 // Value is the content of a document: a byte string divided into parts. Parts are
 // the unit of storage and transfer, so a change within one part transfers only
 // that part. Authors of large values should place the boundaries so that changes
-// stay local; the boundaries have no other meaning.
+// stay local; the boundaries have no other meaning. A part holds at most
+// store.MaxValueBytes.
 type Value struct {
 	Parts [][]byte
 }
