operatorapi: EditRequest.Base goes

It was sent and never read. Two operators who edit from one table do not overwrite each other unseen all the same: each change states the row that it was made from, and conflicts with what was changed since (config/agreed TestConcurrentEditsMergeOrConflict).

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -51,7 +51,7 @@
 		if !e.confirm(s) {
 			return ExitFailed, errors.New("not confirmed; nothing was changed")
 		}
-		request := operatorapi.EditRequest{ID: document.NewEditID(), Note: e.note, Base: p.base, Changes: p.changes}
+		request := operatorapi.EditRequest{ID: document.NewEditID(), Note: e.note, Changes: p.changes}
 		version, err := p.client.Edit(ctx, request)
 		return e.reportOutcome(ctx, s, p.client, request.ID, p.preview.Version.Generation, version, err)
 	}
--- a/operatorapi/message.go
+++ b/operatorapi/message.go
@@ -14,12 +14,11 @@
 	Table   config.Table     `json:"table"`
 }
 
-// EditRequest requests changes of rows. Base is the generation that the changes
-// were made from.
+// EditRequest requests changes of rows. Each change states the row that it was made
+// from, so that one made from an older table conflicts with what was changed since.
 type EditRequest struct {
 	ID      document.EditID `json:"id"`
 	Note    string          `json:"note"`
-	Base    uint64          `json:"base"`
 	Changes []config.Change `json:"changes"`
 }
 
