--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -48,7 +48,8 @@
 	// LeaseMargin.
 	OrderTimeout time.Duration
 	// LeaseTTL and LeaseMargin are the TTL of the lease and its safety margin
-	// (30 s, 6 s).
+	// (30 s, a fifth of LeaseTTL). The clocks of the store and of a holder must
+	// drift apart by less than the margin in a TTL.
 	LeaseTTL    time.Duration
 	LeaseMargin time.Duration
 	// StepDownBackoff is the mean time for which a superseded holder does not
