gateway: a running stream outlives a change of its endpoint's entry

Now it is compared before the first event of an attempt: who sends the rest can't change. The stream's record becomes ambiguous as before.

--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -86,11 +86,11 @@
 	return d.Sum64()
 }
 
-// recordOrigin records what began the stream whose next event is about to be forwarded. It returns false if that is not what began
-// the events before it.
+// recordOrigin records, before the first event of an attempt is forwarded, what sends it. It returns false if that is not what began
+// the stream.
 func (a *attempt) recordOrigin(response *exchange.Response) bool {
 	t := a.task
-	if !t.route.Resumable {
+	if !t.route.Resumable || a.eventCount > 1 {
 		return true
 	}
 	from, endpointID := a.origin(response)
--- a/gateway/takeup_test.go
+++ b/gateway/takeup_test.go
@@ -303,3 +303,20 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, helper.dispatches.Load(), int64(0))
 }
+
+// Guards against a stream that is cut because its endpoint's entry states another version while it runs.
+func TestRunningStreamOutlivesChangeOfItsEntry(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvents(w, 1, 2)
+		f.await(func() bool { return f.gateway.deps.Origins.Len() > 0 }) // the first event has been forwarded
+		e := *f.directory.Current().Endpoint("e0")
+		e.Version = "v2"
+		f.list(&e)
+		fmt.Fprint(w, "id: 3\ndata: 3\n\n")
+	})
+	got := f.call(nil)
+	assert.NilError(t, got.Err)
+	assert.Equal(t, got.Body, threeEvents)
+	assert.Equal(t, f.call(takeUp("1")).Status, http.StatusServiceUnavailable, "it is not known which version it was")
+}
