--- a/gossip/udp.go
+++ b/gossip/udp.go
@@ -8,6 +8,9 @@
 	"sync"
 )
 
+// maxAddresses bounds the parsed addresses that are kept. Messages are answered to whoever sent them.
+const maxAddresses = 4096
+
 // UDP is a Transport over a UDP socket.
 type UDP struct {
 	conn *net.UDPConn
@@ -61,6 +64,9 @@
 	if err != nil {
 		return at, fmt.Errorf("gossip: parse address %q: %w", to, err)
 	}
+	if len(u.addresses) >= maxAddresses {
+		clear(u.addresses)
+	}
 	u.addresses[to] = at
 	return at, nil
 }
