origin, gateway, places: the field's terms

Lookup, replica, query and reply instead of words of our own; resumption for a request that continues a stream, in code, logs and metrics. Renames; and a resumption no longer takes the endpoint out of the record that this node made of the stream's beginning.

--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -378,7 +378,7 @@
 		return o
 	}
 	if o.resumes != "" {
-		platformtest.TakeUp(request, o.lastEvent, o.resumes)
+		platformtest.Resume(request, o.lastEvent, o.resumes)
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { o.connected, o.connectionIdle = true, c.IdleTime }}
 	response, err := client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
--- a/cmd/hawthornrill-soak/streams_test.go
+++ b/cmd/hawthornrill-soak/streams_test.go
@@ -13,7 +13,7 @@
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
-// stream is a stream over all requests of its caller: the first one and those that take it up.
+// stream is a stream over all requests of its caller: the first one and its resumptions.
 type stream struct {
 	tries []outcome
 	// began is the software version that sent the first event that the caller got, empty if it got none.
@@ -21,17 +21,17 @@
 	events int
 }
 
-// maxTakeUps is how often a caller takes one stream up.
-const maxTakeUps = 4
+// maxResumptions is how often a caller resumes one stream.
+const maxResumptions = 4
 
-// follow takes up a stream that may be resumed and that its first request has not brought to its end, at any node.
+// follow resumes a stream that may be resumed and that its first request has not brought to its end, at any node.
 func (s *soak) follow(first outcome, random *rand.Rand) {
 	if first.path != "/chat/" {
 		return
 	}
 	st := &stream{}
 	st.add(first)
-	for attempt := first; st.unfinished(s, attempt) && len(st.tries) <= maxTakeUps; {
+	for attempt := first; st.unfinished(s, attempt) && len(st.tries) <= maxResumptions; {
 		left := callTimeout - time.Since(first.sent)
 		time.Sleep(min(attempt.retryAfter, left/3))
 		n := s.nodes[random.IntN(len(s.nodes))]
@@ -74,7 +74,7 @@
 // errConnectionLost is the error of a caller that closes its connection amid a stream, as if that had been lost.
 var errConnectionLost = errors.New("soak: connection lost")
 
-// unfinished reports whether the caller takes the stream up after the attempt: it has had an event, but not all, and was not
+// unfinished reports whether the caller resumes the stream after the attempt: it has had an event, but not all, and was not
 // told that nobody can go on with it.
 func (st *stream) unfinished(s *soak, last outcome) bool {
 	complete := last.err == nil && last.status == http.StatusOK
--- a/cmd/hawthornrill-soak/versions_test.go
+++ b/cmd/hawthornrill-soak/versions_test.go
@@ -41,20 +41,20 @@
 const (
 	// settleTime is the time after which the nodes know of an endpoint's start, and before which they may know of its end.
 	settleTime = time.Second
-	// takeUpWindow is the window of the check of streams that go on, minTakeUps the number of requests that take streams up from
+	// resumptionWindow is the window of the check of streams that go on, minResumptions the number of resumptions from
 	// which it applies.
-	takeUpWindow = 10 * time.Second
-	minTakeUps   = 12
+	resumptionWindow = 10 * time.Second
+	minResumptions   = 12
 )
 
 // checkStreams fails the test if a stream has events of two software versions or an endpoint of another version went on with it,
-// or if requests that take streams up are served less than half as often as new streams begin.
+// or if resumptions are served less than half as often as new streams begin.
 func (s *soak) checkStreams() {
-	mixed, takenUp := 0, 0
+	mixed, resumed := 0, 0
 	runs := s.continuations()
 	for _, st := range s.history.streams {
 		if len(st.tries) > 1 {
-			takenUp++
+			resumed++
 		}
 		if violation := st.versionViolation(runs); violation != "" {
 			mixed++
@@ -64,9 +64,9 @@
 		}
 	}
 	if mixed > 0 {
-		s.t.Errorf("%d of %d streams, %d taken up, are of two software versions; logs in %s", mixed, len(s.history.streams), takenUp, s.dir)
+		s.t.Errorf("%d of %d streams, %d resumed, are of two software versions; logs in %s", mixed, len(s.history.streams), resumed, s.dir)
 	}
-	s.checkTakeUps()
+	s.checkResumptions()
 }
 
 // continuations returns the versions of the endpoints at which each request went on with a stream.
@@ -116,54 +116,54 @@
 	return strings.Join(lines, "\n")
 }
 
-// takeUps counts requests that take streams up and new streams.
-type takeUps struct {
+// resumptions counts resumptions and new streams.
+type resumptions struct {
 	taken, wentOn, sent, began int
 }
 
 // insufficient reports whether the share of the streams that go on is less than half of the share of new streams that begin.
-func (t takeUps) insufficient() bool {
-	return t.taken >= minTakeUps && t.sent > 0 && 2*t.wentOn*t.sent < t.began*t.taken
+func (t resumptions) insufficient() bool {
+	return t.taken >= minResumptions && t.sent > 0 && 2*t.wentOn*t.sent < t.began*t.taken
 }
 
-func (t takeUps) String() string {
-	return fmt.Sprintf("%d of %d requests that take a stream up went on, %d of %d new streams began", t.wentOn, t.taken, t.began, t.sent)
+func (t resumptions) String() string {
+	return fmt.Sprintf("%d of %d resumptions went on, %d of %d new streams began", t.wentOn, t.taken, t.began, t.sent)
 }
 
 // sample is a request of a stream at a node without a fault of its own.
 type sample struct {
 	sent time.Time
-	// takesUp is true if the request takes the stream up, false if it is the first one. afterKill is true if the node that served
+	// resumes is true if the request resumes the stream, false if it is the first one. afterKill is true if the node that served
 	// the first one was killed meanwhile.
-	takesUp, afterKill, served bool
+	resumes, afterKill, served bool
 }
 
-// checkTakeUps checks the streams that go on, over the whole run and over each window.
-func (s *soak) checkTakeUps() {
+// checkResumptions checks the streams that go on, over the whole run and over each window.
+func (s *soak) checkResumptions() {
 	samples := s.samples()
 	whole := tally(samples)
-	killed := tally(slices.DeleteFunc(slices.Clone(samples), func(p sample) bool { return p.takesUp && !p.afterKill }))
+	killed := tally(slices.DeleteFunc(slices.Clone(samples), func(p sample) bool { return p.resumes && !p.afterKill }))
 	s.t.Logf("%v; of killed nodes: %v", whole, killed)
 	if whole.insufficient() || killed.insufficient() {
 		s.t.Errorf("in the whole run %v; of killed nodes: %v; logs in %s", whole, killed, s.dir)
 	}
 	for i, first := range samples {
 		window := samples[i:]
-		if end := slices.IndexFunc(window, func(p sample) bool { return p.sent.Sub(first.sent) > takeUpWindow }); end >= 0 {
+		if end := slices.IndexFunc(window, func(p sample) bool { return p.sent.Sub(first.sent) > resumptionWindow }); end >= 0 {
 			window = window[:end]
 		}
 		if t := tally(window); t.insufficient() {
 			s.t.Errorf("from %.3f s on %v\n%s\nlogs in %s", first.sent.Sub(s.history.started).Seconds(), t,
-				s.history.timeline(outcome{sent: first.sent, ended: first.sent.Add(takeUpWindow)}), s.dir)
+				s.history.timeline(outcome{sent: first.sent, ended: first.sent.Add(resumptionWindow)}), s.dir)
 			return
 		}
 	}
 }
 
-func tally(samples []sample) takeUps {
-	var t takeUps
+func tally(samples []sample) resumptions {
+	var t resumptions
 	for _, p := range samples {
-		if p.takesUp {
+		if p.resumes {
 			t.taken++
 			t.wentOn += count(p.served)
 		} else {
@@ -174,7 +174,7 @@
 	return t
 }
 
-// samples returns the requests of streams to nodes without a fault of their own, by time. Those that take a stream up count only
+// samples returns the requests of streams to nodes without a fault of their own, by time. Resumptions count only
 // while two endpoints of its version serve.
 func (s *soak) samples() []sample {
 	var samples []sample
@@ -187,7 +187,7 @@
 			events, _ := platformtest.ParseEvents(o.body)
 			served := len(events) > 0 || o.status == http.StatusOK && o.err == nil
 			samples = append(samples, sample{
-				sent: o.sent, takesUp: i > 0, afterKill: s.history.killed(st.tries[0].node, st.tries[0].sent, o.sent), served: served,
+				sent: o.sent, resumes: i > 0, afterKill: s.history.killed(st.tries[0].node, st.tries[0].sent, o.sent), served: served,
 			})
 		}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,8 +15,8 @@
 	retries *metrics.Counter
 	// forwarded counts the requests that another node took for this one.
 	forwarded *metrics.Counter
-	// takeUps counts the requests that take up a stream, by what is known of its origin.
-	takeUps [origin.States]*metrics.Counter
+	// resumptions counts the resumptions, by what is known of its origin.
+	resumptions [origin.States]*metrics.Counter
 }
 
 func newMetricSet(set *metrics.Set, g *Gateway) *metricSet {
@@ -27,8 +27,8 @@
 		set: set, retries: set.NewCounter("hawthornrill_request_retries_total"),
 		forwarded: set.NewCounter("hawthornrill_requests_forwarded_total"),
 	}
-	for state := range m.takeUps {
-		m.takeUps[state] = set.NewCounter(fmt.Sprintf("hawthornrill_streams_taken_up_total{origin=%q}", origin.State(state)))
+	for state := range m.resumptions {
+		m.resumptions[state] = set.NewCounter(fmt.Sprintf("hawthornrill_stream_resumptions_total{origin=%q}", origin.State(state)))
 	}
 	return m
 }
--- a/gateway/takeup.go
+++ b/gateway/resumption.go
@@ -12,21 +12,21 @@
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
-// takesUp reports whether the request continues a stream that another attempt of the caller began.
-func (t *task) takesUp() bool {
+// isResumption reports whether the request continues a stream that another attempt of its caller began.
+func (t *task) isResumption() bool {
 	return t.route.Kind == routetable.Stream && (t.call.LastEventID != "" || t.call.Resumes != "")
 }
 
-// bind chooses the request's service. A request that takes up a stream is bound to what began it, and refused if that is not known.
+// bind chooses the request's service. A resumption is bound to what began the stream, and refused if that is not known.
 func (t *task) bind() *problem {
-	if !t.takesUp() {
+	if !t.isResumption() {
 		t.service = t.chooseService()
 		return nil
 	}
 	if !t.route.Resumable {
 		return &problem{Status: http.StatusBadRequest, Title: "streams of this route can't be resumed"}
 	}
-	if refused := t.findOrigin(); refused != nil {
+	if refused := t.lookupOrigin(); refused != nil {
 		return refused
 	}
 	t.service = t.origin.Service
@@ -36,20 +36,20 @@
 	return nil
 }
 
-// findOrigin finds what began the stream that the request takes up.
-func (t *task) findOrigin() *problem {
+// lookupOrigin finds what began the stream that the request resumes.
+func (t *task) lookupOrigin() *problem {
 	named := t.call.Resumes != ""
-	found := t.gateway.deps.Origins.Find(t.request.Context(), t.originKey(), named)
+	found := t.gateway.deps.Origins.Lookup(t.request.Context(), t.originKey(), named)
 	t.origin = found.Origin
-	t.gateway.metrics.takeUps[found.State].Inc()
+	t.gateway.metrics.resumptions[found.State].Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("resumes", t.call.Resumes).Str("last_event", t.call.LastEventID).
 		Stringer("origin", found.State).Str("service", found.Origin.Service).Str("software_version", found.Origin.Version).
-		Int("asked", found.Asked).Int("answered", found.Answered).Dur("took_ms", found.Took).Msg("stream taken up")
+		Int("queried", found.Queried).Int("replied", found.Replied).Dur("took_ms", found.Took).Msg("resumption of a stream")
 	switch found.State {
 	case origin.Known:
 		return nil
-	case origin.Unreached:
-		p := notResumable("the nodes that may know what began the stream don't answer")
+	case origin.Unreachable:
+		p := notResumable("the nodes that may know what began the stream don't reply")
 		p.RetryAfter = shortRetryAfter
 		return p
 	default:
@@ -101,7 +101,7 @@
 		return true
 	}
 	t.origin = from
-	if t.takesUp() {
+	if t.isResumption() {
 		t.gateway.deps.Origins.Continue(t.originKey(), from, t.originRetention())
 	} else {
 		t.gateway.deps.Origins.Begin(t.originKey(), from, endpointID, t.originRetention())
@@ -127,7 +127,7 @@
 	return from, a.endpoint.ID
 }
 
-// originRetention is how long the caller may still take the stream up.
+// originRetention is how long the caller may still resume the stream.
 func (t *task) originRetention() (left time.Duration) {
 	return max(t.timeLeft(), t.call.Timeout-time.Since(t.started)) + originGrace
 }
--- a/gateway/takeup_test.go
+++ b/gateway/resumption_test.go
@@ -61,8 +61,8 @@
 	return func(r *http.Request) { r.Header.Set("X-Id", fmt.Sprint("attempt ", n)) }
 }
 
-// takeUp makes a request take up the stream of an attempt after its second event.
-func takeUp(attempt string) func(*http.Request) {
+// resumption makes a request resume the stream of an attempt after its second event.
+func resumption(attempt string) func(*http.Request) {
 	return func(r *http.Request) {
 		r.Header.Set("X-Id", "later")
 		r.Header.Set("X-Last", "2")
@@ -105,13 +105,13 @@
 	}
 }
 
-func TestTakeUpGoesToTheVersionThatBeganTheStream(t *testing.T) {
+func TestResumptionGoesToTheVersionThatBeganTheStream(t *testing.T) {
 	f := newFixture(t, nil, streaming, streaming, streaming)
 	f.ofVersion("e1", "v2")
 	f.ofVersion("e2", "v2")
 	f.began("1", "s", "v1")
 	for range 20 {
-		got := f.call(takeUp("1"))
+		got := f.call(resumption("1"))
 		assert.Equal(t, got.Status, http.StatusOK)
 		assert.Equal(t, got.Body, thirdOnly)
 	}
@@ -120,10 +120,10 @@
 }
 
 // Guards against a node that takes a version that it does not know for one that does not matter.
-func TestTakeUpOfUnknownOriginIsRefused(t *testing.T) {
+func TestResumptionOfUnknownOriginIsRefused(t *testing.T) {
 	f := newFixture(t, nil, streaming)
 	for _, attempt := range []string{"1", ""} {
-		got := f.call(takeUp(attempt))
+		got := f.call(resumption(attempt))
 		assert.Equal(t, got.Status, http.StatusServiceUnavailable)
 		assert.Equal(t, got.Header.Get("Retry-After"), "", "a promise that nobody can keep")
 		assert.Assert(t, strings.Contains(got.Body, "not_run"))
@@ -131,17 +131,17 @@
 	assert.Equal(t, f.dispatches.Load(), int64(0))
 }
 
-func TestTakeUpWithoutAttemptGoesByContent(t *testing.T) {
+func TestResumptionWithoutAttemptGoesByContent(t *testing.T) {
 	f := newFixture(t, nil, streaming, streaming)
 	f.ofVersion("e1", "v2")
 	f.began("1", "s", "v2")
 	for range 10 {
-		assert.Equal(t, f.call(takeUp("")).Body, thirdOnly)
+		assert.Equal(t, f.call(resumption("")).Body, thirdOnly)
 	}
 	assert.Equal(t, f.dispatchesTo("e0"), 0)
 	f.began("2", "s", "v1")
-	assert.Equal(t, f.call(takeUp("")).Status, http.StatusServiceUnavailable)
-	assert.Equal(t, f.call(takeUp("1")).Body, thirdOnly)
+	assert.Equal(t, f.call(resumption("")).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.call(resumption("1")).Body, thirdOnly)
 }
 
 func TestAttemptWithoutLastEventIsBound(t *testing.T) {
@@ -160,45 +160,45 @@
 func TestStreamOfUnresumableRouteIsNotTakenUp(t *testing.T) {
 	f := newFixture(t, func(r *routetable.Route) { r.Resumable = false }, streaming)
 	f.began("1", "s", "v1")
-	assert.Equal(t, f.call(takeUp("1")).Status, http.StatusBadRequest)
+	assert.Equal(t, f.call(resumption("1")).Status, http.StatusBadRequest)
 	assert.Equal(t, f.dispatches.Load(), int64(0))
 	plain := newFixture(t, plainRoute, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Signed", "yes") })
-	assert.Equal(t, plain.call(takeUp("1")).Status, http.StatusOK, "the fields mean nothing to plain calls")
+	assert.Equal(t, plain.call(resumption("1")).Status, http.StatusOK, "the fields mean nothing to plain calls")
 }
 
-func TestTakeUpWithoutEndpointOfItsVersionIsFinal(t *testing.T) {
+func TestResumptionWithoutEndpointOfItsVersionIsFinal(t *testing.T) {
 	f := newFixture(t, nil, streaming)
 	f.began("1", "s", "v0")
-	got := f.call(takeUp("1"))
+	got := f.call(resumption("1"))
 	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.Header.Get("Retry-After"), "")
 	assert.Equal(t, f.dispatches.Load(), int64(0))
 }
 
-func TestTakeUpGoesToTheServiceThatBeganTheStream(t *testing.T) {
+func TestResumptionGoesToTheServiceThatBeganTheStream(t *testing.T) {
 	split := func(r *routetable.Route) {
 		r.Splits = []routetable.Split{{Service: "s", Weight: 1}, {Service: "other", Weight: 99}}
 	}
 	f := newFixture(t, split, streaming)
 	f.began("1", "s", "v1")
 	for range 10 {
-		assert.Equal(t, f.call(takeUp("1")).Body, thirdOnly)
+		assert.Equal(t, f.call(resumption("1")).Body, thirdOnly)
 	}
 	moved := newFixture(t, nil, streaming)
 	moved.began("1", "before", "v1")
-	got := moved.call(takeUp("1"))
+	got := moved.call(resumption("1"))
 	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.Header.Get("Retry-After"), "")
 }
 
-func TestSecondTakeUpNamesTheFirstAttempt(t *testing.T) {
+func TestSecondResumptionNamesTheFirstAttempt(t *testing.T) {
 	f := newFixture(t, nil, streaming, streaming)
 	f.ofVersion("e1", "v2")
 	first := f.call(nil)
 	assert.Equal(t, first.Body, threeEvents)
 	before := f.dispatchesTo("e0")
 	for range 10 {
-		assert.Equal(t, f.call(takeUp("1")).Body, thirdOnly)
+		assert.Equal(t, f.call(resumption("1")).Body, thirdOnly)
 	}
 	after := f.dispatchesTo("e0") - before
 	assert.Assert(t, after == 0 || after == 10, "%d of 10 at one version", after)
@@ -218,7 +218,7 @@
 	got := f.call(nil)
 	assert.Assert(t, got.Err != nil)
 	assert.Equal(t, got.Body, twoEvents)
-	assert.Equal(t, f.call(takeUp("1")).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.call(resumption("1")).Status, http.StatusServiceUnavailable)
 }
 
 func TestOnlyEndpointOfTheVersionIsTriedAgain(t *testing.T) {
@@ -243,7 +243,7 @@
 	f.helpedBy("helper", helper.asHelper())
 	f.began("1", "s", "v2")
 	for range 10 {
-		assert.Equal(t, f.call(takeUp("1")).Body, thirdOnly)
+		assert.Equal(t, f.call(resumption("1")).Body, thirdOnly)
 	}
 	assert.Equal(t, helper.dispatchesTo("e0"), 0)
 }
@@ -286,15 +286,15 @@
 	f := cutOff(t, nil)
 	f.helpedBy("earlier", earlier)
 	f.began("1", "s", "v1")
-	assert.Equal(t, f.call(takeUp("1")).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.call(resumption("1")).Status, http.StatusServiceUnavailable)
 	got := f.call(func(r *http.Request) { r.Header.Set("X-Id", "2") })
 	assert.Assert(t, got.Err != nil && got.Body == twoEvents, "%v %q", got.Err, got.Body)
-	assert.Equal(t, f.call(takeUp("2")).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.call(resumption("2")).Status, http.StatusServiceUnavailable)
 }
 
 func TestHelperRefusesToContinueWithoutOrigin(t *testing.T) {
 	helper := newFixture(t, nil, streaming)
-	request := helper.request(takeUp("1"))
+	request := helper.request(resumption("1"))
 	request.URL.Host = helper.asHelper()
 	setField(request.Header, fieldForward, forwardHead{From: "m", TimeLeft: time.Minute, LastEventID: "2", MaxEndpoints: 1})
 	response, err := http.DefaultTransport.RoundTrip(request)
@@ -318,5 +318,5 @@
 	got := f.call(nil)
 	assert.NilError(t, got.Err)
 	assert.Equal(t, got.Body, threeEvents)
-	assert.Equal(t, f.call(takeUp("1")).Status, http.StatusServiceUnavailable, "it is not known which version it was")
+	assert.Equal(t, f.call(resumption("1")).Status, http.StatusServiceUnavailable, "it is not known which version it was")
 }
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -66,7 +66,7 @@
 	t.triedBefore = len(t.tried)
 	t.call.LastEventID = t.forwarded.LastEventID
 	t.service, t.origin = t.chooseService(), t.forwarded.Origin
-	if t.forwarded.LastEventID != "" || t.takesUp() {
+	if t.forwarded.LastEventID != "" || t.isResumption() {
 		if !t.origin.Known() {
 			return notResumable("the other node does not tell which software version began the stream")
 		}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -226,7 +226,7 @@
 		Excluded:     t.tried,
 		Version:      t.origin.Version,
 		Urgent:       t.headSent || t.mayHaveRun || t.forwarded != nil && t.forwarded.MayHaveRun,
-		Continues:    t.origin.Known(),
+		Resumption:   t.origin.Known(),
 	}
 	request.Blocks, request.BlockTokens = t.call.prefixBlocks()
 	if t.organisation != nil {
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -142,8 +142,8 @@
 }
 
 // find searches at a node for a named attempt.
-func (f *fleet) find(name string, key Key) Finding {
-	return f.keepers[name].Find(f.t.Context(), key, true)
+func (f *fleet) lookup(name string, key Key) Result {
+	return f.keepers[name].Lookup(f.t.Context(), key, true)
 }
 
 var v1, v2 = Origin{Service: "s", Version: "v1"}, Origin{Service: "s", Version: "v2"}
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -14,25 +14,25 @@
 )
 
 const (
-	// holders is the number of nodes to which a record is reported, beside the one that makes it. In a fleet of seven nodes three
+	// replicaCount is the number of nodes to which a record is reported, beside the one that makes it. In a fleet of seven nodes three
 	// of them and the one that served the stream may be lost at once before a record is.
-	holders = 3
-	// asked is the number of nodes that are asked. It exceeds holders, since lists of nodes differ while nodes come and go; in a small
-	// fleet it includes the node that served the stream.
-	asked = 8
-	// askTimeout limits the wait for the answers, askAgainAfter the wait before a question is repeated.
-	askTimeout    = 250 * time.Millisecond
-	askAgainAfter = 60 * time.Millisecond
-	// settleTime is the wait for further answers once a node knows the origin, since another one may know of a different one.
+	replicaCount = 3
+	// queryCount is the number of nodes that are queried. It exceeds replicaCount, since lists of nodes differ while nodes come and go;
+	// in a small fleet it includes the node that served the stream.
+	queryCount = 8
+	// queryTimeout limits the wait for the replies, queryRetryInterval the wait before a query is repeated.
+	queryTimeout       = 250 * time.Millisecond
+	queryRetryInterval = 60 * time.Millisecond
+	// settleTime is the wait for further replies once a node knows the origin, since another one may know of a different one.
 	settleTime = 30 * time.Millisecond
 	// tickInterval is the interval at which the list of nodes is read.
 	tickInterval = 100 * time.Millisecond
-	// repairFraction bounds the time that the reports after changes of the list of nodes take: a search for the holders of a thousand
-	// records in a thousand nodes takes a quarter of a second.
+	// repairFraction bounds the time that the reports after changes of the list of nodes take: finding the replicas of a thousand records
+	// among a thousand nodes takes a quarter of a second.
 	repairFraction = 0.02
-	// mistakenFor is the time before the node sees that an endpoint's version has changed in which that endpoint may have been of
+	// staleEntryWindow is the time before the node sees that an endpoint's version has changed in which that endpoint may have been of
 	// either version: its entry arrives late.
-	mistakenFor = 10 * time.Second
+	staleEntryWindow = 10 * time.Second
 	// maxRecordsPerMessage keeps datagrams below the usual MTU.
 	maxRecordsPerMessage = 20
 )
@@ -55,17 +55,17 @@
 
 // Keeper holds the origins of streams. It is safe for concurrent use.
 type Keeper struct {
-	config Config
-	nodes  atomic.Pointer[nodes]
+	config    Config
+	placement atomic.Pointer[placement]
 	// reported is the list of nodes by which records were last reported; nextRepair is when they may be again. Both are Run's.
-	reported   *nodes
+	reported   *placement
 	nextRepair time.Time
 
 	mu    sync.Mutex
 	table *table
-	// questions are the questions that wait for answers.
-	questions    map[uint64]chan answer
-	lastQuestion uint64
+	// queries are the queries that wait for replies.
+	queries   map[uint64]chan reply
+	lastQuery uint64
 
 	messages, bytes, malformed, dropped, repeated *metrics.Counter
 }
@@ -73,15 +73,15 @@
 // New returns a Keeper that knows of no stream. Run keeps its records where they are looked for.
 func New(config Config) *Keeper {
 	k := &Keeper{
-		config: config, table: newTable(), questions: make(map[uint64]chan answer),
+		config: config, table: newTable(), queries: make(map[uint64]chan reply),
 		messages:  config.Metrics.NewCounter("hawthornrill_origin_messages_sent_total"),
 		bytes:     config.Metrics.NewCounter("hawthornrill_origin_bytes_sent_total"),
 		malformed: config.Metrics.NewCounter("hawthornrill_origin_messages_malformed_total"),
 		dropped:   config.Metrics.NewCounter("hawthornrill_origin_records_dropped_total"),
 		repeated:  config.Metrics.NewCounter("hawthornrill_origin_records_repeated_total"),
 	}
-	k.reported = newNodes(config.Members())
-	k.nodes.Store(k.reported)
+	k.reported = newPlacement(config.Members())
+	k.placement.Store(k.reported)
 	config.Metrics.NewGauge("hawthornrill_origin_records", func() float64 { return float64(k.Len()) })
 	return k
 }
@@ -93,7 +93,7 @@
 	return len(k.table.records)
 }
 
-// Begin records that the first event of the attempt's stream came from the endpoint, and reports it to the nodes that will be asked
+// Begin records that the first event of the attempt's stream came from the endpoint, and reports it to the nodes that will be queried
 // for it. It must be called before the event is forwarded: the caller may be at another node right after. Nothing is recorded of an
 // origin that is not known. The record is kept for the given time, MaxRetention at most.
 func (k *Keeper) Begin(key Key, o Origin, endpoint domain.EndpointID, keepFor time.Duration) {
@@ -104,15 +104,15 @@
 	keepFor = min(keepFor, MaxRetention)
 	k.mu.Lock()
 	r, ok := k.table.put(key, o, now.Add(keepFor))
-	if ok {
+	if ok && endpoint != "" {
 		r.endpoint, r.began = endpoint, now
 	}
 	k.mu.Unlock()
 	if !ok {
 		k.dropped.Inc()
 	}
-	m := message{Kind: kindTell, Records: []reportedRecord{{Key: key.bytes(), Origin: o, LeftMillis: keepFor.Milliseconds()}}}
-	k.sendTo(k.nodes.Load().chosen(key.Stream, k.config.Self, holders), m.encode())
+	m := message{Kind: kindRecords, Records: []reportedRecord{{Key: key.bytes(), Origin: o, LeftMillis: keepFor.Milliseconds()}}}
+	k.sendTo(k.placement.Load().pick(key.Stream, k.config.Self, replicaCount), m.encode())
 }
 
 // Continue records that a stream goes on which began elsewhere, as Begin does, so that its next attempt finds that out here.
@@ -140,7 +140,7 @@
 	k.mu.Lock()
 	doubtful := make(map[Key]*record)
 	for key, r := range k.table.records {
-		if r.endpoint == endpoint && now.Sub(r.began) < mistakenFor && !r.conflicting {
+		if r.endpoint == endpoint && now.Sub(r.began) < staleEntryWindow && !r.conflicting {
 			k.table.put(key, Origin{Service: r.origin.Service}, r.expires)
 			doubtful[key] = r
 		}
@@ -148,12 +148,12 @@
 	k.mu.Unlock()
 	k.config.Log.Warn().Str("endpoint", string(endpoint)).Int("streams", len(doubtful)).
 		Msg("endpoint changed its software version, its latest streams may be of either")
-	all := k.nodes.Load()
-	k.report(doubtful, now, func(key Key) []domain.Member { return all.chosen(key.Stream, k.config.Self, holders) })
+	all := k.placement.Load()
+	k.report(doubtful, now, func(key Key) []domain.Member { return all.pick(key.Stream, k.config.Self, replicaCount) })
 }
 
 // Run drops expired records and, when the list of nodes has changed, reports records to the nodes that are new among those that will
-// be asked, until the context ends.
+// be queried, until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -175,20 +175,20 @@
 // refresh reads the list of nodes.
 func (k *Keeper) refresh() {
 	members := k.config.Members()
-	if !k.nodes.Load().same(members) {
-		k.nodes.Store(newNodes(members))
+	if !k.placement.Load().same(members) {
+		k.placement.Store(newPlacement(members))
 	}
 }
 
-// repair reports the records to the nodes that are new among their holders since the last repair.
+// repair reports the records to the nodes that are new among their replicas since the last repair.
 func (k *Keeper) repair(now time.Time) {
-	before, after := k.reported, k.nodes.Load()
+	before, after := k.reported, k.placement.Load()
 	if before.same(after.members) || now.Before(k.nextRepair) {
 		return
 	}
 	k.report(k.current(), k.config.Clock(), func(key Key) []domain.Member {
-		had := before.chosen(key.Stream, k.config.Self, holders)
-		return without(after.chosen(key.Stream, k.config.Self, holders), had)
+		had := before.pick(key.Stream, k.config.Self, replicaCount)
+		return without(after.pick(key.Stream, k.config.Self, replicaCount), had)
 	})
 	k.reported = after
 	k.nextRepair = now.Add(time.Duration(float64(time.Since(now)) / repairFraction))
@@ -221,12 +221,12 @@
 	return records
 }
 
-// HandOver reports all records to the nodes that will be asked for them once this one has left.
+// HandOver reports all records to the nodes that will be queried for them once this one has left.
 func (k *Keeper) HandOver() {
 	k.refresh()
-	all := k.nodes.Load()
+	all := k.placement.Load()
 	records := k.current()
-	k.report(records, k.config.Clock(), func(key Key) []domain.Member { return all.chosen(key.Stream, k.config.Self, holders) })
+	k.report(records, k.config.Clock(), func(key Key) []domain.Member { return all.pick(key.Stream, k.config.Self, replicaCount) })
 	k.config.Log.Info().Int("streams", len(records)).Msg("origins of streams handed over")
 }
 
@@ -242,7 +242,7 @@
 			k.repeated.Inc()
 			batch := append(batches[m.Address], reportedRecord{Key: key.bytes(), Origin: r.origin, LeftMillis: left, Conflicting: r.conflicting})
 			if len(batch) == maxRecordsPerMessage {
-				k.send(m.Address, (&message{Kind: kindTell, Records: batch}).encode())
+				k.send(m.Address, (&message{Kind: kindRecords, Records: batch}).encode())
 				batch = nil
 			}
 			batches[m.Address] = batch
@@ -250,7 +250,7 @@
 	}
 	for address, batch := range batches {
 		if len(batch) > 0 {
-			k.send(address, (&message{Kind: kindTell, Records: batch}).encode())
+			k.send(address, (&message{Kind: kindRecords, Records: batch}).encode())
 		}
 	}
 }
@@ -278,11 +278,11 @@
 		return
 	}
 	switch m.Kind {
-	case kindTell:
+	case kindRecords:
 		k.accept(m.Records)
-	case kindAsk:
-		k.answer(m, from)
-	case kindAnswer:
+	case kindQuery:
+		k.reply(m, from)
+	case kindReply:
 		k.resolve(m)
 	}
 }
@@ -305,9 +305,9 @@
 	}
 }
 
-// answer answers another node's question.
-func (k *Keeper) answer(m *message, from string) {
-	reply := message{Kind: kindAnswer, Question: m.Question, Key: []byte(k.config.Self)}
+// reply replies to another node's query.
+func (k *Keeper) reply(m *message, from string) {
+	reply := message{Kind: kindReply, Query: m.Query, Key: []byte(k.config.Self)}
 	if key, ok := decodeKey(m.Key); ok {
 		reply.Known = k.local(key, true)
 	} else if len(m.Key) == len(key.Stream) {
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -30,7 +30,7 @@
 				f.kill("n000")
 			}
 			for _, n := range others(names, "n000") {
-				found := f.find(n, k)
+				found := f.lookup(n, k)
 				assert.Equal(t, found.State, Known, "attempt %d at %s", i, n)
 				assert.Equal(t, found.Origin, v1)
 			}
@@ -58,7 +58,7 @@
 					time.Sleep(2*tickInterval + 2*time.Millisecond)
 				}
 				for i, k := range keys {
-					assert.Equal(t, f.find(f.names()[i%7], k).State, Known, "attempt %d", i)
+					assert.Equal(t, f.lookup(f.names()[i%7], k).State, Known, "attempt %d", i)
 				}
 			})
 		})
@@ -78,7 +78,7 @@
 		}
 		known := 0
 		for i, k := range keys {
-			if f.find(f.names()[4+i%3], k).State == Known {
+			if f.lookup(f.names()[4+i%3], k).State == Known {
 				known++
 			}
 		}
@@ -96,7 +96,7 @@
 			k := key("o", fmt.Sprint("c", i), "1")
 			f.keepers["n000"].Begin(k, v1, "e", time.Minute)
 			time.Sleep(2 * time.Millisecond)
-			if f.find(f.names()[1+i%6], k).State == Known {
+			if f.lookup(f.names()[1+i%6], k).State == Known {
 				known++
 			}
 		}
@@ -108,25 +108,25 @@
 // Guards against a node that takes what it does not know for what does not matter.
 func TestUnknownOriginIsNoOrigin(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
-		found := f.find("n003", key("o", "content", "1"))
+		found := f.lookup("n003", key("o", "content", "1"))
 		assert.Equal(t, found.State, Unknown)
 		assert.Assert(t, !found.Origin.Known())
-		assert.Equal(t, found.Answered, 6)
+		assert.Equal(t, found.Replied, 6)
 		f.kill("n005")
-		found = f.find("n003", key("o", "content", "1"))
-		assert.Equal(t, found.State, Unreached)
-		assert.Equal(t, found.Took, askTimeout)
+		found = f.lookup("n003", key("o", "content", "1"))
+		assert.Equal(t, found.State, Unreachable)
+		assert.Equal(t, found.Took, queryTimeout)
 		f.lost = func(string, string) bool { return true }
-		assert.Equal(t, f.find("n003", key("o", "content", "1")).State, Unreached)
+		assert.Equal(t, f.lookup("n003", key("o", "content", "1")).State, Unreachable)
 	})
 }
 
 func TestUnheardNodesMayKnow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
-		assert.Equal(t, f.find("n000", key("o", "content", "1")).State, Unknown)
+		assert.Equal(t, f.lookup("n000", key("o", "content", "1")).State, Unknown)
 		f.keepers["n000"].config.AllHeard = func() bool { return false }
-		assert.Equal(t, f.find("n000", key("o", "content", "1")).State, Unreached)
+		assert.Equal(t, f.lookup("n000", key("o", "content", "1")).State, Unreachable)
 	})
 }
 
@@ -137,7 +137,7 @@
 		f.keepers["n001"].Begin(k, v2, "f", time.Minute)
 		time.Sleep(2 * time.Millisecond)
 		for _, n := range f.names()[2:] {
-			assert.Equal(t, f.find(n, k).State, Ambiguous)
+			assert.Equal(t, f.lookup(n, k).State, Ambiguous)
 		}
 	})
 }
@@ -147,9 +147,9 @@
 		f.keepers["n000"].Begin(key("o", "content", "1"), v1, "e", time.Minute)
 		f.keepers["n000"].Begin(key("p", "content", "1"), v2, "e", time.Minute)
 		time.Sleep(2 * time.Millisecond)
-		assert.Equal(t, f.find("n004", key("o", "content", "1")).Origin, v1)
-		assert.Equal(t, f.find("n004", key("p", "content", "1")).Origin, v2)
-		assert.Equal(t, f.find("n004", key("q", "content", "1")).State, Unknown)
+		assert.Equal(t, f.lookup("n004", key("o", "content", "1")).Origin, v1)
+		assert.Equal(t, f.lookup("n004", key("p", "content", "1")).Origin, v2)
+		assert.Equal(t, f.lookup("n004", key("q", "content", "1")).State, Unknown)
 	})
 }
 
@@ -159,16 +159,16 @@
 		f.keepers["n000"].Begin(key("o", "content", "1"), v1, "e", time.Minute)
 		f.keepers["n001"].Begin(key("o", "content", "2"), v1, "e", time.Minute)
 		time.Sleep(2 * time.Millisecond)
-		found := f.keepers["n004"].Find(t.Context(), unnamed, false)
+		found := f.keepers["n004"].Lookup(t.Context(), unnamed, false)
 		assert.Equal(t, found.State, Known)
 		assert.Equal(t, found.Origin, v1)
-		assert.Equal(t, f.find("n004", unnamed).State, Unknown, "a named attempt is not another one")
+		assert.Equal(t, f.lookup("n004", unnamed).State, Unknown, "a named attempt is not another one")
 		f.keepers["n002"].Begin(key("o", "content", "3"), v2, "e", time.Minute)
 		time.Sleep(2 * time.Millisecond)
 		for _, n := range f.names() {
-			assert.Equal(t, f.keepers[n].Find(t.Context(), unnamed, false).State, Ambiguous, n)
+			assert.Equal(t, f.keepers[n].Lookup(t.Context(), unnamed, false).State, Ambiguous, n)
 		}
-		assert.Equal(t, f.find("n004", key("o", "content", "1")).Origin, v1)
+		assert.Equal(t, f.lookup("n004", key("o", "content", "1")).Origin, v1)
 	})
 }
 
@@ -177,7 +177,7 @@
 	inFleet(t, func(t *testing.T, f *fleet) {
 		early, late, elsewhere := key("o", "early", "1"), key("o", "late", "1"), key("o", "elsewhere", "1")
 		f.keepers["n000"].Begin(early, v1, "e", time.Minute)
-		time.Sleep(mistakenFor)
+		time.Sleep(staleEntryWindow)
 		f.keepers["n000"].Begin(late, v1, "e", time.Minute)
 		f.keepers["n000"].Begin(elsewhere, v1, "f", time.Minute)
 		f.mu.Lock()
@@ -185,9 +185,9 @@
 		f.mu.Unlock()
 		time.Sleep(tickInterval + 2*time.Millisecond)
 		for _, n := range f.names() {
-			assert.Equal(t, f.find(n, early).State, Known)
-			assert.Equal(t, f.find(n, late).State, Ambiguous)
-			assert.Equal(t, f.find(n, elsewhere).State, Known)
+			assert.Equal(t, f.lookup(n, early).State, Known)
+			assert.Equal(t, f.lookup(n, late).State, Ambiguous)
+			assert.Equal(t, f.lookup(n, elsewhere).State, Known)
 		}
 		assert.Assert(t, f.keepers["n000"].Doubtful(late) && !f.keepers["n000"].Doubtful(early))
 	})
@@ -211,7 +211,7 @@
 		for _, n := range f.names() {
 			assert.Assert(t, f.keepers[n].Len() <= 1, n)
 		}
-		assert.Equal(t, f.find("n006", key("o", "long", "1")).State, Known)
+		assert.Equal(t, f.lookup("n006", key("o", "long", "1")).State, Known)
 		time.Sleep(MaxRetention)
 		k := f.keepers["n000"]
 		assert.Equal(t, k.Len(), 0)
@@ -228,10 +228,10 @@
 		}
 		assert.Equal(t, k.Len(), int(maxOrganisationFraction*maxRecords))
 		k.Begin(key("o", "content", "1"), v1, "e", time.Minute)
-		assert.Equal(t, f.find("n000", key("o", "content", "1")).State, Known)
+		assert.Equal(t, f.lookup("n000", key("o", "content", "1")).State, Known)
 		long := key("o", "content", strings.Repeat("x", 1<<20))
 		k.Begin(long, v1, "e", time.Minute)
-		assert.Equal(t, f.find("n000", long).State, Known)
+		assert.Equal(t, f.lookup("n000", long).State, Known)
 	})
 }
 
@@ -241,35 +241,35 @@
 		k := f.keepers["n000"]
 		good := key("o", "content", "1").bytes()
 		for _, m := range []message{
-			{Kind: kindTell, Records: []reportedRecord{{Key: good[1:], Origin: v1, LeftMillis: 1000}}},
-			{Kind: kindTell, Records: []reportedRecord{{Key: good, Origin: v1, LeftMillis: -1}}},
-			{Kind: kindTell, Records: []reportedRecord{{Key: good, Origin: v1, LeftMillis: MaxRetention.Milliseconds() + 1}}},
-			{Kind: kindTell, Records: []reportedRecord{{Key: good, Origin: Origin{Service: strings.Repeat("s", maxNameBytes+1), Version: "v"}, LeftMillis: 1}}},
-			{Kind: kindAsk, Question: 1, Key: good[3:]},
+			{Kind: kindRecords, Records: []reportedRecord{{Key: good[1:], Origin: v1, LeftMillis: 1000}}},
+			{Kind: kindRecords, Records: []reportedRecord{{Key: good, Origin: v1, LeftMillis: -1}}},
+			{Kind: kindRecords, Records: []reportedRecord{{Key: good, Origin: v1, LeftMillis: MaxRetention.Milliseconds() + 1}}},
+			{Kind: kindRecords, Records: []reportedRecord{{Key: good, Origin: Origin{Service: strings.Repeat("s", maxNameBytes+1), Version: "v"}, LeftMillis: 1}}},
+			{Kind: kindQuery, Query: 1, Key: good[3:]},
 		} {
 			k.Receive(m.encode(), "n001")
 		}
 		k.Receive([]byte{0x83, 1}, "n001")
 		assert.Equal(t, k.Len(), 0)
 		assert.Equal(t, k.malformed.Get(), uint64(6))
-		k.Receive((&message{Kind: kindAnswer, Question: 99, Known: []Origin{v1}}).encode(), "n001") // nobody asked
+		k.Receive((&message{Kind: kindReply, Query: 99, Known: []Origin{v1}}).encode(), "n001") // no such query
 	})
 }
 
 func TestChosenNodesAreInDifferentDataCentres(t *testing.T) {
-	f := newNodes(members(30, 4))
+	f := newPlacement(members(30, 4))
 	counts := make(map[domain.NodeID]int)
 	for i := range 3000 {
 		k := key("o", fmt.Sprint("c", i), "1").Stream
 		centres := make(map[domain.DataCentre]bool)
-		for _, m := range f.chosen(k, "", holders) {
+		for _, m := range f.pick(k, "", replicaCount) {
 			centres[m.DataCentre] = true
 			counts[m.Node]++
 		}
-		assert.Equal(t, len(centres), holders)
-		all := f.chosen(k, "", asked)
-		assert.DeepEqual(t, f.chosen(k, "", holders), all[:holders])
-		assert.Assert(t, !slices.ContainsFunc(f.chosen(k, "n003", holders), func(m domain.Member) bool { return m.Node == "n003" }))
+		assert.Equal(t, len(centres), replicaCount)
+		all := f.pick(k, "", queryCount)
+		assert.DeepEqual(t, f.pick(k, "", replicaCount), all[:replicaCount])
+		assert.Assert(t, !slices.ContainsFunc(f.pick(k, "n003", replicaCount), func(m domain.Member) bool { return m.Node == "n003" }))
 	}
 	for _, n := range counts {
 		assert.Assert(t, n > 200 && n < 420, "%v", counts)
@@ -284,7 +284,7 @@
 // Guards against messages that earlier programs take for reports: nodes are replaced one by one.
 func TestEarlierProgramsDropMessages(t *testing.T) {
 	var r earlierReport
-	data := (&message{Kind: kindTell, Records: []reportedRecord{{Key: key("o", "content", "1").bytes(), Origin: v1, LeftMillis: 15000}}}).encode()
+	data := (&message{Kind: kindRecords, Records: []reportedRecord{{Key: key("o", "content", "1").bytes(), Origin: v1, LeftMillis: 15000}}}).encode()
 	assert.Assert(t, cbor.Unmarshal(data, &r) != nil)
 	t.Logf("a report of one record has %d bytes", len(data))
 }
@@ -300,10 +300,10 @@
 func BenchmarkChosen(b *testing.B) {
 	for _, n := range []int{7, 30, 300, 1000} {
 		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
-			f, k := newNodes(members(n, 21)), key("o", "content", "1").Stream
+			f, k := newPlacement(members(n, 21)), key("o", "content", "1").Stream
 			b.ReportAllocs()
 			for b.Loop() {
-				f.chosen(k, "n001", holders)
+				f.pick(k, "n001", replicaCount)
 			}
 		})
 	}
--- a/origin/message.go
+++ b/origin/message.go
@@ -14,18 +14,18 @@
 type messageKind uint8
 
 const (
-	kindTell messageKind = iota + 1
-	kindAsk
-	kindAnswer
+	kindRecords messageKind = iota + 1
+	kindQuery
+	kindReply
 )
 
 // message is a message to another node.
 type message struct {
 	_    struct{} `cbor:",toarray"`
 	Kind messageKind
-	// Question numbers a question of the sender, and repeats the number in the answer; 0 in a report of records.
-	Question uint64
-	// Key is what a question is about: a Key or, if the caller does not name the attempt, a StreamKey. In an answer it is the node
+	// Query numbers a query of the sender, and repeats the number in the answer; 0 in a report of records.
+	Query uint64
+	// Key is what a query is about: a Key or, if the caller does not name the attempt, a StreamKey. In an answer it is the node
 	// that answers.
 	Key []byte
 	// Known are the origins in an answer: none if it is not known, two if it is ambiguous.
--- a/origin/placement.go
+++ b/origin/placement.go
@@ -6,15 +6,15 @@
 )
 
 // nodes is a list of nodes over which streams are distributed.
-type nodes struct {
+type placement struct {
 	members []domain.Member
 	// dataCentres has the number of each member's data centre, counted from 0; there are count of them.
 	dataCentres []int
 	count       int
 }
 
-func newNodes(members []domain.Member) *nodes {
-	n := &nodes{members: members, dataCentres: make([]int, len(members))}
+func newPlacement(members []domain.Member) *placement {
+	n := &placement{members: members, dataCentres: make([]int, len(members))}
 	numbers := make(map[domain.DataCentre]int)
 	for i, m := range members {
 		number, ok := numbers[m.DataCentre]
@@ -30,7 +30,7 @@
 
 // chosen returns up to most members for the stream other than self, in an order on which all nodes with the same list agree: each
 // next one is in one of the data centres that have the fewest so far, and of these has the highest score.
-func (n *nodes) chosen(k StreamKey, self domain.NodeID, most int) []domain.Member {
+func (n *placement) pick(k StreamKey, self domain.NodeID, most int) []domain.Member {
 	scores := make([]uint64, len(n.members))
 	for i, m := range n.members {
 		scores[i] = rendezvous.Score(string(k[:]), string(m.Node))
@@ -58,7 +58,7 @@
 }
 
 // before reports whether member i is chosen before member j.
-func (n *nodes) before(i, j int, scores []uint64, perCentre []int) bool {
+func (n *placement) before(i, j int, scores []uint64, perCentre []int) bool {
 	a, b := perCentre[n.dataCentres[i]], perCentre[n.dataCentres[j]]
 	switch {
 	case a != b:
@@ -71,7 +71,7 @@
 }
 
 // same reports whether the list has the same incarnations of the same nodes at the same addresses.
-func (n *nodes) same(members []domain.Member) bool {
+func (n *placement) same(members []domain.Member) bool {
 	if len(n.members) != len(members) {
 		return false
 	}
--- a/origin/finding.go
+++ b/origin/result.go
@@ -12,22 +12,22 @@
 	Known
 	// Ambiguous means that there may be several.
 	Ambiguous
-	// Unreached means that a node that may know the origin did not answer.
-	Unreached
+	// Unreachable means that a node that may know the origin did not reply.
+	Unreachable
 	// States is the number of states.
 	States
 )
 
-var stateNames = [...]string{Unknown: "unknown", Known: "known", Ambiguous: "ambiguous", Unreached: "unreached"}
+var stateNames = [...]string{Unknown: "unknown", Known: "known", Ambiguous: "ambiguous", Unreachable: "unreachable"}
 
 // String returns the state's name.
 func (s State) String() string { return stateNames[s] }
 
-// Finding is the result of a search for a stream's origin.
-type Finding struct {
+// Result is the result of a search for a stream's origin.
+type Result struct {
 	State  State
 	Origin Origin
-	// Asked is the number of nodes that were asked, Answered how many of them answered before the search ended.
-	Asked, Answered int
-	Took            time.Duration
+	// Queried is the number of nodes that were queried, Replied how many of them replied before the search ended.
+	Queried, Replied int
+	Took             time.Duration
 }
--- a/places/choose.go
+++ b/places/choose.go
@@ -17,7 +17,7 @@
 	if ep := p.chooseWithLimits(now, request, limits, a, fleet); ep != nil {
 		return ep
 	}
-	if limits.overcommit || limits.queueFactor > 1 || !request.Continues && !p.belowDemandShare(now, limits, a) {
+	if limits.overcommit || limits.queueFactor > 1 || !request.Resumption && !p.belowDemandShare(now, limits, a) {
 		// No further capacity may be used, or it has been allowed already: short work may exceed the slots by more. A stream that
 		// has begun can only go on at some of the endpoints, which new requests fill as well.
 		return nil
@@ -71,7 +71,7 @@
 	if fleet.Known > sampleMinNodes {
 		limits.foreignReserve = foreignReserve
 	}
-	if request.Urgent || request.Continues {
+	if request.Urgent || request.Resumption {
 		return limits
 	}
 	limits.demandReserve = p.demand.reserve(now, demandTierOf(request))
--- a/places/item.go
+++ b/places/item.go
@@ -31,7 +31,7 @@
 // callers requested, on time.
 func (r *Request) rank(now time.Time, start time.Duration) domain.Tier {
 	rank := r.baseRank()
-	if r.late(now, start) && !r.Continues {
+	if r.late(now, start) && !r.Resumption {
 		rank++
 	}
 	return rank
@@ -54,8 +54,8 @@
 	return !now.Add(start).Before(r.FirstByteDue)
 }
 
-// maxContinueWait is how long a request that continues a stream waits. Callers give a stream up after some seconds without an event.
-const maxContinueWait = 2 * time.Second
+// maxResumptionWait is how long a request that continues a stream waits. Callers give a stream up after some seconds without an event.
+const maxResumptionWait = 2 * time.Second
 
 // selective reports whether there may be capacity that the request can't use: it leaves a reserve for requests that can
 // be on time, needs an endpoint that is fast enough or has enough cache memory, excludes some endpoints, or is bound to a version.
@@ -69,8 +69,8 @@
 	switch {
 	case r.Urgent:
 		return r.Due.Sub(now)
-	case r.Continues:
-		return min(maxContinueWait, r.Due.Sub(now))
+	case r.Resumption:
+		return min(maxResumptionWait, r.Due.Sub(now))
 	}
 	return min(max(r.FirstByteDue.Sub(now), 0)+maxLateWait, r.Due.Sub(now))
 }
--- a/places/request.go
+++ b/places/request.go
@@ -41,9 +41,9 @@
 	Version string
 	// Urgent requests belong to an answer that their caller is receiving: they are not refused for a long queue.
 	Urgent bool
-	// Continues is true if the request continues a stream that has begun, at this node or elsewhere. It counts as on time, and waits for
-	// maxContinueWait at most unless it is urgent.
-	Continues bool
+	// Resumption is true if the request continues a stream that has begun, at this node or elsewhere. It counts as on time, and waits for
+	// maxResumptionWait at most unless it is urgent.
+	Resumption bool
 
 	// capacityRequest is the router's form of the request, built once on arrival.
 	capacityRequest *capacity.Request
--- a/places/version_test.go
+++ b/places/version_test.go
@@ -22,7 +22,7 @@
 
 func boundRequest(version string) *Request {
 	r := testRequest()
-	r.Version, r.Continues = version, true
+	r.Version, r.Resumption = version, true
 	return r
 }
 
@@ -152,7 +152,7 @@
 		start := time.Now()
 		_, err := f.Acquire(t.Context(), boundRequest("a"))
 		assert.ErrorIs(t, err, ErrOverloaded)
-		assert.Equal(t, time.Since(start), maxContinueWait)
+		assert.Equal(t, time.Since(start), maxResumptionWait)
 		urgent := boundRequest("a")
 		urgent.Urgent = true
 		start = time.Now()
