origin: records are copied before they are reported

A record whose endpoint had changed its version was read for the report without the lock, while requests could extend it. Found by reading; the new test uses a keeper from several goroutines under the race detector, but did not report that race before the change.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -70,7 +70,7 @@
 	messages, bytes, malformed, dropped, repeated *metrics.Counter
 }
 
-// New returns a Keeper that knows of no stream. Run keeps its records where they are looked for.
+// New returns a Keeper without records. Run keeps them at their replicas.
 func New(config Config) *Keeper {
 	k := &Keeper{
 		config: config, table: newTable(), queries: make(map[uint64]chan reply),
@@ -142,7 +142,8 @@
 	for key, r := range k.table.records {
 		if r.endpoint == endpoint && now.Sub(r.began) < staleEntryWindow && !r.conflicting {
 			k.table.put(key, Origin{Service: r.origin.Service}, r.expires)
-			doubtful[key] = r
+			same := *r
+			doubtful[key] = &same
 		}
 	}
 	k.mu.Unlock()
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -335,3 +336,36 @@
 	runtime.ReadMemStats(&after)
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(k.Len()), "B/record")
 }
+
+// Guards against records that are reported while requests change them.
+func TestConcurrentUse(t *testing.T) {
+	changed := make(chan domain.EndpointID, 1000)
+	k := New(Config{
+		Self: "n001", Members: func() []domain.Member { return members(7, 4) }, AllHeard: func() bool { return true },
+		Send: func(string, []byte) error { return nil }, Clock: boottime.Now, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+		VersionChanges: func() []domain.EndpointID {
+			select {
+			case id := <-changed:
+				return []domain.EndpointID{id}
+			default:
+				return nil
+			}
+		},
+	})
+	var running sync.WaitGroup
+	for range 4 {
+		running.Go(func() {
+			for i := range 200 {
+				one := key("o", "content", fmt.Sprint(i%20))
+				k.Begin(one, v1, "e", time.Minute+time.Duration(i)*time.Second)
+				k.Receive((&message{Kind: kindRecords, Records: []reportedRecord{{Key: one.bytes(), Origin: v2, LeftMillis: 1000 * int64(i)}}}).encode(), "n002")
+				changed <- "e"
+				k.applyVersionChanges()
+				k.HandOver()
+				_ = k.Doubtful(one)
+			}
+		})
+	}
+	running.Wait()
+	assert.Equal(t, k.Len(), 20)
+}
