--- a/cmd/hawthornrill-soak/resumption_test.go
+++ b/cmd/hawthornrill-soak/resumption_test.go
@@ -126,14 +126,7 @@
 
 // streamUntil sends one stream after another to any node until stop is closed, on connections that are kept open.
 func (s *soak) streamUntil(stop chan struct{}, random *rand.Rand) {
-	client := &http.Transport{}
-	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	s.sendUntil(stop, random, func(client *http.Transport) outcome {
 		n := s.nodes[random.IntN(len(s.nodes))]
 		number := s.requests.Add(1)
 		o := outcome{
@@ -142,11 +135,8 @@
 		if random.IntN(3) == 0 {
 			o.leaveAfter = 1 + random.IntN(longStreamEvents-1)
 		}
-		o = s.send(client, n, o, callTimeout)
-		s.history.addOutcome(o)
-		s.follow(o, random)
-		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
-	}
+		return s.send(client, n, o, callTimeout)
+	})
 }
 
 // killSome kills up to half of the nodes at once.
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -334,8 +334,16 @@
 // stayingStream separates the draws of callers that stay with a node.
 const stayingStream = 1 << 32
 
-// callUntil sends one request after another until stop is closed. Connections are kept open until the node closes them.
+// callUntil sends one request after another until stop is closed.
 func (s *soak) callUntil(stop chan struct{}, random *rand.Rand, choose func() *process) {
+	s.sendUntil(stop, random, func(client *http.Transport) outcome {
+		return s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8)))
+	})
+}
+
+// sendUntil sends one request after another until stop is closed, and resumes streams that break. Connections are kept open until the
+// node closes them.
+func (s *soak) sendUntil(stop chan struct{}, random *rand.Rand, send func(client *http.Transport) outcome) {
 	client := &http.Transport{}
 	defer client.CloseIdleConnections()
 	for {
@@ -344,7 +352,7 @@
 			return
 		default:
 		}
-		o := s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8)))
+		o := send(client)
 		s.history.addOutcome(o)
 		s.follow(o, random)
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -11,6 +11,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/pacing"
 )
 
 const (
@@ -156,21 +157,14 @@
 // Run drops expired records and, when the list of nodes has changed, reports records to the nodes that are new among those that will
 // be queried, until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			k.mu.Lock()
-			k.table.sweep(k.config.Clock())
-			k.mu.Unlock()
-			k.applyVersionChanges()
-			k.refresh()
-			k.repair(time.Now())
-		}
-	}
+	return pacing.Every(ctx, tickInterval, func() {
+		k.mu.Lock()
+		k.table.sweep(k.config.Clock())
+		k.mu.Unlock()
+		k.applyVersionChanges()
+		k.refresh()
+		k.repair(time.Now())
+	})
 }
 
 // refresh reads the list of nodes.
