--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -128,7 +128,7 @@
 }
 
 // originRetention is how long the caller may still resume the stream.
-func (t *task) originRetention() (left time.Duration) {
+func (t *task) originRetention() time.Duration {
 	return max(t.timeLeft(), t.call.Timeout-time.Since(t.started)) + originGrace
 }
 
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,19 +190,9 @@
 	k.nextRepair = now.Add(time.Duration(float64(time.Since(now)) / repairFraction))
 }
 
-// without returns the members of a whose incarnations are not in b.
+// without returns a, which it modifies, less the members whose incarnations are in b.
 func without(a, b []domain.Member) []domain.Member {
-	var left []domain.Member
-	for _, m := range a {
-		known := false
-		for _, o := range b {
-			known = known || m.SameIncarnation(o)
-		}
-		if !known {
-			left = append(left, m)
-		}
-	}
-	return left
+	return slices.DeleteFunc(a, func(m domain.Member) bool { return slices.ContainsFunc(b, m.SameIncarnation) })
 }
 
 // current returns copies of the records.
--- a/origin/message.go
+++ b/origin/message.go
@@ -23,12 +23,12 @@
 type message struct {
 	_    struct{} `cbor:",toarray"`
 	Kind messageKind
-	// Query numbers a query of the sender, and repeats the number in the answer; 0 in a report of records.
+	// Query numbers a query of the sender, and repeats the number in the reply; 0 in a report of records.
 	Query uint64
-	// Key is what a query is about: a Key or, if the caller does not name the attempt, a StreamKey. In an answer it is the node
-	// that answers.
+	// Key is what a query is about: a Key or, if the caller does not name the attempt, a StreamKey. In a reply it is the node
+	// that replies.
 	Key []byte
-	// Known are the origins in an answer: none if it is not known, two if it is ambiguous.
+	// Known are the origins in a reply: none if it is not known, two if it is ambiguous.
 	Known []Origin
 	// Records are reported.
 	Records []reportedRecord
--- a/origin/table.go
+++ b/origin/table.go
@@ -31,10 +31,13 @@
 // summary is what the records of one content have in common.
 type summary struct {
 	origin Origin
-	// records counts them, others those with another origin.
+	// records counts them, others those that differ from origin.
 	records, others int
 }
 
+// differs reports whether the record may have another origin.
+func (s *summary) differs(r *record) bool { return r.conflicting || r.origin != s.origin }
+
 // table holds the records. It is not safe for concurrent use.
 type table struct {
 	records map[Key]*record
@@ -66,12 +69,14 @@
 		r = &record{origin: t.intern(o)}
 		t.records[k] = r
 		t.byOrganisation[org]++
-		t.count(k.Stream, o)
+		t.count(k.Stream, r)
 	}
 	if r.origin != o && !r.conflicting {
+		s := t.streams[k.Stream]
+		if !s.differs(r) {
+			s.others++
+		}
 		r.conflicting = true
-		t.streams[k.Stream].others++
-		t.streams[k.Stream].records++ // of two origins, so that the content is ambiguous
 	}
 	if expires > r.expires {
 		r.expires = expires
@@ -95,14 +100,14 @@
 	return o
 }
 
-func (t *table) count(k StreamKey, o Origin) {
+func (t *table) count(k StreamKey, r *record) {
 	s, ok := t.streams[k]
 	if !ok {
-		s = &summary{origin: o}
+		s = &summary{origin: r.origin}
 		t.streams[k] = s
 	}
 	s.records++
-	if s.origin != o {
+	if s.differs(r) {
 		s.others++
 	}
 }
@@ -134,11 +139,7 @@
 	}
 	s := t.streams[k.Stream]
 	s.records--
-	if r.origin != s.origin {
-		s.others--
-	}
-	if r.conflicting {
-		s.records--
+	if s.differs(r) {
 		s.others--
 	}
 	if s.records <= 0 {
--- a/places/allocator.go
+++ b/places/allocator.go
@@ -121,7 +121,7 @@
 	}
 	p.demand.forTier(demandTierOf(request)).requested.add(now)
 	ahead := p.waiting.AheadOf(request.rank(now, p.firstByteTime(request)), request.Organisation, 1)
-	if ahead == 0 || request.Urgent || request.Resumption {
+	if ahead == 0 || request.continues() {
 		if ep := p.choose(now, request, a); ep != nil {
 			a.granted.Inc()
 			return p.grant(a, now, request, ep), nil, nil
@@ -138,7 +138,7 @@
 // refuse decides on arrival whether the request would start too late: after its latency objective or, if that is
 // already missed, so late that its caller may have left.
 func (p *pool) refuse(now time.Time, request *Request, ahead int) *Refusal {
-	if request.Urgent || request.Resumption {
+	if request.continues() {
 		return p.restRefusal(now, request, request.maxWait(now))
 	}
 	wait := p.predictedWait(request, ahead)
--- a/places/choose.go
+++ b/places/choose.go
@@ -71,7 +71,7 @@
 	if fleet.Known > sampleMinNodes {
 		limits.foreignReserve = foreignReserve
 	}
-	if request.Urgent || request.Resumption {
+	if request.continues() {
 		return limits
 	}
 	limits.demandReserve = p.demand.reserve(now, demandTierOf(request))
--- a/places/request.go
+++ b/places/request.go
@@ -49,6 +49,9 @@
 	capacityRequest *capacity.Request
 }
 
+// continues reports whether the request belongs to an answer that has begun.
+func (r *Request) continues() bool { return r.Urgent || r.Resumption }
+
 // accepts reports whether the request may go to the endpoint.
 func (r *Request) accepts(ep *trackedEndpoint) bool {
 	return (r.Version == "" || ep.endpoint.Version == r.Version) && !slices.Contains(r.Excluded, ep.id())
