--- a/brittle/tracker.go
+++ b/brittle/tracker.go
@@ -64,7 +64,7 @@
 }
 
 // Record records the statement in a response of an endpoint of the service and the software version. Sent is when the request was
-// sent. A response without a statement ends that of its own version only: others may go on saying so.
+// sent. A response without a statement ends that of its own version only: others may repeat theirs.
 func (t *Tracker) Record(service, version string, sent boottime.Instant, s Statement) {
 	if s.Kind == Invalid {
 		t.malformed.Inc()
--- a/cmd/hawthornrill-soak/resumption_test.go
+++ b/cmd/hawthornrill-soak/resumption_test.go
@@ -21,7 +21,7 @@
 // versionSeeds are run by every test run; see keptSeeds.
 var versionSeeds = []int64{30000, 30001}
 
-// Guards against streams that go on at another software version than the one that began them, and against streams that don't go on
+// Guards against streams that continue at another software version than the one that began them, and against streams that are not continued
 // although endpoints of their version serve.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
 	seeds := versionSeeds
--- a/cmd/hawthornrill-soak/streams_test.go
+++ b/cmd/hawthornrill-soak/streams_test.go
@@ -79,7 +79,7 @@
 var errConnectionLost = errors.New("soak: connection lost")
 
 // unfinished reports whether the caller resumes the stream after the attempt: it has had an event, but not all, and was not
-// told that nobody can go on with it.
+// answered that nobody can continue it.
 func (st *stream) unfinished(s *soak, last outcome) bool {
 	complete := last.err == nil && last.status == http.StatusOK
 	final := last.status == http.StatusServiceUnavailable && last.retryAfter == 0 || last.status == http.StatusUnauthorized
--- a/cmd/hawthornrill-soak/versions_test.go
+++ b/cmd/hawthornrill-soak/versions_test.go
@@ -41,13 +41,13 @@
 const (
 	// settleTime is the time after which the nodes know of an endpoint's start, and before which they may know of its end.
 	settleTime = time.Second
-	// resumptionWindow is the window of the check of streams that go on, minResumptions the number of resumptions from
+	// resumptionWindow is the window of the check of streams that continue, minResumptions the number of resumptions from
 	// which it applies.
 	resumptionWindow = 10 * time.Second
 	minResumptions   = 12
 )
 
-// checkStreams fails the test if a stream has events of two software versions or an endpoint of another version went on with it,
+// checkStreams fails the test if a stream has events of two software versions or an endpoint of another version continued it,
 // or if resumptions are served less than half as often as new streams begin.
 func (s *soak) checkStreams() {
 	mixed, resumed := 0, 0
@@ -69,7 +69,7 @@
 	s.checkResumptions()
 }
 
-// continuations returns the versions of the endpoints at which each request went on with a stream.
+// continuations returns the versions of the endpoints at which each request continued a stream.
 func (s *soak) continuations() map[string][]string {
 	versions := make(map[string][]string)
 	for _, e := range s.allEndpoints() {
@@ -121,7 +121,7 @@
 	taken, wentOn, sent, began int
 }
 
-// insufficient reports whether the share of the streams that go on is less than half of the share of new streams that begin.
+// insufficient reports whether the share of the streams that continue is less than half of the share of new streams that begin.
 func (t resumptions) insufficient() bool {
 	return t.taken >= minResumptions && t.sent > 0 && 2*t.wentOn*t.sent < t.began*t.taken
 }
@@ -138,7 +138,7 @@
 	resumes, afterKill, served bool
 }
 
-// checkResumptions checks the streams that go on, over the whole run and over each window.
+// checkResumptions checks the streams that continue, over the whole run and over each window.
 func (s *soak) checkResumptions() {
 	samples := s.samples()
 	whole := tally(samples)
--- a/gateway/resumption_test.go
+++ b/gateway/resumption_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against a stream that goes on within its response at an endpoint of another version.
+// Guards against a stream that continues within its response at an endpoint of another version.
 func TestBrokenStreamGoesOnAtItsVersionOnly(t *testing.T) {
 	f := newFixture(t, func(r *routetable.Route) { r.MaxEndpoints = 9 }, breaking, streaming, streaming, streaming)
 	for _, other := range []domain.EndpointID{"e1", "e2", "e3"} {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// nameEndpoint tells the node that forwarded the request whose response it gets, and of which software version.
+// nameEndpoint states, for the node that forwarded the request, the endpoint and the software version that its response comes from.
 func (a *attempt) nameEndpoint(h http.Header, response *exchange.Response) {
 	if a.task.forwarded == nil {
 		return
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -117,7 +117,7 @@
 	k.sendTo(k.placement.Load().pick(key.Stream, k.config.Self, replicaCount), m.encode())
 }
 
-// Continue records that a stream goes on which began elsewhere, as Begin does, so that its next attempt finds that out here.
+// Continue records the origin of a stream that began elsewhere and continues here, as Begin does, so that its next attempt finds it.
 func (k *Keeper) Continue(key Key, o Origin, keepFor time.Duration) { k.Begin(key, o, "", keepFor) }
 
 // Doubtful reports whether it has become doubtful which version began the stream of this node's own attempt.
--- a/places/choose.go
+++ b/places/choose.go
@@ -19,7 +19,7 @@
 	}
 	if limits.overcommit || limits.queueFactor > 1 || !request.Resumption && !p.belowDemandShare(now, limits, a) {
 		// No further capacity may be used, or it has been allowed already: short work may exceed the slots by more. A stream that
-		// has begun can only go on at some of the endpoints, which new requests fill as well.
+		// has begun can only continue at some of the endpoints, which new requests fill as well.
 		return nil
 	}
 	limits.overcommit = true
