Observability: the parts of the prompt of an attempt that broke off

The log could not tell which parts the requests have in common whose answers broke off as an endpoint ended. A failed attempt and a request that may have run without a complete answer now have the hashes of the first 16 parts, and the attempt its events.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -358,7 +358,7 @@
 	t.gateway.metrics.retries.Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(a.receiver())).
 		Str("software_version", t.softwareVersion).Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(a.started)).
-		Int("sends", t.dispatches).Dur("rest_asked_ms", a.head.Notice.Rest).Str("last_event", t.lastEventID).AnErr("cause", err).
-		Msg("attempt failed, trying another endpoint")
+		Int("sends", t.dispatches).Dur("rest_asked_ms", a.head.Notice.Rest).Str("last_event", t.lastEventID).Strs("prompt_parts", t.call.partNames()).
+		Int("events", a.eventCount).AnErr("cause", err).Msg("attempt failed, trying another endpoint")
 	return attemptResult{err: err}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -61,6 +61,9 @@
 		line.Str("organisation", string(t.organisation.ID))
 	}
 	status := r.status
+	if t.mayHaveRun && (r.abort || r.refusal != nil) {
+		line.Strs("prompt_parts", t.call.partNames())
+	}
 	if r.refusal != nil {
 		status = r.refusal.Status
 		line.Str("reason", r.refusal.Title).Dur("retry_after_ms", r.refusal.RetryAfter)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"hawthornrill.example/hawthornrill/brittle"
@@ -48,6 +49,18 @@
 	return hashes, tokens
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// partNames returns the hashes of the prompt's first parts in hexadecimal, for the log.
+func (c *Call) partNames() []string {
+	names := make([]string, 0, min(len(c.Prompt), maxLoggedParts))
+	for _, part := range c.Prompt[:cap(names)] {
+		names = append(names, strconv.FormatUint(part.Hash, 16))
+	}
+	return names
+}
+
 // hashMultiplier is the 64-bit FNV prime; it makes a prefix's hash depend on the order of its parts.
 const hashMultiplier = 0x100000001b3
 
