--- a/cmd/hawthornrill-soak/callers_test.go
+++ b/cmd/hawthornrill-soak/callers_test.go
@@ -74,6 +74,12 @@
 		o.ended = time.Now()
 		return o
 	}
+	if model {
+		if o.prompt == nil {
+			o.prompt = soundPrompt(o.path, s.requests.Load())
+		}
+		platformtest.SetPrompt(request, o.prompt...)
+	}
 	if o.resumes != "" {
 		platformtest.Resume(request, o.lastEvent, o.resumes)
 	}
--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -56,6 +56,7 @@
 	s.checkCuts()
 	s.checkBrittle()
 	s.checkStreams()
+	s.checkCrashParts()
 	s.t.Logf("%d requests, %d answered, %d not read before a close, %d faults", len(s.history.outcomes), answered, unread, len(s.history.faults))
 	if answered == 0 {
 		s.t.Error("no request was answered")
--- a/cmd/hawthornrill-soak/history_test.go
+++ b/cmd/hawthornrill-soak/history_test.go
@@ -23,8 +23,9 @@
 // outcome is the result of a request as its caller observed it.
 type outcome struct {
 	id, node, key, path string
-	// content is the request's body.
+	// content is the request's body, prompt the parts of a model request's prompt.
 	content     string
+	prompt      []string
 	sent, ended time.Time
 	status      int
 	body        string
--- a/cmd/hawthornrill-soak/links_test.go
+++ b/cmd/hawthornrill-soak/links_test.go
@@ -37,10 +37,22 @@
 	fault   *linkFault
 	// cut reports whether the fault concerns the endpoint with the address.
 	cut func(address string) bool
+	// down are the addresses of endpoints that have ended.
+	down map[string]bool
 }
 
 func newEndpointLinks(t *testing.T) *endpointLinks {
-	return &endpointLinks{t: t, proxies: make(map[string]*proxy)}
+	return &endpointLinks{t: t, proxies: make(map[string]*proxy), down: make(map[string]bool)}
+}
+
+// setDown sets whether the endpoint with the address has ended, so that connections to it are refused.
+func (l *endpointLinks) setDown(address string, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down[address] = down
+	if p, ok := l.proxies[address]; ok {
+		l.apply(address, p)
+	}
 }
 
 // serveStore returns the address of the store as the node sees it.
@@ -92,6 +104,10 @@
 // apply brings a proxy into the state that the fault calls for. The lock is held.
 func (l *endpointLinks) apply(address string, p *proxy) {
 	if l.fault == nil || !l.cut(address) {
+		if l.down[address] {
+			p.setNewConns(newConnsRefused)
+			return
+		}
 		p.setNewConns(newConnsPass)
 		p.setMode(modePass)
 		return
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -150,6 +150,8 @@
 	streamEvents int
 	// cutting is held while nodes are cut off from endpoints.
 	cutting sync.Mutex
+	// crashParts are the parts of prompts that crash endpoints.
+	crashParts []*crashPart
 }
 
 func newSoak(t *testing.T, seed int64, series bool) *soak {
@@ -234,9 +236,15 @@
 	s.t.Cleanup(e.Close)
 	e.Register(s.store, "ready")
 	s.endpoints = append(s.endpoints, e)
+	s.recordEndpoint(e)
+	return e
+}
+
+// recordEndpoint records an endpoint that has started. The lock is held.
+func (s *soak) recordEndpoint(e *platformtest.Endpoint) {
 	s.createdEndpoints = append(s.createdEndpoints, e)
 	s.serving[e] = &servingPeriod{from: time.Now()}
-	return e
+	s.armEndpoint(e)
 }
 
 func (s *soak) allEndpoints() []*platformtest.Endpoint { return s.createdEndpoints }
