poison: parts of prompts that end the endpoints that answer them are identified and refused

Cause: the cause of an end was looked for in the whole content of a request. Requests that share one part of their prompts and nothing else are new contents each, and each broke off up to three endpoints before its own fingerprint was quarantined, so that there was no bound over all of them.

Change: a new package finds the part. An answer that broke off counts only if its endpoint has ended (connections are refused, or another incarnation is at its address). Each end leaves several suspects; an answer that gets eight events far, or is whole, clears all parts of its prompt, and a part is identified once the probability of its ends, given the rate of those that it has no part in, is below one in a million. Ends that an identified part explains are held against no other. Evidence holds for one organisation, service and model. Reports carry the latest evidence and a digest of the identifications; a peer with another digest is sent the set. The prompt is checked at admission, right before each dispatch and by the node that serves it for another; a request that waits in a queue, or at an endpoint without an event, ends at once. Refused ones get 503, not run, and are asked to come back in a minute.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -28,6 +28,7 @@
 	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/pacing"
 	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/poison"
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -59,6 +60,7 @@
 	brittle            *brittle.Tracker
 	slots              *places.Allocator
 	quarantine         *quarantine.Tracker
+	crashParts         *poison.Tracker
 	origins            *origin.Keeper
 	endpointClient     *exchange.Client
 	// reach tells which services this node reaches. peerClient forwards requests for the others to nodes that do.
@@ -114,6 +116,10 @@
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Gate: n.endpointGate, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
 	n.quarantine = quarantine.NewTracker(log)
+	n.crashParts = poison.New(poison.Config{
+		Probe: probeEnded, Endpoints: n.endpointCount, Lost: func(service string) bool { return n.reach.Lost(service) },
+		Log: log, Metrics: n.metrics,
+	})
 	n.origins = origin.New(origin.Config{
 		Self: s.Node, Members: n.mesh.Heard, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage, VersionChanges: n.directory.TakeVersionChanges,
 		Clock: boottime.Now, Log: log, Metrics: n.metrics,
@@ -139,6 +145,7 @@
 		}, boottime.Now, n.nodeCount),
 		Places:         n.slots,
 		Quarantine:     n.quarantine,
+		CrashParts:     n.crashParts,
 		Origins:        n.origins,
 		EndpointClient: n.endpointClient,
 		Reach:          n.reach,
@@ -187,6 +194,9 @@
 	return fleet.Known, fleet.Heard < fleet.Known
 }
 
+// endpointCount returns the number of endpoints of a service.
+func (n *Node) endpointCount(service string) int { return len(n.directory.Current().Service(service)) }
+
 // cacheTokens returns the cache size of a service's engines in tokens.
 func (n *Node) cacheTokens(service string) int {
 	if table := n.follower.Table(); table != nil {
@@ -247,6 +257,7 @@
 	n.slots.FillReport(report)
 	n.reach.FillReport(report)
 	report.Broken = n.quarantine.RecentEvidence()
+	n.crashParts.FillReport(report)
 	n.organisationLimits.AddToReport(report)
 	n.endpointLimits.AddToReport(report)
 	n.brittle.AddToReport(report)
@@ -257,6 +268,7 @@
 	n.slots.ApplyReport(report)
 	n.reach.ApplyReport(report)
 	n.quarantine.MergeEvidence(report.Broken)
+	n.crashParts.ApplyReport(report)
 	n.organisationLimits.ApplyReport(report)
 	n.endpointLimits.ApplyReport(report)
 	n.brittle.ApplyReport(report)
@@ -357,7 +369,7 @@
 		return pacing.Every(ctx, idleSweepInterval, func() { listener.CloseIdle(n.idleTimeout()) })
 	}
 	background := []func(context.Context) error{
-		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep, n.reach.Run, n.origins.Run,
+		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep, n.reach.Run, n.origins.Run, n.crashParts.Run,
 	}
 	for _, execute := range background {
 		group.Add(func() error { return execute(ctx) }, func(error) {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -33,6 +33,8 @@
 	helper   domain.NodeID
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	// stopWatch ends the watch of the prompt; see watchPrompt. It is nil in an attempt by way of another node.
+	stopWatch func()
 	// stallTimer cancels the attempt when the endpoint has sent nothing for too long; nil if the request can't be retried.
 	stallTimer       *time.Timer
 	started          time.Time
@@ -87,6 +89,8 @@
 	}
 	a.startStallTimer()
 	defer a.stopStallTimer()
+	a.stopWatch = t.watchPrompt(cancel)
+	defer a.unwatch()
 	t.unacknowledged = false
 	t.endpoint, t.endpointLoad, t.tokenTime = slot.Endpoint.Incarnation(), slot.Load, slot.TokenTime
 	t.endpointLimit, t.softwareVersion = slot.Limit, slot.Endpoint.Version
@@ -180,6 +184,7 @@
 	a.head = t.gateway.deps.Protocol.ReadAnswer(status, header)
 	if status != http.StatusMisdirectedRequest {
 		t.gateway.deps.EndpointGate.Record(a.endpoint, t.call.ID, a.head.Notice)
+		t.gateway.deps.CrashParts.Answered(a.endpoint.Incarnation(), a.started)
 	}
 	return a.head.ID == "" || a.head.ID == t.call.ID
 }
@@ -226,6 +231,7 @@
 	}
 	a.lastEventAt = now
 	if a.eventCount == 0 {
+		a.unwatch()
 		a.timeToFirstEvent = now.Sub(a.started)
 		a.slot.RecordFirstEvent()
 		if a.task.timeToFirstEvent == 0 {
@@ -233,6 +239,7 @@
 		}
 	}
 	a.eventCount++
+	a.recordProgress()
 	if a.stallTimer != nil {
 		a.stallTimer.Reset(max(stallFactor*a.task.route.EventGap, minStallTimeout))
 	}
@@ -296,8 +303,8 @@
 		a.notReached()
 	}
 	a.release(capacity.Result{Unreachable: blamed, NotReached: noSign})
-	if blamed && a.endpoint != nil && errors.Is(cause, endpoint.ErrBroken) && !linkSilent(cause) {
-		t.gateway.deps.Quarantine.RecordFailure(a.endpoint.Incarnation(), t.contentHash)
+	if blamed {
+		a.recordBreak(cause)
 	}
 	if t.callerGone() {
 		return attemptResult{final: true, abort: true, err: errCallerGone}
@@ -313,7 +320,7 @@
 
 // blamesEndpoint reports whether the endpoint caused the error, rather than the request's deadline or its caller.
 func (a *attempt) blamesEndpoint(cause error) bool {
-	return !errors.Is(cause, errTimeout) && a.task.request.Context().Err() == nil
+	return !errors.Is(cause, errTimeout) && !errors.Is(cause, errPartRefused) && a.task.request.Context().Err() == nil
 }
 
 // noSign reports whether the error leaves open that the endpoint is sound and only its link is not.
@@ -338,6 +345,7 @@
 	err := fmt.Errorf("%w: status %d", endpoint.ErrRefused, status)
 	if replaced {
 		// Another endpoint now answers at the address; the intended one has not seen the request.
+		t.gateway.deps.CrashParts.Replaced(a.endpoint.Incarnation())
 		t.misdirected++
 	}
 	if t.endpointsTried() >= t.maxEndpoints() {
@@ -355,6 +363,9 @@
 	if t.ctx.Err() != nil {
 		return t.giveUp(context.Cause(t.ctx))
 	}
+	if errors.Is(context.Cause(a.ctx), errPartRefused) {
+		return t.partRefused()
+	}
 	t.gateway.metrics.retries.Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("endpoint", string(a.receiver())).
 		Str("software_version", t.softwareVersion).Bool("not_sent", notSent).Bool("unacknowledged", t.unacknowledged).Dur("after_ms", time.Since(a.started)).
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +27,7 @@
 	"hawthornrill.example/hawthornrill/gossip"
 	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/poison"
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -38,7 +40,12 @@
 
 func (testProtocol) ReadCall(h http.Header) (Call, error) {
 	tokens, _ := strconv.Atoi(h.Get("X-Tokens"))
-	return Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("X-Last"), Resumes: h.Get("X-Resumes"), PromptTokens: tokens}, nil
+	call := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("X-Last"), Resumes: h.Get("X-Resumes"), PromptTokens: tokens}
+	for _, part := range h.Values("X-Part") {
+		hash, _ := strconv.ParseUint(part, 10, 64)
+		call.Prompt = append(call.Prompt, PromptPart{Hash: hash})
+	}
+	return call, nil
 }
 
 func (testProtocol) WriteDispatch(h http.Header, d Dispatch) {
@@ -191,6 +198,7 @@
 		Brittle:            f.brittle,
 		RetryBudget:        retrybudget.New(f.retries, f.now, one),
 		Quarantine:         quarantine.NewTracker(zerolog.Nop()),
+		CrashParts:         crashParts(set),
 		Origins:            f.origins(set),
 		Places:             places.New(places.Options{Gate: f.endpointGate}, f.directory, alone, set),
 		EndpointClient:     exchange.New(exchange.Options{}, set),
@@ -207,6 +215,14 @@
 	f.url = server.URL
 }
 
+// crashParts returns a tracker to which no endpoint has ended.
+func crashParts(set *metrics.Set) *poison.Tracker {
+	return poison.New(poison.Config{
+		Probe: func(context.Context, string) error { return nil }, Endpoints: func(string) int { return 1 }, Lost: func(string) bool { return false },
+		Log: zerolog.Nop(), Metrics: set,
+	})
+}
+
 // origins returns a keeper of a fleet of one node.
 func (f *fixture) origins(set *metrics.Set) *origin.Keeper {
 	return origin.New(origin.Config{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"hawthornrill.example/hawthornrill/follow"
 	"hawthornrill.example/hawthornrill/origin"
 	"hawthornrill.example/hawthornrill/places"
+	"hawthornrill.example/hawthornrill/poison"
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -67,7 +68,9 @@
 	Origins *origin.Keeper
 	Places  *places.Allocator
 	// Quarantine identifies request contents that crash the endpoints that run them.
-	Quarantine     *quarantine.Tracker
+	Quarantine *quarantine.Tracker
+	// CrashParts identifies parts of prompts that end the endpoints that answer them.
+	CrashParts     *poison.Tracker
 	EndpointClient *exchange.Client
 	// Reach tells which services' endpoints this node reaches. PeerClient forwards requests for the others to other nodes. Both
 	// are nil if requests are not forwarded.
@@ -183,8 +186,11 @@
 	return d.Sum64()
 }
 
-// checkQuarantine refuses a request whose content has crashed the endpoints that ran it.
+// checkQuarantine refuses a request whose content, or a part of whose prompt, has crashed the endpoints that ran it.
 func (t *task) checkQuarantine() *problem {
+	if t.gateway.deps.CrashParts.Refuses(t.promptScope(), t.call.partHashes()) {
+		return crashPartProblem()
+	}
 	left := t.gateway.deps.Quarantine.Quarantined(t.contentHash)
 	if left <= 0 {
 		return nil
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -27,6 +27,9 @@
 	staleRetryAfter = 300 * time.Millisecond
 	// shortRetryAfter is the Retry-After if an endpoint refused, was unreachable or was not free in time.
 	shortRetryAfter = 100 * time.Millisecond
+	// crashPartRetryAfter is the Retry-After of a request that is refused for a part of its prompt: it will not be served sooner, and callers
+	// that come back are load on all nodes.
+	crashPartRetryAfter = time.Minute
 	// minDispatchTime is the time left below which a request is not dispatched, since it can't be answered in time.
 	minDispatchTime = 20 * time.Millisecond
 	// stallFactor is how many times the route's objective for the first byte, or for the gap between events, an endpoint
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -24,6 +24,8 @@
 	PromptTokens         int
 	MaxAnswerTokens      int
 	ExpectedAnswerTokens int
+	// Model is the model that the call is for, empty if not stated.
+	Model string
 	// Prompt holds the parts of the prompt in order.
 	Prompt []PromptPart
 	// LastEventID is the id of the last event that the caller received, empty if it received none.
@@ -52,6 +54,18 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 16
 
+// partHashes returns the hashes of the prompt's parts in order.
+func (c *Call) partHashes() []uint64 {
+	if len(c.Prompt) == 0 {
+		return nil
+	}
+	hashes := make([]uint64, 0, len(c.Prompt))
+	for _, part := range c.Prompt {
+		hashes = append(hashes, part.Hash)
+	}
+	return hashes
+}
+
 // partNames returns the hashes of the prompt's first parts in hexadecimal, for the log.
 func (c *Call) partNames() []string {
 	names := make([]string, 0, min(len(c.Prompt), maxLoggedParts))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,6 +73,7 @@
 		a.forwardHead(response)
 	}
 	t.gateway.deps.Quarantine.Completed(t.contentHash)
+	t.recordSound()
 	a.release(capacity.Result{Complete: true})
 	return attemptResult{final: true, status: response.StatusCode}
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -166,7 +166,7 @@
 	if helper, ok := t.helper(); ok {
 		return t.forward(helper)
 	}
-	slot, err := t.gateway.deps.Places.Acquire(t.ctx, t.slotRequest())
+	slot, err := t.acquireSlot()
 	if err != nil {
 		return t.noSlot(err)
 	}
@@ -305,6 +305,8 @@
 		return attemptResult{final: true, refusal: t.unknownIfMayHaveRun(p), err: err}
 	case errors.Is(err, errTimeout), errors.Is(err, ErrStopped):
 		return t.giveUp(err)
+	case errors.Is(err, errPartRefused):
+		return t.partRefused()
 	default:
 		return attemptResult{final: true, err: errCallerGone, abort: true}
 	}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -31,6 +31,7 @@
 	}
 	if !failed {
 		t.gateway.deps.Quarantine.Completed(t.contentHash)
+		t.recordSound()
 	}
 	a.writeBuffered(response, body)
 	if len(body) > maxBufferedBytes {
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -80,6 +80,9 @@
 	deps  Dependencies
 	mu    sync.Mutex
 	peers map[domain.NodeID]*peer
+	// partsSent counts the peers that were sent the identified parts since partsSince.
+	partsSent  int
+	partsSince boottime.Instant
 
 	// pacer is used only by the goroutine that runs Run.
 	pacer pacer
@@ -105,6 +108,9 @@
 	dueAt       boottime.Instant
 	// interval is the interval at which the peer reports to this node.
 	interval time.Duration
+	// partsDigest is the digest of the peer's identified parts, partsSentAt when it was last sent this node's.
+	partsDigest uint64
+	partsSentAt boottime.Instant
 }
 
 // New returns a mesh. Run sends its reports and Listen receives those of the peers.
@@ -214,7 +220,7 @@
 	}
 	p.incarnation, p.sentAt, p.lastReportAt, p.address = report.Life, report.SentAt, m.deps.Clock(), from
 	p.silent, p.leaving, p.dataCentre, p.forwardsChanges = false, report.Leaving, report.DataCentre, report.forwardsChanges()
-	p.version, p.interval = report.Version, report.Every
+	p.version, p.interval, p.partsDigest = report.Version, report.Every, report.PartsDigest
 	return true
 }
 
@@ -291,7 +297,7 @@
 	}
 	report := Report{From: m.deps.Self, Life: m.deps.Incarnation, DataCentre: m.deps.DataCentre}
 	m.deps.Fill(&report)
-	changes, versions := report.Changes, report.Versions
+	changes, versions, crashParts := report.Changes, report.Versions, report.CrashParts
 	updates := configurationUpdates{configurationSince: m.deps.ConfigurationSince, cache: make(map[uint64]configurationUpdate)}
 	size := 0
 	for id, to := range targets {
@@ -303,7 +309,10 @@
 		if version, lacks := m.lacksConfiguration(id, &report); lacks {
 			update = updates.forVersion(version)
 		}
-		report.Steps, report.Document = update.steps, update.document
+		report.Steps, report.Document, report.CrashParts = update.steps, update.document, nil
+		if m.lacksCrashParts(id, &report) {
+			report.CrashParts = crashParts
+		}
 		report.SentAt = m.deps.Clock()
 		report.Echo, report.EchoLife = m.echo(id)
 		datagram, err := encMode.Marshal(report)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -45,6 +45,13 @@
 	Forwards string `cbor:"23,keyasint,omitempty"`
 	// Brittle are the services about whose brittleness endpoints have recently told the sender.
 	Brittle []BrittleService `cbor:"25,keyasint,omitempty"`
+	// EndedAnswers, SoundParts and Alive are the sender's latest evidence on parts of prompts that end endpoints. CrashParts are all parts that
+	// were identified, sent to peers with another digest than PartsDigest.
+	EndedAnswers []EndedAnswer   `cbor:"28,keyasint,omitempty"`
+	SoundParts   []SoundPart     `cbor:"29,keyasint,omitempty"`
+	Alive        []AliveEndpoint `cbor:"30,keyasint,omitempty"`
+	CrashParts   []CrashParts    `cbor:"31,keyasint,omitempty"`
+	PartsDigest  uint64          `cbor:"32,keyasint,omitempty"`
 	// Spent is the usage of the organisations' limits as known to the sender.
 	Spent []LimitUsage `cbor:"9,keyasint,omitempty"`
 	// Document is the sender's configuration as written by the operators, for a receiver that lacks it.
--- /dev/null
+++ b/poison/record.go
@@ -0,0 +1,41 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// record is an answer that broke off.
+type record struct {
+	scope    uint64
+	service  string
+	parts    []uint64
+	request  uint64
+	endpoint uint64
+	// startedAt is when the request was sent to the endpoint, endedAt when its answer broke off.
+	startedAt, endedAt time.Time
+	// own is true if the request was this node's. confirmed is true once the endpoint is known to have ended.
+	own, confirmed bool
+}
+
+// has reports whether the prompt has all the parts.
+func (r *record) has(parts []uint64) bool { return containsAll(r.parts, parts) }
+
+func containsAll(list, parts []uint64) bool {
+	for _, part := range parts {
+		if !slices.Contains(list, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// suspects returns the parts of a prompt that may end an endpoint: all but the last, each once, in order of their hashes.
+func suspects(prompt []uint64) []uint64 {
+	if len(prompt) < 2 {
+		return nil
+	}
+	parts := slices.Clone(prompt[:min(len(prompt)-1, maxParts)])
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
