quarantine: contents that ran beside the cause of an end are no longer quarantined for it

Callers' requests were refused for two minutes because their answers broke off as endpoints ended for another's request: four of the nine contents quarantined in the incident were streams that had begun.

Cause: every answer that broke off counted, however far it had got, and whatever else explained the end. Now one that got eight events far does not count, and the failures of endpoints whose ends an identified part explains are dropped. TestContentWhoseAnswersGotFarIsNotQuarantined failed before (503 in place of 200).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -118,7 +118,7 @@
 	n.quarantine = quarantine.NewTracker(log)
 	n.crashParts = poison.New(poison.Config{
 		Probe: probeEnded, Endpoints: n.endpointCount, Lost: func(service string) bool { return n.reach.Lost(service) },
-		Log: log, Metrics: n.metrics,
+		OnExplained: n.quarantine.Exonerate, Log: log, Metrics: n.metrics,
 	})
 	n.origins = origin.New(origin.Config{
 		Self: s.Node, Members: n.mesh.Heard, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage, VersionChanges: n.directory.TakeVersionChanges,
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -63,7 +63,9 @@
 	if a.endpoint == nil || !errors.Is(cause, endpoint.ErrBroken) || linkSilent(cause) {
 		return
 	}
-	t.gateway.deps.Quarantine.RecordFailure(a.endpoint.Incarnation(), t.contentHash)
+	if a.eventCount < poison.SoundEvents {
+		t.gateway.deps.Quarantine.RecordFailure(a.endpoint.Incarnation(), t.contentHash)
+	}
 	t.gateway.deps.CrashParts.Broke(poison.Break{
 		Scope: t.promptScope(), Prompt: t.call.partHashes(), Request: t.call.ID, Events: a.eventCount, Endpoint: a.endpoint.Incarnation(),
 		Address: a.endpoint.Address, StartedAt: a.started,
--- a/gateway/crashparts_test.go
+++ b/gateway/crashparts_test.go
@@ -147,3 +147,24 @@
 		assert.Equal(t, f.dispatches.Load(), int64(0))
 	})
 }
+
+// Guards against a content being quarantined because it ran beside the cause of several ends: its answers had got far.
+func TestContentWhoseAnswersGotFarIsNotQuarantined(t *testing.T) {
+	breakAfter := func(events int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, events)
+			abortConnection()
+		}
+	}
+	for _, test := range []struct {
+		events int
+		status int
+	}{{poison.SoundEvents, http.StatusOK}, {poison.SoundEvents - 1, http.StatusServiceUnavailable}} {
+		f := newFixture(t, func(r *routetable.Route) { r.Resumable, r.MaxEndpoints = false, 1 }, breakAfter(test.events), breakAfter(test.events),
+			breakAfter(test.events))
+		for i := range 8 {
+			f.call(attemptNumber(i))
+		}
+		assert.Equal(t, f.call(attemptNumber(9)).Status, test.status, "%d events", test.events)
+	}
+}
--- a/routing/quarantine/tracker.go
+++ b/routing/quarantine/tracker.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// Exonerate drops the failures of the endpoints, given by the hashes of their identifiers: their cause is known.
+func (t *Tracker) Exonerate(endpoints []uint64) { t.set.Exonerate(endpoints) }
+
 // Completed records that a request with the content was answered in full.
 func (t *Tracker) Completed(fingerprint uint64) {
 	if t.set.Len() > 0 {
--- a/routing/quarantine/tracker_test.go
+++ b/routing/quarantine/tracker_test.go
@@ -5,8 +5,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/domain"
 )
 
 // Guards against a request that crashes each endpoint that runs it and is retried by its caller on
@@ -41,3 +44,19 @@
 		assert.Equal(t, len(b.RecentEvidence()), maxReportedEvidence)
 	})
 }
+
+// Guards against contents that ran beside the cause of several ends being quarantined in its place.
+func TestExplainedFailuresAreNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker(zerolog.Nop())
+		for _, endpoint := range []domain.EndpointID{"a", "b", "c"} {
+			tracker.RecordFailure(endpoint, poison)
+		}
+		assert.Assert(t, tracker.Quarantined(poison) > 0)
+		tracker.Exonerate([]uint64{xxhash.Sum64String("a")})
+		assert.Equal(t, tracker.Quarantined(poison), time.Duration(0))
+		time.Sleep(time.Second)
+		tracker.RecordFailure("d", poison)
+		assert.Assert(t, tracker.Quarantined(poison) > 0, "another end that is not explained")
+	})
+}
