--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -32,7 +32,7 @@
 // Break is an answer that broke off.
 type Break struct {
 	Scope Scope
-	// Prompt holds the hashes of the prompt's parts in order, none if the request has no prompt.
+	// Prompt holds the hashes of the prompt's parts in order. A request with fewer than two is no evidence.
 	Prompt []uint64
 	// Request is the request's id, Events the number of events that had come.
 	Request string
@@ -118,6 +118,9 @@
 
 // Broke records an answer that broke off, and finds out whether its endpoint has ended.
 func (t *Tracker) Broke(b Break) {
+	if len(b.Prompt) < 2 {
+		return
+	}
 	r := record{
 		scope: b.Scope.Hash(), service: b.Scope.Service, request: hashOf(b.Request), endpoint: hashOf(string(b.Endpoint)),
 		startedAt: b.StartedAt, endedAt: time.Now(), own: true,
