poison: frequent parts, and rare ones that were beside them, are not taken for the cause

Cause: the probability that an innocent part is at an end went by the rate of ends alone, not by how many of the requests at an endpoint have the part; and a part was identified although another one was at all the same ends and more. Now requests are counted by their parts, in bounded counts of a minute, and a part is not identified while another one that no answer has got far on was at all of its ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,6 +170,7 @@
 		return refused
 	}
 	t.contentHash = t.computeContentHash()
+	t.gateway.deps.CrashParts.Observe(t.promptScope(), t.call.partHashes())
 	if refused := t.checkQuarantine(); refused != nil {
 		return refused
 	}
--- a/gossip/crashparts.go
+++ b/gossip/crashparts.go
@@ -7,7 +7,7 @@
 )
 
 // EndedAnswer is an answer that broke off AgeMillis milliseconds ago, because its endpoint ended, TookMillis after the request was sent there.
-// Scope, Parts, Request and Endpoint are hashes; there are no parts if the answer had got far.
+// Scope, Parts, Request and Endpoint are hashes. Early is true if the answer had not got far; otherwise there are no parts.
 type EndedAnswer struct {
 	_          struct{} `cbor:",toarray"`
 	Scope      uint64
@@ -17,6 +17,7 @@
 	Endpoint   uint64
 	AgeMillis  int64
 	TookMillis int64
+	Early      bool
 }
 
 // SoundPart is a part of a prompt on which an answer got far AgeMillis milliseconds ago.
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -218,6 +218,7 @@
 		f.sound++
 		f.mu.Unlock()
 	}
+	n.tracker.Observe(scope, prompt)
 	for range maxAttempts {
 		e := f.pick(n)
 		if n.tracker.Refuses(scope, prompt) {
@@ -350,6 +351,19 @@
 	return counts
 }
 
+// parts returns the parts that nodes have identified.
+func (f *fleet) parts() [][]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var parts [][]uint64
+	for _, n := range f.nodes {
+		for _, v := range *n.tracker.verdicts.Load() {
+			parts = append(parts, v.parts)
+		}
+	}
+	return parts
+}
+
 // soundPrompt draws a prompt with parts shared by all requests, by many and by a few, and one of its own.
 func soundPrompt(random *rand.Rand) []uint64 {
 	prompt := []uint64{1000, 2000 + random.Uint64N(6)}
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -12,6 +12,8 @@
 	records []record
 	// provenSound reports whether answers have got far on the part.
 	provenSound func(scope, part uint64) bool
+	// share returns the share of the service's requests that have the part.
+	share func(scope uint64, service string, part uint64) float64
 	// endpoints returns the number of a service's endpoints.
 	endpoints func(service string) int
 	verdicts  []verdict
@@ -50,7 +52,8 @@
 
 // next returns the identification with the strongest evidence that is not in force yet.
 func (e *evidence) next(now time.Time) (verdict, bool) {
-	candidates := slices.DeleteFunc(e.suspects(now), func(s *suspect) bool { return !s.isCandidate() })
+	all := e.suspects(now)
+	candidates := slices.DeleteFunc(slices.Clone(all), func(s *suspect) bool { return !s.isCandidate() })
 	// A part that is in most prompts is at most ends. It comes after those that no answer has ever got far on.
 	if slices.ContainsFunc(candidates, func(s *suspect) bool { return !s.proven }) {
 		candidates = slices.DeleteFunc(candidates, func(s *suspect) bool { return s.proven })
@@ -64,7 +67,7 @@
 		if len(group) > maxVerdictParts || v.isIn(e.verdicts) {
 			continue
 		}
-		if first.ends >= ambiguousEnds || !first.isAmbiguous(candidates, group) {
+		if first.ends >= ambiguousEnds || !first.isAmbiguous(all, group) {
 			return v, true
 		}
 	}
@@ -130,19 +133,29 @@
 	}
 }
 
-// hitProbability is the probability that a request is at an endpoint that ends for a reason of its own, from the unexplained ends that the
-// suspect had no part in.
+// hitProbability is the probability that an end without relation to the suspect meets a request that has it: by how often endpoints end, from the
+// unexplained ends that the suspect had no part in, and by how many of the requests at an endpoint have it.
 func (e *evidence) hitProbability(now time.Time, s *suspect, explained explanations) float64 {
 	window := max(now.Sub(s.records[0].endedAt), rateWindow)
-	var others []uint64
+	var all, others []uint64
+	early := 0
 	for i := range e.records {
 		r := &e.records[i]
-		if r.service == s.service && now.Sub(r.endedAt) <= window && len(explained[r.endpoint]) == 0 && !slices.Contains(s.endpoints, r.endpoint) {
+		if r.service != s.service || now.Sub(r.endedAt) > window {
+			continue
+		}
+		all = insert(all, r.endpoint)
+		if r.early {
+			early++
+		}
+		if len(explained[r.endpoint]) == 0 && !slices.Contains(s.endpoints, r.endpoint) {
 			others = insert(others, r.endpoint)
 		}
 	}
 	rate := float64(len(others)) / float64(max(e.endpoints(s.service), 1)) / window.Seconds()
-	return min(max(rate*exposure.Seconds(), minHitProbability), maxHitProbability)
+	bystanders := max(float64(early)/float64(max(len(all), 1))-1, 0)
+	present := 1 - math.Pow(1-min(e.share(s.scope, s.service, s.part), 1), bystanders)
+	return min(max(rate*exposure.Seconds(), present, minHitProbability), maxHitProbability)
 }
 
 // group returns the candidates that have been in all the suspect's requests and at the same ends.
@@ -156,10 +169,11 @@
 	return parts
 }
 
-// isAmbiguous reports whether a candidate outside the group was at the same ends.
-func (s *suspect) isAmbiguous(candidates []*suspect, group []uint64) bool {
-	return slices.ContainsFunc(candidates, func(c *suspect) bool {
-		return slices.Equal(c.endpoints, s.endpoints) && !(c.scope == s.scope && slices.Contains(group, c.part))
+// isAmbiguous reports whether a suspect outside the group was at the same ends, and perhaps at more: that one may be the cause, although the
+// evidence against it does not suffice yet.
+func (s *suspect) isAmbiguous(suspects []*suspect, group []uint64) bool {
+	return slices.ContainsFunc(suspects, func(o *suspect) bool {
+		return !o.proven && containsAll(o.endpoints, s.endpoints) && !(o.scope == s.scope && slices.Contains(group, o.part))
 	})
 }
 
--- a/poison/judge_test.go
+++ b/poison/judge_test.go
@@ -12,11 +12,11 @@
 // ended is a record of a request with the parts whose endpoint ended so many milliseconds before judgedAt, 100 ms after it was sent.
 func ended(millisAgo int, endpoint, request uint64, parts ...uint64) record {
 	at := judgedAt.Add(-time.Duration(millisAgo) * time.Millisecond)
-	return record{service: "s", parts: parts, request: request, endpoint: endpoint, startedAt: at.Add(-100 * time.Millisecond), endedAt: at, confirmed: true}
+	return record{service: "s", parts: parts, request: request, endpoint: endpoint, startedAt: at.Add(-100 * time.Millisecond), endedAt: at, confirmed: true, early: true}
 }
 
 func TestJudge(t *testing.T) {
-	const cause, first, other, third, proven = 1, 2, 3, 4, 5
+	const cause, first, other, third, proven, common = 1, 2, 3, 4, 5, 6
 	with := func(list []record, more ...record) []record { return append(append([]record(nil), list...), more...) }
 	// Three ends by two requests with the cause, whose other parts differ.
 	enough := []record{ended(3000, 1, 1, cause, first), ended(2500, 2, 1, cause, first), ended(2000, 3, 2, cause, other)}
@@ -56,6 +56,10 @@
 			ended(1900, 4, 8, proven), ended(1700, 5, 9, proven)), nil, [][]uint64{{cause}}},
 		{"a part that is proven sound, at five ends", []record{ended(3000, 1, 1, proven), ended(2500, 2, 2, proven), ended(2000, 3, 3, proven),
 			ended(1500, 4, 4, proven), ended(1000, 5, 5, proven)}, nil, nil},
+		{"a part that a fifth of the requests have", with([]record{ended(3000, 1, 1, common), ended(2500, 2, 2, common), ended(2000, 3, 3, common),
+			ended(1500, 4, 4, common)}, ended(3000, 1, 11), ended(2500, 2, 12), ended(2000, 3, 13), ended(1500, 4, 14), ended(1500, 4, 15)), nil, nil},
+		{"a rare part at three of the four ends of a frequent cause", with([]record{ended(3000, 1, 1, common), ended(2500, 2, 2, common), ended(2000, 3, 3, common),
+			ended(1500, 4, 4, common)}, ended(3000, 1, 11, other), ended(2500, 2, 12, other), ended(2000, 3, 13, other), ended(1500, 4, 14)), nil, nil},
 		{"ends that an identified part explains", enough, [][]uint64{{cause}}, nil},
 		{"bystanders of a known cause", with(enough, ended(3000, 1, 11, third), ended(2500, 2, 12, third), ended(2000, 3, 13, third)), [][]uint64{{cause}}, nil},
 		{"two causes", with(enough, ended(2800, 11, 21, third), ended(2300, 12, 21, third), ended(1800, 13, 22, third), ended(1400, 14, 23, third)), nil,
@@ -65,6 +69,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			e := evidence{
 				records: test.records, provenSound: func(_, part uint64) bool { return part == proven },
+				share:     func(_ uint64, _ string, part uint64) float64 { return map[uint64]float64{common: 0.2}[part] },
 				endpoints: func(string) int { return 12 },
 			}
 			for _, parts := range test.known {
--- a/poison/options.go
+++ b/poison/options.go
@@ -29,6 +29,11 @@
 	// provenRetention is how long it is remembered that an answer got far on a part, maxProven limits these parts.
 	provenRetention = time.Hour
 	maxProven       = 8192
+	// countPeriod is the time over which requests are counted by their parts, of which the last two periods hold. maxCounted limits the parts,
+	// maxCountedPerScope those of one organisation, service and model.
+	countPeriod        = 30 * time.Second
+	maxCounted         = 8192
+	maxCountedPerScope = 1024
 	// warmUp is the time after the start in which a node leaves the evaluation to the others: it does not know yet which parts are sound.
 	warmUp = 3 * time.Second
 	// maxAnswered limits the endpoints of which it is remembered when they last answered.
@@ -40,7 +45,7 @@
 	maxDoubt = 1.001e-6
 	// minHitProbability and maxHitProbability bound the probability that an end without relation to a part meets a request that has it.
 	minHitProbability = 0.01
-	maxHitProbability = 0.9
+	maxHitProbability = 0.95
 	// exposure is how long a request is at an endpoint before its answer has got far; longer than most, so that the probability isn't
 	// underestimated.
 	exposure = time.Second
--- a/poison/record.go
+++ b/poison/record.go
@@ -14,6 +14,8 @@
 	endpoint uint64
 	// startedAt is when the request was sent to the endpoint, endedAt when its answer broke off.
 	startedAt, endedAt time.Time
+	// early is true if the answer had not got far.
+	early bool
 	// own is true if the request was this node's. confirmed is true once the endpoint is known to have ended.
 	own, confirmed bool
 }
--- a/poison/report.go
+++ b/poison/report.go
@@ -42,7 +42,7 @@
 func (r *record) encode(now time.Time) gossip.EndedAnswer {
 	return gossip.EndedAnswer{
 		Scope: r.scope, Service: r.service, Parts: r.parts, Request: r.request, Endpoint: r.endpoint, AgeMillis: now.Sub(r.endedAt).Milliseconds(),
-		TookMillis: r.endedAt.Sub(r.startedAt).Milliseconds(),
+		TookMillis: r.endedAt.Sub(r.startedAt).Milliseconds(), Early: r.early,
 	}
 }
 
@@ -104,6 +104,7 @@
 	r := record{
 		scope: a.Scope, service: a.Service, request: a.Request, endpoint: a.Endpoint, endedAt: endedAt,
 		startedAt: endedAt.Add(-time.Duration(min(a.TookMillis, recordRetention.Milliseconds())) * time.Millisecond), confirmed: true,
+		early: a.Early,
 	}
 	known := slices.ContainsFunc(t.records, func(o record) bool { return o.endpoint == r.endpoint && o.request == r.request })
 	if known || t.answered[r.endpoint].After(endedAt.Add(clockMargin)) {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -56,6 +56,7 @@
 	tracked atomic.Int64
 	started time.Time
 	proven  provenParts
+	counts  popularity
 
 	mu      sync.Mutex
 	records []record
@@ -116,6 +117,13 @@
 	return true
 }
 
+// Observe counts a request of a caller. It is called once for each.
+func (t *Tracker) Observe(scope Scope, prompt []uint64) {
+	if len(prompt) > 0 {
+		t.counts.add(time.Now(), scope.Hash(), scope.Service, suspects(prompt))
+	}
+}
+
 // Broke records an answer that broke off, and finds out whether its endpoint has ended.
 func (t *Tracker) Broke(b Break) {
 	if len(b.Prompt) < 2 {
@@ -126,7 +134,7 @@
 		startedAt: b.StartedAt, endedAt: time.Now(), own: true,
 	}
 	if b.Events < SoundEvents {
-		r.parts = suspects(b.Prompt)
+		r.parts, r.early = suspects(b.Prompt), true
 	}
 	t.mu.Lock()
 	t.add(r)
@@ -219,7 +227,7 @@
 
 // add adds a record. The lock is held.
 func (t *Tracker) add(r record) {
-	if len(r.parts) == 0 && slices.ContainsFunc(t.records, func(o record) bool { return o.endpoint == r.endpoint }) {
+	if !r.early && slices.ContainsFunc(t.records, func(o record) bool { return o.endpoint == r.endpoint }) {
 		return // it says no more than the other one
 	}
 	t.records = append(t.records, r)
@@ -332,7 +340,7 @@
 		return unsettled
 	}
 	t.dirty = false
-	e := evidence{records: slices.Clone(t.records), provenSound: t.proven.has, endpoints: t.config.Endpoints}
+	e := evidence{records: slices.Clone(t.records), provenSound: t.proven.has, share: t.counts.share, endpoints: t.config.Endpoints}
 	t.mu.Unlock()
 	for _, v := range *t.verdicts.Load() {
 		e.verdicts = append(e.verdicts, v)
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -61,7 +61,7 @@
 							float64(f.bytes)/float64(f.reports))
 						assert.Assert(t, f.late(cause) == 0, "%d late", f.late(cause))
 						assert.Assert(t, len(f.ends[cause]) >= 3)
-						assert.Equal(t, f.refused, 0)
+						assert.Equal(t, f.refused, 0, "%v", f.parts())
 					})
 				})
 			}
@@ -83,7 +83,7 @@
 			f.close()
 			assert.Assert(t, f.late(cause) <= 3 && f.late(cause+1) <= 3, "%d and %d late, %d and %d ends", f.late(cause), f.late(cause+1), len(f.ends[cause]),
 				len(f.ends[cause+1]))
-			assert.Equal(t, f.refused, 0)
+			assert.Equal(t, f.refused, 0, "%v", f.parts())
 		})
 	}
 }
@@ -105,7 +105,7 @@
 				}
 			}
 			f.close()
-			assert.Equal(t, f.refused, 0, "of %d", f.sound)
+			assert.Equal(t, f.refused, 0, "of %d: %v", f.sound, f.parts())
 			assert.Equal(t, slices.Max(f.identified()), 0)
 		})
 	}
@@ -128,7 +128,7 @@
 			}
 			f.close()
 			assert.Assert(t, f.late(cause) <= 3, "%d late, %d ends", f.late(cause), len(f.ends[cause]))
-			assert.Equal(t, f.refused, 0)
+			assert.Equal(t, f.refused, 0, "%v", f.parts())
 		})
 	}
 }
@@ -149,7 +149,7 @@
 				f.mu.Unlock()
 			}
 			f.close()
-			assert.Equal(t, f.refused, 0)
+			assert.Equal(t, f.refused, 0, "%v", f.parts())
 		})
 	}
 }
@@ -164,7 +164,7 @@
 		f.cause(cause)
 		f.send(4, with(cause))
 		time.Sleep(time.Minute)
-		assert.Equal(t, slices.Max(f.identified()), 1)
+		assert.Equal(t, slices.Max(f.identified()), 1, "%v", f.parts())
 		f.restart(0)
 		f.mu.Lock()
 		f.nodes[2].cut = false
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -35,6 +35,11 @@
 	return xxhash.Sum64(b)
 }
 
+// includes reports whether the identification refuses all that the other one does, and more.
+func (v *verdict) includes(o verdict) bool {
+	return v.inForce() && o.inForce() && v.scope == o.scope && len(v.parts) < len(o.parts) && containsAll(o.parts, v.parts)
+}
+
 // isIn reports whether the identification is one of those in force.
 func (v *verdict) isIn(list []verdict) bool {
 	return slices.ContainsFunc(list, func(o verdict) bool { return o.inForce() && o.scope == v.scope && slices.Equal(o.parts, v.parts) })
--- a/poison/verdicts.go
+++ b/poison/verdicts.go
@@ -26,9 +26,12 @@
 	if v.expired(now) || known && !v.at.After(old.at) || !known && v.cleared {
 		return set, false
 	}
+	if slices.ContainsFunc(slices.Collect(maps.Values(set)), func(o verdict) bool { return o.includes(v) }) {
+		return set, false
+	}
 	next := maps.Clone(set)
 	next[id] = v
-	maps.DeleteFunc(next, func(_ uint64, o verdict) bool { return o.expired(now) })
+	maps.DeleteFunc(next, func(_ uint64, o verdict) bool { return o.expired(now) || v.includes(o) })
 	next.evict(maxVerdictsPerScope, func(o verdict) bool { return o.scope == v.scope })
 	next.evict(maxVerdicts, func(verdict) bool { return true })
 	_, kept := next[id]
