poison, gateway: whole contents are identified by the same evidence as parts of prompts

Cause: the gateway's tracker of whole contents counted any broken answer, several at one endpoint and those of one moment at several, and a content that many callers share was at all of them.

Ends are weighed by at most one request with a suspect at each, and by all requests that are known while not all nodes are heard.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -32,7 +32,6 @@
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
-	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -59,7 +58,6 @@
 	endpointGate       *endpointgate.Gate
 	brittle            *brittle.Tracker
 	slots              *places.Allocator
-	quarantine         *quarantine.Tracker
 	crashParts         *poison.Tracker
 	origins            *origin.Keeper
 	endpointClient     *exchange.Client
@@ -115,10 +113,9 @@
 	n.slots = places.New(places.Options{
 		Node: s.Node, DataCentre: s.DataCentre, CacheTokens: n.cacheTokens, Gate: n.endpointGate, Log: log,
 	}, n.directory, n.mesh.Fleet, n.metrics)
-	n.quarantine = quarantine.NewTracker(log)
 	n.crashParts = poison.New(poison.Config{
-		Probe: probeEnded, Endpoints: n.endpointCount, Lost: func(service string) bool { return n.reach.Lost(service) },
-		OnExplained: n.quarantine.Exonerate, Log: log, Metrics: n.metrics,
+		Probe: probeEnded, Endpoints: n.endpointCount, AllHeard: n.mesh.AllHeard, Lost: func(service string) bool { return n.reach.Lost(service) },
+		Log: log, Metrics: n.metrics,
 	})
 	n.origins = origin.New(origin.Config{
 		Self: s.Node, Members: n.mesh.Heard, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage, VersionChanges: n.directory.TakeVersionChanges,
@@ -144,7 +141,6 @@
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: seconds(s.Retry.WindowS),
 		}, boottime.Now, n.nodeCount),
 		Places:         n.slots,
-		Quarantine:     n.quarantine,
 		CrashParts:     n.crashParts,
 		Origins:        n.origins,
 		EndpointClient: n.endpointClient,
@@ -256,7 +252,6 @@
 	report.SetEndpointChanges(n.follower.EndpointChanges())
 	n.slots.FillReport(report)
 	n.reach.FillReport(report)
-	report.Broken = n.quarantine.RecentEvidence()
 	n.crashParts.FillReport(report)
 	n.organisationLimits.AddToReport(report)
 	n.endpointLimits.AddToReport(report)
@@ -267,7 +262,6 @@
 func (n *Node) handleReport(report *gossip.Report, sent boottime.Instant) {
 	n.slots.ApplyReport(report)
 	n.reach.ApplyReport(report)
-	n.quarantine.MergeEvidence(report.Broken)
 	n.crashParts.ApplyReport(report)
 	n.organisationLimits.ApplyReport(report)
 	n.endpointLimits.ApplyReport(report)
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -10,24 +10,23 @@
 	"hawthornrill.example/hawthornrill/poison"
 )
 
-// promptScope is what evidence against a part of the request's prompt holds for. Until the service is chosen it is the one that the request
-// would go to.
-func (t *task) promptScope() poison.Scope {
-	scope := poison.Scope{Service: t.service, Model: t.call.Model}
-	if scope.Service == "" {
-		scope.Service = t.chooseService()
+// suspect is what of the request may end endpoints. Until the service is chosen it is the one that the request would go to.
+func (t *task) suspect() poison.Request {
+	r := poison.Request{Scope: poison.Scope{Service: t.service, Model: t.call.Model}, Prompt: t.call.partHashes(), Content: t.contentHash}
+	if r.Scope.Service == "" {
+		r.Scope.Service = t.chooseService()
 	}
 	if t.organisation != nil {
-		scope.Organisation = t.organisation.ID
+		r.Scope.Organisation = t.organisation.ID
 	}
-	return scope
+	return r
 }
 
 var errPartRefused = errors.New("gateway: a part of the prompt ends endpoints")
 
 func crashPartProblem() *problem {
 	return &problem{
-		Status: http.StatusServiceUnavailable, Title: "a part of the prompt has ended the endpoints that ran it", Outcome: outcomeNotRun,
+		Status: http.StatusServiceUnavailable, Title: "the content, or a part of the prompt, has ended the endpoints that ran it", Outcome: outcomeNotRun,
 		RetryAfter: crashPartRetryAfter,
 	}
 }
@@ -47,7 +46,7 @@
 
 // watchPrompt calls cancel once the request's prompt is refused. The function that it returns ends the watch.
 func (t *task) watchPrompt(cancel context.CancelCauseFunc) (stop func()) {
-	return t.gateway.deps.CrashParts.Watch(t.promptScope(), t.call.partHashes(), func() { cancel(errPartRefused) })
+	return t.gateway.deps.CrashParts.Watch(t.suspect(), func() { cancel(errPartRefused) })
 }
 
 // unwatch ends the watch of the prompt: the answer has begun.
@@ -63,12 +62,9 @@
 	if a.endpoint == nil || !errors.Is(cause, endpoint.ErrBroken) || linkSilent(cause) {
 		return
 	}
-	if a.eventCount < poison.SoundEvents {
-		t.gateway.deps.Quarantine.RecordFailure(a.endpoint.Incarnation(), t.contentHash)
-	}
 	t.gateway.deps.CrashParts.Broke(poison.Break{
-		Scope: t.promptScope(), Prompt: t.call.partHashes(), Request: t.call.ID, Events: a.eventCount, Endpoint: a.endpoint.Incarnation(),
-		Address: a.endpoint.Address, StartedAt: a.started,
+		Request: t.suspect(), ID: t.call.ID, Events: a.eventCount, Endpoint: a.endpoint.Incarnation(), Address: a.endpoint.Address,
+		StartedAt: a.started,
 	})
 }
 
@@ -81,5 +77,5 @@
 
 // recordSound records that the request's content does not crash endpoints.
 func (t *task) recordSound() {
-	t.gateway.deps.CrashParts.Sound(t.promptScope(), t.call.partHashes())
+	t.gateway.deps.CrashParts.Sound(t.suspect())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,6 @@
 	"hawthornrill.example/hawthornrill/reach"
 	"hawthornrill.example/hawthornrill/retrybudget"
 	"hawthornrill.example/hawthornrill/routetable"
-	"hawthornrill.example/hawthornrill/routing/quarantine"
 	"hawthornrill.example/hawthornrill/tokenlimit"
 )
 
@@ -67,9 +66,7 @@
 	// Origins knows which software version began each stream.
 	Origins *origin.Keeper
 	Places  *places.Allocator
-	// Quarantine identifies request contents that crash the endpoints that run them.
-	Quarantine *quarantine.Tracker
-	// CrashParts identifies parts of prompts that end the endpoints that answer them.
+	// CrashParts identifies request contents, and parts of prompts, that end the endpoints that answer them.
 	CrashParts     *poison.Tracker
 	EndpointClient *exchange.Client
 	// Reach tells which services' endpoints this node reaches. PeerClient forwards requests for the others to other nodes. Both
@@ -170,7 +167,7 @@
 		return refused
 	}
 	t.contentHash = t.computeContentHash()
-	t.gateway.deps.CrashParts.Observe(t.promptScope(), t.call.partHashes())
+	t.gateway.deps.CrashParts.Observe(t.suspect())
 	if refused := t.checkQuarantine(); refused != nil {
 		return refused
 	}
@@ -189,17 +186,10 @@
 
 // checkQuarantine refuses a request whose content, or a part of whose prompt, has crashed the endpoints that ran it.
 func (t *task) checkQuarantine() *problem {
-	if t.gateway.deps.CrashParts.Refuses(t.promptScope(), t.call.partHashes()) {
+	if t.gateway.deps.CrashParts.Refuses(t.suspect()) {
 		return crashPartProblem()
 	}
-	left := t.gateway.deps.Quarantine.Quarantined(t.contentHash)
-	if left <= 0 {
-		return nil
-	}
-	return &problem{
-		Status: http.StatusServiceUnavailable, Title: "the request has broken off the endpoints that ran it", Outcome: outcomeNotRun,
-		RetryAfter: left,
-	}
+	return nil
 }
 
 // configOutdated reports whether a later configuration has been in force for so long that this node's must not be used: it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,7 +72,6 @@
 	if !t.headSent {
 		a.forwardHead(response)
 	}
-	t.gateway.deps.Quarantine.Completed(t.contentHash)
 	t.recordSound()
 	a.release(capacity.Result{Complete: true})
 	return attemptResult{final: true, status: response.StatusCode}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -30,7 +30,6 @@
 		return a.responseLost(errUnsigned)
 	}
 	if !failed {
-		t.gateway.deps.Quarantine.Completed(t.contentHash)
 		t.recordSound()
 	}
 	a.writeBuffered(response, body)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -8,7 +8,6 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
-	"hawthornrill.example/hawthornrill/routing/quarantine"
 )
 
 // Report is the state that a node sends to another. A later report replaces an earlier one.
@@ -35,8 +34,6 @@
 	Failed []domain.EndpointID `cbor:"13,keyasint,omitempty"`
 	// NotReached are the endpoints of which the sender has recently got no answer. They may be sound.
 	NotReached []UnreachedEndpoint `cbor:"24,keyasint,omitempty"`
-	// Broken is the latest evidence of request contents whose execution an endpoint broke off.
-	Broken []quarantine.Evidence `cbor:"20,keyasint,omitempty"`
 	// Limits are the limits that endpoints have recently stated to the sender.
 	Limits []EndpointLimit `cbor:"21,keyasint,omitempty"`
 	// Reach is whether the sender reaches the endpoints of services that a node has lost.
--- a/poison/record.go
+++ b/poison/record.go
@@ -31,13 +31,3 @@
 	}
 	return true
 }
-
-// suspects returns the parts of a prompt that may end an endpoint: all but the last, each once, in order of their hashes.
-func suspects(prompt []uint64) []uint64 {
-	if len(prompt) < 2 {
-		return nil
-	}
-	parts := slices.Clone(prompt[:min(len(prompt)-1, maxParts)])
-	slices.Sort(parts)
-	return slices.Compact(parts)
-}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -21,22 +21,20 @@
 	Probe func(ctx context.Context, address string) error
 	// Endpoints returns the number of a service's endpoints.
 	Endpoints func(service string) int
+	// AllHeard reports whether there are recent reports of all other nodes.
+	AllHeard func() bool
 	// Lost reports whether this node reaches no endpoint of the service, so that what it sees of them tells nothing.
-	Lost func(service string) bool
-	// OnExplained is called with the hashes of endpoints whose ends an identified part explains.
-	OnExplained func(endpoints []uint64)
-	Log         zerolog.Logger
-	Metrics     *metrics.Set
+	Lost    func(service string) bool
+	Log     zerolog.Logger
+	Metrics *metrics.Set
 }
 
 // Break is an answer that broke off.
 type Break struct {
-	Scope Scope
-	// Prompt holds the hashes of the prompt's parts in order. A request with fewer than two is no evidence.
-	Prompt []uint64
-	// Request is the request's id, Events the number of events that had come.
-	Request string
-	Events  int
+	Request Request
+	// ID is the request's id, Events the number of events that had come.
+	ID     string
+	Events int
 	// Endpoint is the incarnation, Address its address, "IP:port".
 	Endpoint domain.EndpointID
 	Address  string
@@ -68,7 +66,6 @@
 	soundParts []timed[partKey]
 	alive      []timed[uint64]
 	probing    map[uint64]bool
-	explained  map[uint64]time.Time
 	dirty      bool
 	wake       chan struct{}
 
@@ -89,23 +86,26 @@
 func New(config Config) *Tracker {
 	t := &Tracker{
 		config: config, cleared: make(map[partKey]time.Time), answered: make(map[uint64]time.Time), probing: make(map[uint64]bool),
-		explained: make(map[uint64]time.Time), wake: make(chan struct{}, 1), watchers: make(map[*watcher]struct{}), started: time.Now(),
+		wake: make(chan struct{}, 1), watchers: make(map[*watcher]struct{}), started: time.Now(),
 		ends:       config.Metrics.NewCounter("hawthornrill_poison_endpoint_ends_total"),
 		refusals:   config.Metrics.NewCounter("hawthornrill_poison_refusals_total"),
 		identified: config.Metrics.NewCounter("hawthornrill_poison_identifications_total"),
 	}
 	t.verdicts.Store(&verdicts{})
-	config.Metrics.NewGauge("hawthornrill_poison_parts_identified", func() float64 { return float64(t.verdicts.Load().inForce()) })
+	config.Metrics.NewGauge("hawthornrill_poison_parts_identified", func() float64 { return float64(t.Identified()) })
 	return t
 }
 
-// Refuses reports whether a request with the prompt must not be sent to an endpoint.
-func (t *Tracker) Refuses(scope Scope, prompt []uint64) bool {
+// Identified returns the number of identifications in force.
+func (t *Tracker) Identified() int { return t.verdicts.Load().inForce() }
+
+// Refuses reports whether the request must not be sent to an endpoint.
+func (t *Tracker) Refuses(r Request) bool {
 	set := *t.verdicts.Load()
 	if len(set) == 0 {
 		return false
 	}
-	v, refused := set.refuses(scope.Hash(), suspects(prompt))
+	v, refused := set.refuses(r.Scope.Hash(), r.suspects())
 	if !refused {
 		return false
 	}
@@ -118,23 +118,22 @@
 }
 
 // Observe counts a request of a caller. It is called once for each.
-func (t *Tracker) Observe(scope Scope, prompt []uint64) {
-	if len(prompt) > 0 {
-		t.counts.add(time.Now(), scope.Hash(), scope.Service, suspects(prompt))
-	}
+func (t *Tracker) Observe(r Request) {
+	t.counts.add(time.Now(), r.Scope.Hash(), r.Scope.Service, r.suspects())
 }
 
 // Broke records an answer that broke off, and finds out whether its endpoint has ended.
 func (t *Tracker) Broke(b Break) {
-	if len(b.Prompt) < 2 {
+	parts := b.Request.suspects()
+	if len(parts) == 0 {
 		return
 	}
 	r := record{
-		scope: b.Scope.Hash(), service: b.Scope.Service, request: hashOf(b.Request), endpoint: hashOf(string(b.Endpoint)),
+		scope: b.Request.Scope.Hash(), service: b.Request.Scope.Service, request: hashOf(b.ID), endpoint: hashOf(string(b.Endpoint)),
 		startedAt: b.StartedAt, endedAt: time.Now(), own: true,
 	}
 	if b.Events < SoundEvents {
-		r.parts, r.early = suspects(b.Prompt), true
+		r.parts, r.early = parts, true
 	}
 	t.mu.Lock()
 	t.add(r)
@@ -180,27 +179,27 @@
 	t.confirm(hashOf(string(endpoint)))
 }
 
-// Sound records that an answer to a request with the prompt has got far, which clears the prompt's parts.
-func (t *Tracker) Sound(scope Scope, prompt []uint64) {
-	parts := suspects(prompt)
+// Sound records that an answer to the request has got far, which clears its content and the parts of its prompt.
+func (t *Tracker) Sound(r Request) {
+	parts, scope := r.suspects(), r.Scope.Hash()
 	if len(parts) == 0 {
 		return
 	}
 	now := time.Now()
-	t.proven.add(now, scope.Hash(), parts)
+	t.proven.add(now, scope, parts)
 	if t.tracked.Load() == 0 && len(*t.verdicts.Load()) == 0 {
 		return
 	}
 	t.mu.Lock()
 	for _, part := range parts {
-		if k := (partKey{scope.Hash(), part}); t.clear(k, now) {
+		if k := (partKey{scope, part}); t.clear(k, now) {
 			t.soundParts = append(t.soundParts, timed[partKey]{k, now})
 		}
 	}
 	t.mu.Unlock()
-	if v, refused := t.verdicts.Load().refuses(scope.Hash(), parts); refused {
+	if v, refused := t.verdicts.Load().refuses(scope, parts); refused {
 		v.at, v.cleared = now, true
-		t.config.Log.Info().Str("service", scope.Service).Str("organisation", string(scope.Organisation)).Strs("prompt_parts", names(v.parts)).
+		t.config.Log.Info().Str("service", r.Scope.Service).Str("organisation", string(r.Scope.Organisation)).Strs("prompt_parts", names(v.parts)).
 			Msg("an answer got far on parts that were held to end endpoints; they are no longer refused")
 		t.merge(now, v)
 	}
@@ -298,9 +297,9 @@
 // probe finds out whether the endpoint of a broken answer has ended.
 func (t *Tracker) probe(b Break, endpoint uint64) {
 	err := t.config.Probe(context.Background(), b.Address)
-	lost := t.config.Lost(b.Scope.Service)
+	lost := t.config.Lost(b.Request.Scope.Service)
 	ended := isEnded(err) && !lost
-	t.config.Log.Info().Str("endpoint", string(b.Endpoint)).Str("service", b.Scope.Service).Str("request", b.Request).Int("events", b.Events).
+	t.config.Log.Info().Str("endpoint", string(b.Endpoint)).Str("service", b.Request.Scope.Service).Str("request", b.ID).Int("events", b.Events).
 		Bool("ended", ended).Bool("service_lost", lost).AnErr("probe", err).Msg("an answer broke off: endpoint probed")
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -340,7 +339,7 @@
 		return unsettled
 	}
 	t.dirty = false
-	e := evidence{records: slices.Clone(t.records), provenSound: t.proven.has, share: t.counts.share, endpoints: t.config.Endpoints}
+	e := evidence{records: slices.Clone(t.records), provenSound: t.proven.has, share: t.counts.share, endpoints: t.config.Endpoints, partial: !t.config.AllHeard()}
 	t.mu.Unlock()
 	for _, v := range *t.verdicts.Load() {
 		e.verdicts = append(e.verdicts, v)
@@ -349,7 +348,6 @@
 		t.identify(now, v, e.records)
 		e.verdicts = append(e.verdicts, v)
 	}
-	t.explain(now, e)
 	return unsettled
 }
 
@@ -369,22 +367,6 @@
 	}
 }
 
-// explain reports the ends that are newly explained.
-func (t *Tracker) explain(now time.Time, e evidence) {
-	var endpoints []uint64
-	t.mu.Lock()
-	for endpoint := range e.explained() {
-		if _, known := t.explained[endpoint]; !known {
-			endpoints = append(endpoints, endpoint)
-		}
-		t.explained[endpoint] = now
-	}
-	t.mu.Unlock()
-	if len(endpoints) > 0 && t.config.OnExplained != nil {
-		t.config.OnExplained(endpoints)
-	}
-}
-
 // sweep drops what is no longer needed. The lock is held.
 func (t *Tracker) sweep(now time.Time) {
 	t.records = slices.DeleteFunc(t.records, func(r record) bool {
@@ -393,7 +375,6 @@
 	})
 	t.tracked.Store(int64(len(t.records)))
 	maps.DeleteFunc(t.cleared, func(_ partKey, at time.Time) bool { return now.Sub(at) >= clearedRetention })
-	maps.DeleteFunc(t.explained, func(_ uint64, at time.Time) bool { return now.Sub(at) >= recordRetention })
 }
 
 // merge adds an identification, and reports whether that changed the set.
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -7,14 +7,14 @@
 	cancel func()
 }
 
-// Watch calls cancel once, if a request with the prompt is refused from some moment on. The function that it returns ends the watch; it must
+// Watch calls cancel once, if the request is refused from some moment on. The function that it returns ends the watch; it must
 // be called.
-func (t *Tracker) Watch(scope Scope, prompt []uint64, cancel func()) (stop func()) {
-	parts := suspects(prompt)
+func (t *Tracker) Watch(r Request, cancel func()) (stop func()) {
+	parts := r.suspects()
 	if len(parts) == 0 {
 		return func() {}
 	}
-	w := &watcher{scope: scope.Hash(), parts: parts, cancel: cancel}
+	w := &watcher{scope: r.Scope.Hash(), parts: parts, cancel: cancel}
 	t.watchersMu.Lock()
 	t.watchers[w] = struct{}{}
 	t.watchersMu.Unlock()
--- a/routing/quarantine/content.go
+++ b/routing/quarantine/content.go
@@ -76,12 +76,6 @@
 	return content{suspicions: kept, clearedAt: at}, true
 }
 
-// without returns the content without the suspicions from crashes of the endpoints.
-func (c content) without(endpoints []uint64) content {
-	c.suspicions = slices.DeleteFunc(slices.Clone(c.suspicions), func(s suspicion) bool { return slices.Contains(endpoints, s.endpoint) })
-	return c
-}
-
 // crashCount returns the number of the endpoint's crashes during which the content was running.
 func (c content) crashCount(endpoint uint64) int {
 	for _, s := range c.suspicions {
--- a/routing/quarantine/set.go
+++ b/routing/quarantine/set.go
@@ -57,17 +57,6 @@
 	return s.Merge(now, []Evidence{{Fingerprint: fingerprint, Endpoint: hash, Crashes: crashes, Alone: alone}})
 }
 
-// Exonerate drops the suspicions from crashes of the endpoints, given by the hashes of their identifiers.
-func (s *Set) Exonerate(endpoints []uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	contents := maps.Clone(s.current())
-	for fingerprint, c := range contents {
-		contents[fingerprint] = c.without(endpoints)
-	}
-	s.contents.Store(&contents)
-}
-
 // Completed clears the content and returns the evidence to replicate, none if the content was not a
 // suspect.
 func (s *Set) Completed(now time.Time, fingerprint uint64) []Evidence {
