Soak: two causes at a time, and a process that starts while both still come

A process that is killed and started again has to learn the first part from the others: its requests still come.

--- a/cmd/hawthornrill-soak/crashpart_test.go
+++ b/cmd/hawthornrill-soak/crashpart_test.go
@@ -17,10 +17,10 @@
 type crashPart struct {
 	id    string
 	stage platformtest.CrashStage
+	// number counts the parts of a run.
+	number uint64
 	// crashes are the endpoints' ends, in order.
 	crashes []time.Time
-	// until is when requests with the part no longer came.
-	until time.Time
 }
 
 const (
@@ -39,7 +39,7 @@
 	// calmTime and crashTime are the times without and with requests that crash endpoints, crashInterval is the time between two of these.
 	calmTime      = 4 * time.Second
 	crashTime     = 20 * time.Second
-	causesInTurn  = 2
+	causes        = 2
 	crashInterval = 250 * time.Millisecond
 	crashCallers  = 10
 	// reasonRefused is in the answer to a request that is refused because of its content or a part of its prompt.
@@ -74,7 +74,7 @@
 			s := newCrashSoak(t, int64(42000+i))
 			s.runCrashes(stage, func() {
 				// A new process has to learn the part from the others.
-				time.Sleep(crashTime / 2)
+				time.Sleep(crashTime / 4)
 				s.kill(0, 0, 0)
 			})
 		})
@@ -149,10 +149,11 @@
 	}
 	time.Sleep(calmTime)
 	others.Go(faults)
-	for i := range causesInTurn {
+	end := time.Now().Add(crashTime)
+	for i := range causes {
 		part := s.beginCrashPart(fmt.Sprintf("e%d%x", i, s.seed), stage)
-		part.until = time.Now().Add(crashTime / causesInTurn)
-		s.sendCrashRequests(part, part.until)
+		others.Go(func() { s.sendCrashRequests(part, end) })
+		time.Sleep(crashTime / causes)
 	}
 	others.Wait()
 	close(stop)
@@ -164,28 +165,23 @@
 func (s *soak) beginCrashPart(id string, stage platformtest.CrashStage) *crashPart {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	part := &crashPart{id: id, stage: stage}
+	part := &crashPart{id: id, stage: stage, number: uint64(len(s.crashParts))}
 	s.crashParts = append(s.crashParts, part)
 	for _, e := range s.createdEndpoints {
-		s.armEndpoint(e)
+		s.armEndpoint(e, part)
 	}
 	return part
 }
 
-// armEndpoint makes an endpoint of the model service crash on the latest of the parts. The lock is held.
-func (s *soak) armEndpoint(e *platformtest.Endpoint) {
-	if len(s.crashParts) == 0 || e.Service != "llm" {
-		return
+// armEndpoint makes an endpoint of the model service crash on the part. The lock is held.
+func (s *soak) armEndpoint(e *platformtest.Endpoint, part *crashPart) {
+	if e.Service == "llm" {
+		e.CrashOn(part.id, part.stage, func(request string) { s.endCrashed(e, part, request) })
 	}
-	part := s.crashParts[len(s.crashParts)-1]
-	e.CrashOn(part.id, part.stage, func(request string) { s.endCrashed(e, part, request) })
 }
 
 // endCrashed records the end of an endpoint, which comes back under another id at its address.
 func (s *soak) endCrashed(e *platformtest.Endpoint, part *crashPart, request string) {
-	for _, l := range s.links {
-		l.setDown(e.Address(), true)
-	}
 	endFault := s.history.beginFault("crash by "+request, "")
 	now := time.Now()
 	s.mu.Lock()
@@ -194,6 +190,14 @@
 	s.serving[e].impaired = true
 	number := len(part.crashes)
 	s.mu.Unlock()
+	go s.restartCrashed(e, number, endFault)
+}
+
+// restartCrashed brings an endpoint back after a while, and then ends the fault.
+func (s *soak) restartCrashed(e *platformtest.Endpoint, number int, endFault func()) {
+	for _, l := range s.links {
+		l.setDown(e.Address(), true)
+	}
 	time.AfterFunc(entryLifetime, func() { s.store.Remove("servers/" + e.ID) })
 	time.Sleep(crashDowntime + time.Duration(number%4)*500*time.Millisecond)
 	next := e.Restart(fmt.Sprint(e.ID, "-", number))
@@ -221,7 +225,7 @@
 func (s *soak) sendCrashRequests(part *crashPart, end time.Time) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	random := rand.New(rand.NewPCG(uint64(s.seed), crashStream))
+	random := rand.New(rand.NewPCG(uint64(s.seed), crashStream+part.number))
 	for time.Now().Before(end) {
 		nodes := []*process{s.nodes[random.IntN(len(s.nodes))], s.nodes[random.IntN(len(s.nodes))]}
 		path := []string{"/chat/", "/once/"}[random.IntN(2)]
@@ -320,7 +324,7 @@
 		case o.sent.Before(first.Add(-time.Second)):
 			calm.sent++
 			calm.began += count(len(events) > 0)
-		case o.sent.After(again) && o.sent.Before(part.until):
+		case o.sent.After(again):
 			later.sent++
 			later.began += count(len(events) > 0)
 		}
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -244,7 +244,9 @@
 func (s *soak) recordEndpoint(e *platformtest.Endpoint) {
 	s.createdEndpoints = append(s.createdEndpoints, e)
 	s.serving[e] = &servingPeriod{from: time.Now()}
-	s.armEndpoint(e)
+	for _, part := range s.crashParts {
+		s.armEndpoint(e, part)
+	}
 }
 
 func (s *soak) allEndpoints() []*platformtest.Endpoint { return s.createdEndpoints }
