--- a/cmd/hawthornrill-soak/crashpart_test.go
+++ b/cmd/hawthornrill-soak/crashpart_test.go
@@ -87,14 +87,7 @@
 // Guards against a part that is not identified, or a sound one that is, while nodes are killed, frozen, stopped and cut off, endpoints end for
 // other reasons, answers break off, and one cause follows the other.
 func TestPartThatCrashesEndpointsIsIdentifiedAmongFaults(t *testing.T) {
-	seeds := crashSeeds
-	if *seedFlag != 0 {
-		seeds = nil
-		for i := range *seedsFlag {
-			seeds = append(seeds, *seedFlag+int64(i))
-		}
-	}
-	for _, seed := range seeds {
+	for _, seed := range seedsToPlay(crashSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			s := newCrashSoak(t, seed)
 			random := rand.New(rand.NewPCG(uint64(seed), crashStream))
--- a/cmd/hawthornrill-soak/resumption_test.go
+++ b/cmd/hawthornrill-soak/resumption_test.go
@@ -24,14 +24,7 @@
 // Guards against streams that continue at another software version than the one that began them, and against streams that are not continued
 // although endpoints of their version serve.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
-	seeds := versionSeeds
-	if *seedFlag != 0 {
-		seeds = nil
-		for i := range *seedsFlag {
-			seeds = append(seeds, *seedFlag+int64(i))
-		}
-	}
-	for _, seed := range seeds {
+	for _, seed := range seedsToPlay(versionSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			newVersionsSoak(t, seed).runVersions(seed)
 		})
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// seedsToPlay returns the seeds that the flags name, otherwise those that are kept.
+func seedsToPlay(kept []int64) []int64 {
+	if *seedFlag == 0 {
+		return kept
+	}
+	var seeds []int64
+	for i := range *seedsFlag {
+		seeds = append(seeds, *seedFlag+int64(i))
+	}
+	return seeds
+}
+
 func runSeed(t *testing.T, seed int64, series, paths bool) {
 	t.Run(fmt.Sprintf("seed=%d,series=%t,paths=%t", seed, series, paths), func(t *testing.T) {
 		s := newSoak(t, seed, series)
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -190,17 +190,6 @@
 	return fleet.Known, fleet.Heard < fleet.Known
 }
 
-// endpointCount returns the number of endpoints of a service.
-func (n *Node) endpointCount(service string) int { return len(n.directory.Current().Service(service)) }
-
-// cacheTokens returns the cache size of a service's engines in tokens.
-func (n *Node) cacheTokens(service string) int {
-	if table := n.follower.Table(); table != nil {
-		return table.Services[service].CacheTokens
-	}
-	return 0
-}
-
 func (n *Node) idleTimeout() time.Duration {
 	if table := n.follower.Table(); table != nil {
 		return table.Limits.IdleTimeout
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -10,7 +10,7 @@
 	"hawthornrill.example/hawthornrill/poison"
 )
 
-// suspect is what of the request may end endpoints. Until the service is chosen it is the one that the request would go to.
+// suspect returns what of the request may end endpoints. Before the service is chosen, it is the one that chooseService returns.
 func (t *task) suspect() poison.Request {
 	r := poison.Request{Scope: poison.Scope{Service: t.service, Model: t.call.Model}, Prompt: t.call.partHashes(), Content: t.contentHash}
 	if r.Scope.Service == "" {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -220,7 +220,7 @@
 	tracker := poison.New(poison.Config{
 		Probe: func(context.Context, string) error { return f.probe }, Endpoints: func(string) int { return 1 }, Lost: func(string) bool { return false },
 		AllHeard: func() bool { return true },
-		Log: zerolog.Nop(), Metrics: set,
+		Log:      zerolog.Nop(), Metrics: set,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -10,7 +10,7 @@
 //     that is below maxDoubt; on a day of crashes that takes more ends than on a calm one.
 //   - An end that an identified part explains is held against no other part, nor against the whole content of a request.
 //
-// Parts that have been at the same ends in the same requests can't be told apart. They are identified together: only prompts that have all of
+// Parts that have been at the same ends in the same requests can't be distinguished. They are identified together: only prompts that have all of
 // them are refused, so that the next prompt that has some decides.
 //
 // Evidence and identifications hold for one organisation, service and model, so that no organisation can put another one's requests out of
