--- a/cmd/hawthornrill-soak/oneentry_test.go
+++ b/cmd/hawthornrill-soak/oneentry_test.go
@@ -17,6 +17,8 @@
 	oneEntryTime = 8 * time.Second
 	// crowdedTime is the time after which the one node must serve them.
 	crowdedTime = 3 * time.Second
+	// brittleRejections is the number of rejections in a second that brittle endpoints withstand.
+	brittleRejections = 4
 )
 
 // entryPeriod is the time in which new connections go to one node, or to all if there is none.
@@ -28,7 +30,20 @@
 // Guards against a node that gets nearly all new connections serving its callers worse than before: shares that are fixed by the number of nodes
 // would be too small there. Then another one gets them as the first one leaves.
 func TestOneNodeGetsMostNewConnections(t *testing.T) {
-	s := newSoak(t, 43000, false)
+	newSoak(t, 43000, false).serveAtOneNode()
+}
+
+// Guards against shares of brittle endpoints that one node alone may not exceed although the others need none.
+func TestOneNodeGetsMostNewConnectionsBeforeBrittleEndpoints(t *testing.T) {
+	s := newSoak(t, 43001, false)
+	for _, e := range s.endpoints {
+		e.SetBrittle(brittleRejections)
+	}
+	s.serveAtOneNode()
+}
+
+// serveAtOneNode sends all new connections to one node, then to another as the first one leaves, and checks that they are served.
+func (s *soak) serveAtOneNode() {
 	s.waitReady()
 	all := entryPeriod{from: time.Now()}
 	s.enter(nil, evenTime)
@@ -50,9 +65,9 @@
 	for _, p := range periods {
 		p.from = p.from.Add(crowdedTime)
 		oneSent, oneServed := s.firstTries(p)
-		t.Logf("all nodes served %d of %d, %s alone %d of %d", served, sent, p.node, oneServed, oneSent)
+		s.t.Logf("all nodes served %d of %d, %s alone %d of %d", served, sent, p.node, oneServed, oneSent)
 		if 4*oneServed*sent < 3*served*oneSent {
-			t.Errorf("%s, which got all new connections, served %d of %d requests, all nodes before %d of %d; logs in %s", p.node, oneServed, oneSent, served, sent, s.dir)
+			s.t.Errorf("%s, which got all new connections, served %d of %d requests, all nodes before %d of %d; logs in %s", p.node, oneServed, oneSent, served, sent, s.dir)
 		}
 	}
 }
