--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -136,8 +136,9 @@
 		r.parts, r.early = parts, true
 	}
 	t.mu.Lock()
+	r.confirmed = t.isConfirmed(r.endpoint)
 	t.add(r)
-	probe := !t.probing[r.endpoint] && !t.isConfirmed(r.endpoint)
+	probe := !t.probing[r.endpoint] && !r.confirmed
 	if probe {
 		t.probing[r.endpoint] = true
 	}
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// Guards against a request being left out whose answer is noticed to have broken off after the endpoint was found to have ended: it may be the cause.
+func TestAnswerNoticedAfterTheEndIsEvidence(t *testing.T) {
+	withTracker(t, ErrEnded, func(tracker *Tracker) {
+		for i := range 3 {
+			e := domain.EndpointID(fmt.Sprint("e", i))
+			for _, part := range []uint64{uint64(100 + i), cause} {
+				tracker.Broke(Break{
+					Request: Request{Scope: testScope, Prompt: []uint64{part, 5}}, ID: fmt.Sprint("r", i, part), Endpoint: e,
+					StartedAt: time.Now().Add(-time.Millisecond),
+				})
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, tracker.Refuses(Request{Scope: testScope, Prompt: []uint64{cause, 6}}))
+	})
+}
+
 // Guards against an endpoint that is back before it is probed hiding its end.
 func TestAnotherIncarnationShowsThatAnEndpointHasEnded(t *testing.T) {
 	withTracker(t, nil, func(tracker *Tracker) {
