--- a/cmd/hawthornrill-soak/crashpart_test.go
+++ b/cmd/hawthornrill-soak/crashpart_test.go
@@ -114,7 +114,10 @@
 func (s *soak) breakOffHalf(random *rand.Rand) {
 	var ends sync.WaitGroup
 	defer ends.Wait()
-	for range len(s.endpoints) / 2 {
+	s.mu.Lock()
+	n := len(s.endpoints) / 2
+	s.mu.Unlock()
+	for range n {
 		choice := random.Uint64()
 		ends.Go(func() { s.crashEndpoint(0, time.Second, choice) })
 	}
@@ -151,6 +154,7 @@
 	others.Wait()
 	close(stop)
 	callers.Wait()
+	s.restarts.Wait()
 	s.check()
 }
 
@@ -183,7 +187,7 @@
 	s.serving[e].impaired = true
 	number := len(part.crashes)
 	s.mu.Unlock()
-	go s.restartCrashed(e, number, endFault)
+	s.restarts.Go(func() { s.restartCrashed(e, number, endFault) })
 }
 
 // restartCrashed brings an endpoint back after a while, and then ends the fault.
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -164,6 +164,8 @@
 	cutting sync.Mutex
 	// crashParts are the parts of prompts that crash endpoints.
 	crashParts []*crashPart
+	// restarts are those of endpoints that crashed on one.
+	restarts sync.WaitGroup
 }
 
 func newSoak(t *testing.T, seed int64, series bool) *soak {
