poison, entrynode: one type for a part within its scope, one dial for both checks of an address

Found on reading the change once more: suspects declared partKey again, probeEnded dialled as connect does, and two comments were wrong or lacked their reason. Behaviour as before; vet and the tests of poison, entrynode and gateway pass.

--- a/entrynode/paths.go
+++ b/entrynode/paths.go
@@ -13,10 +13,15 @@
 	"hawthornrill.example/hawthornrill/reach"
 )
 
+// dial opens a connection to the address within reach.ConnectTimeout.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: reach.ConnectTimeout}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // connect opens a connection to the address and closes it.
 func connect(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: reach.ConnectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -29,8 +34,7 @@
 
 // probeEnded opens a connection to the address and returns an error that wraps poison.ErrEnded if it is refused or ended at once.
 func probeEnded(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: reach.ConnectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dial(ctx, address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return fmt.Errorf("%w: %w", poison.ErrEnded, err)
 	}
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -86,19 +86,18 @@
 
 // suspects returns the suspected parts with the evidence against each.
 func (e *evidence) suspects(now time.Time) []*suspect {
-	type key struct{ scope, part uint64 }
-	found := make(map[key]*suspect)
+	found := make(map[partKey]*suspect)
 	explained := e.explained()
-	counts := make(map[key]int)
+	counts := make(map[partKey]int)
 	for i := range e.records {
 		for _, part := range e.records[i].parts {
-			counts[key{e.records[i].scope, part}]++
+			counts[partKey{e.records[i].scope, part}]++
 		}
 	}
 	for i := range e.records {
 		r := &e.records[i]
 		for _, part := range r.parts {
-			k := key{r.scope, part}
+			k := partKey{r.scope, part}
 			if counts[k] < minEnds || explained.excludes(r, part) {
 				continue
 			}
--- a/poison/options.go
+++ b/poison/options.go
@@ -41,7 +41,8 @@
 	// judgeInterval is the time between two evaluations of the evidence.
 	judgeInterval = 100 * time.Millisecond
 
-	// maxDoubt is the probability of the evidence, if the part is innocent, below which it is identified.
+	// maxDoubt is the probability of the evidence, if the part is innocent, below which it is identified: just above that of minEnds ends at
+	// minHitProbability.
 	maxDoubt = 1.001e-6
 	// minHitProbability and maxHitProbability bound the probability that an end without relation to a part meets a request that has it.
 	minHitProbability = 0.01
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -62,7 +62,7 @@
 	cleared map[partKey]time.Time
 	// answered holds, by endpoint, when the latest request was sent that it answered.
 	answered map[uint64]time.Time
-	// reported are the statements of this node that are included in reports.
+	// soundParts and alive are this node's latest statements on other evidence, for its reports.
 	soundParts []timed[partKey]
 	alive      []timed[uint64]
 	probing    map[uint64]bool
