brittle: nodes lend the shares of brittle endpoints' slots that their callers don't need

Cause: each node kept to an equal share of each endpoint's slots, so a node that got all new connections could use a fifth of them while the others used none. Change: reports state what a node leaves to another one (up to three quarters of its share, while its own callers need less than half of it and the other's need more). Cut off, restarted or silent nodes fall back on equal shares; the sum never exceeds the slots, whichever reports are lost.

--- a/brittle/doc.go
+++ b/brittle/doc.go
@@ -1,8 +1,9 @@
 // Package brittle tells which services' endpoints fall over if they reject too many requests, and how many requests this node may
 // have at each of them.
 //
-// While a service is brittle, each node has a fixed share of each endpoint's slots, so that all nodes together never exceed them,
-// whatever their knowledge of each other's requests. An endpoint then has nothing to reject; what has no place waits at the
+// While a service is brittle, each node has an equal share of each endpoint's slots, so that all nodes together never exceed them,
+// whatever their knowledge of each other's requests. A node whose callers need less than half of its share lends up to three quarters
+// of it to a node whose callers need more, and uses it again only when that node can no longer rely on it. An endpoint then has nothing to reject; what has no place waits at the
 // nodes, in the order of their queues. The statement is the service's: an endpoint that has not been heard is as brittle as the
 // others.
 //
--- a/brittle/share.go
+++ b/brittle/share.go
@@ -1,22 +1,31 @@
 package brittle
 
 import (
+	"slices"
+
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/rendezvous"
 )
 
-// shareOf is a node's part of an endpoint's slots. The parts of all members add up to the slots; which of them get one more
-// differs from endpoint to endpoint.
-func shareOf(self domain.NodeID, e *directory.Endpoint, members []domain.Member) int {
+// shares are the members' equal shares of an endpoint's slots, which add up to the slots. Which of the members get one more differs
+// from endpoint to endpoint.
+type shares struct {
+	each int
+	more []domain.Member
+}
+
+func sharesOf(e *directory.Endpoint, members []domain.Member) shares {
 	n := max(len(members), 1)
-	share := e.Slots / n
-	for _, m := range rendezvous.Order(string(e.Incarnation()), members, memberName)[:min(e.Slots%n, len(members))] {
-		if m.Node == self {
-			share++
-		}
+	return shares{e.Slots / n, rendezvous.Order(string(e.Incarnation()), members, memberName)[:min(e.Slots%n, len(members))]}
+}
+
+// of returns the share of a member.
+func (s shares) of(node domain.NodeID) int {
+	if slices.ContainsFunc(s.more, func(m domain.Member) bool { return m.Node == node }) {
+		return s.each + 1
 	}
-	return share
+	return s.each
 }
 
 func memberName(m domain.Member) string { return string(m.Node) }
--- a/brittle/tracker.go
+++ b/brittle/tracker.go
@@ -29,9 +29,10 @@
 	Self  domain.NodeID
 	Clock boottime.Clock
 	// Members returns all nodes that may be alive, this one included.
-	Members func() []domain.Member
-	Log     zerolog.Logger
-	Metrics *metrics.Set
+	Members   func() []domain.Member
+	Directory *directory.Directory
+	Log       zerolog.Logger
+	Metrics   *metrics.Set
 }
 
 // Tracker knows which services are brittle. It is safe for concurrent use.
@@ -42,6 +43,9 @@
 
 	mu     sync.Mutex
 	shares map[domain.EndpointID]cachedShare
+	// peers are the nodes that reported while a service was brittle, lending is what this node lends, by service.
+	peers   map[domain.NodeID]*peerState
+	lending map[string]*lending
 
 	malformed *metrics.Counter
 }
@@ -56,6 +60,7 @@
 func New(config Config) *Tracker {
 	t := &Tracker{
 		config: config, shares: make(map[domain.EndpointID]cachedShare),
+		peers: make(map[domain.NodeID]*peerState), lending: make(map[string]*lending),
 		malformed: config.Metrics.NewCounter("hawthornrill_brittle_statements_malformed_total"),
 	}
 	t.services.Store(&map[string]known{})
@@ -116,16 +121,29 @@
 	defer t.mu.Unlock()
 	cached, ok := t.shares[e.Incarnation()]
 	if !ok || cached.slots != e.Slots || now.Sub(cached.computedAt) >= shareInterval {
-		cached = cachedShare{slots: e.Slots, share: shareOf(t.config.Self, e, t.config.Members()), computedAt: now}
+		cached = cachedShare{slots: e.Slots, share: t.available(now, e), computedAt: now}
 		t.shares[e.Incarnation()] = cached
 	}
 	return cached.share, true
 }
 
-// AddToReport adds the statements that this node recently received to a report.
+// AddToReport adds the statements that this node recently received to a report, and what it lends. The report has the demand of
+// this node's callers.
 func (t *Tracker) AddToReport(report *gossip.Report) {
 	now := t.config.Clock()
-	for service, k := range *t.services.Load() {
+	services := *t.services.Load()
+	if len(services) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	places := placesByService(report.Asked)
+	for service, k := range services {
+		if k.brittle {
+			if lent, ok := t.lend(now, service, places[service]); ok {
+				report.Lent = append(report.Lent, lent)
+			}
+		}
 		if k.receivedAt != 0 && now.Sub(k.receivedAt) < reportFor {
 			report.Brittle = append(report.Brittle, gossip.BrittleService{
 				Service: service, MaxRejections: k.maxRejections, Ended: !k.brittle, AgeMillis: now.Sub(k.statedAt).Milliseconds(),
@@ -134,14 +152,17 @@
 	}
 }
 
-// ApplyReport records the statements in a peer's report, unless a later one is known.
+// ApplyReport records the statements in a peer's report, unless a later one is known, and what the peer needs and lends.
 func (t *Tracker) ApplyReport(report *gossip.Report) {
-	if len(report.Brittle) == 0 {
+	if len(report.Brittle) == 0 && len(*t.services.Load()) == 0 {
 		return
 	}
 	now := t.config.Clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	state := newPeerState(now, t.config.Self, report)
+	t.logBorrowing(report.From, t.peers[report.From], state)
+	t.peers[report.From] = state
 	for _, r := range report.Brittle {
 		before, ok := (*t.services.Load())[r.Service]
 		statedAt := now.Add(-time.Duration(max(r.AgeMillis, 0)) * time.Millisecond)
@@ -154,7 +175,7 @@
 	}
 }
 
-// Sweep forgets statements that have not been repeated, and shares that are not used.
+// Sweep removes statements that have not been repeated, shares that are not used, and reports that are too old.
 func (t *Tracker) Sweep() {
 	if len(*t.services.Load()) == 0 {
 		return
@@ -171,7 +192,12 @@
 		}
 	}
 	t.services.Store(&services)
+	if len(services) == 0 {
+		clear(t.peers)
+	}
 	maps.DeleteFunc(t.shares, func(_ domain.EndpointID, s cachedShare) bool { return now.Sub(s.computedAt) > expireAfter })
+	maps.DeleteFunc(t.peers, func(_ domain.NodeID, p *peerState) bool { return !p.current(now) })
+	maps.DeleteFunc(t.lending, func(_ string, l *lending) bool { return l.unusable(now) == 0 })
 }
 
 // count returns the number of services that are brittle.
--- a/brittle/tracker_test.go
+++ b/brittle/tracker_test.go
@@ -27,9 +27,15 @@
 	for i := range n {
 		members = append(members, domain.Member{Node: domain.NodeID(fmt.Sprint("n", i))})
 	}
+	d := directory.New()
+	var listed []*directory.Endpoint
+	for i := range 12 {
+		listed = append(listed, endpoint(fmt.Sprint("e", i), 8))
+	}
+	d.Replace(c.now, listed, 0)
 	for _, m := range members {
 		c.trackers = append(c.trackers, New(Config{
-			Self: m.Node, Clock: func() boottime.Instant { return c.now }, Members: func() []domain.Member { return members },
+			Self: m.Node, Clock: func() boottime.Instant { return c.now }, Members: func() []domain.Member { return members }, Directory: d,
 			Log: zerolog.Nop(), Metrics: metrics.NewSet(),
 		}))
 	}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -105,7 +105,7 @@
 		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Directory: n.directory, Log: log, Metrics: n.metrics,
 	})
 	n.brittle = brittle.New(brittle.Config{
-		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Log: log, Metrics: n.metrics,
+		Self: s.Node, Clock: boottime.Now, Members: n.mesh.Members, Directory: n.directory, Log: log, Metrics: n.metrics,
 	})
 	n.endpointGate = endpointgate.New(endpointgate.Config{
 		Directory: n.directory, Limits: n.endpointLimits, Shares: n.brittle, Clock: boottime.Now, Log: log, Metrics: n.metrics,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -182,7 +182,7 @@
 		Log: zerolog.Nop(), Metrics: set,
 	})
 	f.brittle = brittle.New(brittle.Config{
-		Self: "n", Clock: f.now, Members: func() []domain.Member { return []domain.Member{{Node: "n"}, {Node: "m"}} },
+		Self: "n", Clock: f.now, Members: func() []domain.Member { return []domain.Member{{Node: "n"}, {Node: "m"}} }, Directory: f.directory,
 		Log: zerolog.Nop(), Metrics: set,
 	})
 	f.endpointGate = endpointgate.New(endpointgate.Config{
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -42,6 +42,8 @@
 	Forwards string `cbor:"23,keyasint,omitempty"`
 	// Brittle are the services about whose brittleness endpoints have recently told the sender.
 	Brittle []BrittleService `cbor:"25,keyasint,omitempty"`
+	// Lent are the shares of brittle endpoints' slots that the sender leaves to others.
+	Lent []LentShare `cbor:"33,keyasint,omitempty"`
 	// EndedAnswers, SoundParts and Alive are the sender's latest evidence on parts of prompts that end endpoints. CrashParts are all parts that
 	// were identified, sent to peers with another digest than PartsDigest.
 	EndedAnswers []EndedAnswer   `cbor:"28,keyasint,omitempty"`
@@ -111,6 +113,15 @@
 	AgeMillis     int64
 }
 
+// LentShare says that the sender leaves its share of the slots to another node at some of the endpoints of a service: Quarters of
+// each four, 1 to 3.
+type LentShare struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	To       domain.NodeID
+	Quarters int
+}
+
 // ServiceReach is whether the sender reaches the endpoints of a service.
 type ServiceReach struct {
 	_       struct{} `cbor:",toarray"`
@@ -120,6 +131,10 @@
 	AgeMillis int
 }
 
+// DemandDecay is the time constant with which the demand counts lose weight, after which a request counts for a third: bursts last
+// for seconds.
+const DemandDecay = 2 * time.Second
+
 // ServiceDemand is the recent demand of the sender's callers for a service: requests times the time for which each holds a
 // place.
 type ServiceDemand struct {
@@ -129,6 +144,11 @@
 	PlaceMillis int
 }
 
+// Places is the mean number of places that the demand needs.
+func (d ServiceDemand) Places() float64 {
+	return float64(d.PlaceMillis) / float64(DemandDecay.Milliseconds())
+}
+
 // LimitUsage is the usage of an organisation's limit: Total is what the sender has admitted since its process started, Used
 // the known usage by all nodes in the current window, and Level what may be used at once.
 type LimitUsage struct {
--- a/places/demand.go
+++ b/places/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/gossip"
 )
 
 // Trunk reservation based on observed demand. It addresses bursts of requests in which those of the lowest tier are
@@ -21,9 +22,7 @@
 // was 0.635 against 0.630, and 0.621 against 0.621.
 
 const (
-	// demandDecay is the time constant of the demand counts, after which a request counts for a third: bursts last for
-	// seconds.
-	demandDecay = 2 * time.Second
+	demandDecay = gossip.DemandDecay
 	// maxReserve is the fraction of an endpoint's slots left free by requests that hold their slots at least
 	// maxHoldRatio times as long as those of the higher tiers. Below minHoldRatio nothing is reserved: a slot kept free
 	// for a request that holds it as long serves no more requests. On the nine heaviest runs of the first deployment
