origin: a stream's origin is queried over connections where datagrams are lost

Its log: one node's outgoing datagrams were lost for 4 s while the others were restarted. It knew what began the streams, but was silent to the others, which queried only nodes that they hear; its own queries were lost. Ruled out: identified parts of prompts (none in the log).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -118,8 +118,8 @@
 		Log: log, Metrics: n.metrics,
 	})
 	n.origins = origin.New(origin.Config{
-		Self: s.Node, Members: n.mesh.Heard, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage, VersionChanges: n.directory.TakeVersionChanges,
-		Clock: boottime.Now, Log: log, Metrics: n.metrics,
+		Self: s.Node, Members: n.mesh.Heard, Others: n.mesh.Others, AllHeard: n.mesh.AllHeard, Send: n.mesh.SendMessage,
+		Query: newOriginClient().query, VersionChanges: n.directory.TakeVersionChanges, Clock: boottime.Now, Log: log, Metrics: n.metrics,
 	})
 	n.endpointClient = exchange.New(exchange.Options{MaxConnections: s.Host.endpointConnections(), MaxIdle: n.maxIdleConnections}, n.metrics)
 	n.reach = reach.New(reach.Config{
@@ -302,7 +302,7 @@
 	n.peerServer = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		Addr:              n.settings.Listen.Peers,
-		Handler:           http.HandlerFunc(n.gateway.ServeForwarded),
+		Handler:           http.HandlerFunc(n.servePeer),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -232,7 +232,7 @@
 func (f *fixture) origins(set *metrics.Set) *origin.Keeper {
 	return origin.New(origin.Config{
 		Self: "n", Members: func() []domain.Member { return []domain.Member{{Node: "n"}} }, AllHeard: func() bool { return true },
-		Send: func(string, []byte) error { return nil }, VersionChanges: f.directory.TakeVersionChanges, Clock: f.now,
+		Others: func() []domain.Member { return nil }, Send: func(string, []byte) error { return nil }, VersionChanges: f.directory.TakeVersionChanges, Clock: f.now,
 		Log: zerolog.Nop(), Metrics: set,
 	})
 }
--- a/gateway/forwardhead.go
+++ b/gateway/forwardhead.go
@@ -52,6 +52,11 @@
 	RetryAfter time.Duration       `cbor:"4,keyasint,omitempty"`
 }
 
+// Forwarded reports whether a request to ServeForwarded is one that another node forwards.
+func Forwarded(r *http.Request) bool {
+	return r.Header.Get(fieldForward) != "" || r.Header.Get(fieldForwardResumption) != ""
+}
+
 // setField sets a header field to the encoded value.
 func setField(h http.Header, name string, value any) {
 	data, err := cbor.Marshal(value)
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -46,6 +46,19 @@
 	return heard
 }
 
+// Others returns the nodes that may be alive and that Heard doesn't return: those that are silent or leaving.
+func (m *Mesh) Others() []domain.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var others []domain.Member
+	for id, p := range m.peers {
+		if p.silent || p.leaving {
+			others = append(others, domain.Member{Node: id, DataCentre: p.dataCentre, Address: p.address})
+		}
+	}
+	return others
+}
+
 // AllHeard reports whether all nodes that may be alive are heard.
 func (m *Mesh) AllHeard() bool {
 	f := m.Fleet()
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -28,7 +29,11 @@
 	keepers map[string]*Keeper
 	stops   map[string]func()
 	// lost decides whether a message is lost.
-	lost    func(from, to string) bool
+	lost func(from, to string) bool
+	// connected decides whether connections from a node to another work; none do if it is nil.
+	connected func(from, to string) bool
+	// others are the nodes that are silent or leaving.
+	others  []domain.Member
 	changes map[string][]domain.EndpointID
 	bytes   int
 }
@@ -63,6 +68,8 @@
 			f.deliver(name, to, message)
 			return nil
 		},
+		Others: f.listOthers,
+		Query:  func(_ context.Context, to string, query []byte) ([]byte, error) { return f.query(name, to, query) },
 		VersionChanges: func() []domain.EndpointID {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -92,6 +99,32 @@
 	return slices.Clone(f.members)
 }
 
+func (f *fleet) listOthers() []domain.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.others)
+}
+
+// silence moves a node from the members to the others.
+func (f *fleet) silence(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := slices.IndexFunc(f.members, func(m domain.Member) bool { return m.Address == name })
+	f.others = append(f.others, f.members[i])
+	f.members = slices.Delete(f.members, i, i+1)
+}
+
+// query queries a node over a connection.
+func (f *fleet) query(from, to string, query []byte) ([]byte, error) {
+	f.mu.Lock()
+	k, ok := f.keepers[to], f.connected != nil && f.connected(from, to)
+	f.mu.Unlock()
+	if k == nil || !ok {
+		return nil, errors.New("not connected")
+	}
+	return k.Answer(query)
+}
+
 // deliver delivers a message a millisecond later, unless it is lost.
 func (f *fleet) deliver(from, to string, message []byte) {
 	f.mu.Lock()
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -48,8 +48,13 @@
 	VersionChanges func() []domain.EndpointID
 	// AllHeard reports whether all nodes that may be alive are heard.
 	AllHeard func() bool
+	// Others returns the nodes that may be alive and are not among Members.
+	Others func() []domain.Member
 	// Send sends a message to the node at the address, "IP:port". It does not block; a message may be lost.
-	Send    func(address string, message []byte) error
+	Send func(address string, message []byte) error
+	// Query sends a query over a connection to the node at the address and returns the reply of its Answer. Datagrams may be lost in
+	// one direction while connections work.
+	Query   func(ctx context.Context, address string, query []byte) ([]byte, error)
 	Clock   boottime.Clock
 	Log     zerolog.Logger
 	Metrics *metrics.Set
@@ -267,7 +272,9 @@
 	case kindRecords:
 		k.accept(m.Records)
 	case kindQuery:
-		k.reply(m, from)
+		if reply, ok := k.reply(m); ok {
+			k.send(from, reply.encode())
+		}
 	case kindReply:
 		k.resolve(m)
 	}
@@ -291,8 +298,22 @@
 	}
 }
 
-// reply replies to another node's query.
-func (k *Keeper) reply(m *message, from string) {
+// Answer returns the reply to a query that came over a connection, or an error if it is malformed.
+func (k *Keeper) Answer(query []byte) ([]byte, error) {
+	m, err := decode(query)
+	if err != nil {
+		k.malformed.Inc()
+		return nil, err
+	}
+	reply, ok := k.reply(m)
+	if m.Kind != kindQuery || !ok {
+		return nil, errMalformed
+	}
+	return reply.encode(), nil
+}
+
+// reply returns the reply to another node's query, false if the query is malformed.
+func (k *Keeper) reply(m *message) (message, bool) {
 	reply := message{Kind: kindReply, Query: m.Query, Key: []byte(k.config.Self)}
 	if key, ok := decodeKey(m.Key); ok {
 		reply.Known = k.local(key, true)
@@ -301,9 +322,9 @@
 		reply.Known = k.local(key, false)
 	} else {
 		k.malformed.Inc()
-		return
+		return message{}, false
 	}
-	k.send(from, reply.encode())
+	return reply, true
 }
 
 // local returns the origins that this node knows of the attempt or, if it is not named, of the content.
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -15,33 +15,45 @@
 }
 
 // Lookup returns the origin of the attempt's stream, as this node and others know it. If the attempt is not named, the key's content
-// counts: all streams with it must have one origin. It waits for up to 250 ms if no node knows the origin, otherwise for 30 ms.
+// counts: all streams with it must have one origin. It waits for up to 250 ms if no node knows the origin, as long again for nodes that
+// are silent or leaving, and otherwise for 30 ms.
 func (k *Keeper) Lookup(ctx context.Context, key Key, named bool) Result {
 	started := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	k.applyVersionChanges()
 	s := k.search(key, named)
 	defer k.closeQuery(s.query)
+	k.sendQuery(s)
+	k.await(ctx, s)
+	if len(s.known) == 0 && s.addOthers(k.config, key) {
+		k.queryDirectly(ctx, s)
+		k.await(ctx, s)
+	}
+	return k.result(s, started)
+}
+
+// await waits for replies, as long as Lookup says. A node that doesn't reply at once is queried over a connection, too.
+func (k *Keeper) await(ctx context.Context, s *search) {
 	again := time.NewTicker(queryRetryInterval)
 	defer again.Stop()
 	deadline := time.NewTimer(s.timeout())
 	defer deadline.Stop()
-	k.sendQuery(s)
 	for len(s.open) > 0 {
 		select {
 		case a := <-s.replies:
 			if s.add(a) {
 				deadline.Reset(settleTime)
 			}
-			continue
 		case <-again.C:
 			k.sendQuery(s)
-			continue
+			k.queryDirectly(ctx, s)
 		case <-deadline.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-		break
 	}
-	return k.result(s, started)
 }
 
 // search is a search for an origin.
@@ -52,12 +64,14 @@
 	// open are the nodes that have not replied, of total that were queried.
 	open  map[domain.NodeID]string
 	total int
-	known []Origin
+	// direct are the nodes that were queried over a connection.
+	direct map[domain.NodeID]bool
+	known  []Origin
 }
 
 // search opens a search. A node that knows the origin queries only its replicas, which would know of another one.
 func (k *Keeper) search(key Key, named bool) *search {
-	s := &search{known: k.local(key, named), open: make(map[domain.NodeID]string)}
+	s := &search{known: k.local(key, named), open: make(map[domain.NodeID]string), direct: make(map[domain.NodeID]bool)}
 	s.query, s.replies = k.openQuery()
 	text, most := key.bytes(), queryCount
 	if !named {
@@ -73,6 +87,22 @@
 	return s
 }
 
+// addOthers adds the nodes that are silent or leaving and may be replicas of the record, and reports whether there are any.
+func (s *search) addOthers(config Config, key Key) bool {
+	others := config.Others()
+	if len(others) == 0 {
+		return false
+	}
+	all := append(config.Members(), others...)
+	for _, m := range newPlacement(all).pick(key.Stream, config.Self, queryCount) {
+		if slices.ContainsFunc(others, func(o domain.Member) bool { return o.Node == m.Node }) {
+			s.open[m.Node] = m.Address
+			s.total++
+		}
+	}
+	return len(s.open) > 0
+}
+
 // timeout is how long to wait for replies.
 func (s *search) timeout() time.Duration {
 	if len(s.known) > 0 {
@@ -113,6 +143,24 @@
 	}
 }
 
+// queryDirectly queries the nodes that have not replied over connections, each once.
+func (k *Keeper) queryDirectly(ctx context.Context, s *search) {
+	for node, address := range s.open {
+		if s.direct[node] {
+			continue
+		}
+		s.direct[node] = true
+		go func() {
+			reply, err := k.config.Query(ctx, address, s.data)
+			if err != nil {
+				k.config.Log.Debug().Err(err).Str("peer", address).Msg("failed to query an origin over a connection")
+				return
+			}
+			k.Receive(reply, address)
+		}()
+	}
+}
+
 func (k *Keeper) openQuery() (uint64, chan reply) {
 	replies := make(chan reply, queryCount)
 	k.mu.Lock()
