endpointgate, places, exchange: a late rejection shortens no rest, callers come back spread, a skipped body may have its full length

Three places that readers noticed, each with a test that failed before: - A late 503 to a request for an endpoint's earlier incarnation replaced the rest that the later one had asked for (2.0 s left of 10). It does so now only if it binds the listed incarnation longer. - A refusal after the last attempt, or at the end of a request's time, named the end of the first rest exactly, to every caller. It is spread as refusals in the queue are: 200 callers after a rest of 10 s within 2.5 s, before in one instant. - The body of a skipped response of exactly 256 KiB was refused.

--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -137,6 +137,13 @@
 	assert.Equal(t, body, "ok")
 }
 
+func TestLongestStaleAnswerIsSkipped(t *testing.T) {
+	for size, want := range map[int]error{maxDiscardBytes: nil, maxDiscardBytes + 1: errNotDiscardable} {
+		response := &http.Response{ContentLength: int64(size), Body: io.NopCloser(strings.NewReader(strings.Repeat("x", size)))}
+		assert.ErrorIs(t, discard(response), want, "%d bytes", size)
+	}
+}
+
 func TestUnusableResponses(t *testing.T) {
 	tests := []struct{ name, text string }{
 		{"malformed", "rubbish\r\n\r\n"},
--- a/endpoint/exchange/response.go
+++ b/endpoint/exchange/response.go
@@ -102,8 +102,8 @@
 	if closesConnection(response) {
 		return errNotDiscardable
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
-	if err == nil && n == maxDiscardBytes {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes+1))
+	if err == nil && n > maxDiscardBytes {
 		err = errNotDiscardable
 	}
 	return err
--- a/endpointgate/decision_test.go
+++ b/endpointgate/decision_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// Guards against a late rejection of a request that was meant for the endpoint's earlier incarnation shortening the rest that the
+// later one has asked for.
+func TestLateRejectionByEarlierIncarnationDoesNotShortenRest(t *testing.T) {
+	g, e := newTestGate(), testEndpoint()
+	restarted := *e
+	restarted.Born = e.Born + 1
+	g.config.Directory.Apply(g.now, []*directory.Endpoint{&restarted}, nil, 0)
+	g.Record(&restarted, "r", Notice{Rest: 10 * time.Second})
+	g.now = g.now.Add(time.Second)
+	g.Record(e, "late", Notice{Rest: 2 * time.Second})
+	assert.Assert(t, g.RestEndsIn(&restarted) >= 9*time.Second, "%v", g.RestEndsIn(&restarted))
+	g.Record(e, "late", Notice{Rest: time.Minute})
+	assert.Assert(t, g.RestEndsIn(&restarted) >= 9*time.Second, "%v", g.RestEndsIn(&restarted))
+	g.now = g.now.Add(8 * time.Second)
+	g.Record(e, "late", Notice{Rest: time.Minute})
+	left := g.RestEndsIn(&restarted)
+	assert.Assert(t, left > 4*time.Second && left <= restartListingTime, "the restarted endpoint may have asked for it: %v", left)
+}
+
 func TestCheckTellsWhyEndpointIsClosed(t *testing.T) {
 	g, e := newTestGate(), testEndpoint()
 	list := func(e *directory.Endpoint) { g.config.Directory.Apply(g.now, []*directory.Endpoint{e}, nil, 0) }
--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -105,13 +105,23 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, ok := (*g.rests.Load())[e.ID]
-	if !ok || next.endsAt > before.endsAt || before.incarnation != next.incarnation {
+	if !ok || g.replaces(next, before, e) {
 		g.set(e.ID, next)
 	}
 	g.config.Log.Info().Str("endpoint", string(next.incarnation)).Str("request", request).Dur("asked_ms", asked).
 		Dur("rest_ms", bounded).Bool("extends", ok && before.endsAt > now).Msg("endpoint asks for rest")
 }
 
+// replaces reports whether a rest that a request to the endpoint began takes the place of an earlier one. One of another incarnation
+// does if it binds the listed one longer, or is its own.
+func (g *Gate) replaces(next, before rest, e *directory.Endpoint) bool {
+	if before.incarnation == next.incarnation {
+		return next.endsAt > before.endsAt
+	}
+	listed := g.config.Directory.Current().Endpoint(before.incarnation)
+	return listed == nil || next.boundTo(listed).endsAt > before.endsAt
+}
+
 // brittleRest is how long an endpoint that must not have to reject requests gets none of this node after it has.
 const brittleRest = time.Second
 
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -105,3 +105,21 @@
 	assert.Assert(t, retryAfter >= 120, "%v s", retryAfter)
 	assert.Equal(t, requests.Load(), int64(0))
 }
+
+// Guards against all callers coming back in the instant in which the endpoints' rest ends.
+func TestCallersComeBackSpreadAfterRest(t *testing.T) {
+	f := newFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3) })
+	f.endpointGate.Record(f.directory.Current().Endpoint("e0"), "other", endpointgate.Notice{Rest: 10 * time.Second})
+	rest := f.endpointGate.RestEndsIn(f.directory.Current().Endpoint("e0"))
+	returns := make(map[time.Duration]int)
+	task := &task{gateway: f.gateway, service: "s"}
+	const callers = 200
+	for range callers {
+		after := task.retryAfter()
+		assert.Assert(t, after >= rest && after <= rest+rest/4, "%v after a rest of %v", after, rest)
+		returns[after.Truncate(rest/40)]++
+	}
+	for at, n := range returns {
+		assert.Assert(t, n <= callers/4, "%d of %d callers come back within %v of %v", n, callers, rest/40, at)
+	}
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -334,13 +334,13 @@
 	return r
 }
 
-// retryAfter is the Retry-After of a request that no endpoint took: after the endpoints' rest if all of them rest, zero if no
+// retryAfter is the Retry-After of a request that no endpoint took: some time after the endpoints' rest if all of them rest, zero if no
 // endpoint of the version is left to which the request is bound.
 func (t *task) retryAfter() time.Duration {
 	if t.origin.Known() && !t.gateway.deps.Places.Serves(t.service, t.origin.Version) {
 		return 0
 	}
-	return max(t.gateway.deps.Places.RestEndsIn(t.service), t.helperRetryAfter, shortRetryAfter)
+	return max(places.AfterRest(t.gateway.deps.Places.RestEndsIn(t.service)), t.helperRetryAfter, shortRetryAfter)
 }
 
 // finish logs the end and responds to the caller, unless an endpoint's response was forwarded.
--- a/places/rest.go
+++ b/places/rest.go
@@ -12,6 +12,15 @@
 	minRestSpread      = 200 * time.Millisecond
 )
 
+// AfterRest returns when a caller is to come back if the endpoints' rest ends after the given time: another time for each caller, so
+// that they don't come back at once. It is zero if there is no rest.
+func AfterRest(rest time.Duration) time.Duration {
+	if rest <= 0 {
+		return 0
+	}
+	return rest + rand.N(max(time.Duration(restSpreadFraction*float64(rest)), minRestSpread))
+}
+
 // restEndsIn is the time until the first of the endpoints that the request may use ends its rest, zero if one does not rest.
 func (p *pool) restEndsIn(request *Request) time.Duration {
 	if !p.gate.AnyRest() {
@@ -51,6 +60,7 @@
 func (a *Allocator) RestEndsIn(service string) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.syncDirectory()
 	return a.pool(service).restEndsIn(&Request{})
 }
 
@@ -60,8 +70,7 @@
 	if rest <= max(maxWait, 0) {
 		return nil
 	}
-	spread := max(time.Duration(restSpreadFraction*float64(rest)), minRestSpread)
-	return &Refusal{Err: ErrResting, RetryAfter: rest + rand.N(spread), Wait: rest, Free: p.freeSlots(), Limited: p.limitedEndpoints()}
+	return &Refusal{Err: ErrResting, RetryAfter: AfterRest(rest), Wait: rest, Free: p.freeSlots(), Limited: p.limitedEndpoints()}
 }
 
 // refuseDuringRest refuses the waiters that can't wait until the end of the endpoints' rest.
