--- a/cmd/hawthornrill-soak/oneentry_test.go
+++ b/cmd/hawthornrill-soak/oneentry_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,8 @@
 	oneEntryTime = 8 * time.Second
 	// crowdedTime is the time after which the one node must serve them.
 	crowdedTime = 3 * time.Second
+	// endpointRate is the limit that each endpoint states, in requests a second; all of them together have several times entryRate.
+	endpointRate = 60
 	// brittleRejections is the number of rejections in a second that brittle endpoints withstand.
 	brittleRejections = 4
 )
@@ -42,6 +45,15 @@
 	s.serveAtOneNode()
 }
 
+// Guards against shares of the endpoints' limits that one node alone may not exceed although the others need none.
+func TestOneNodeGetsMostNewConnectionsBeforeLimitedEndpoints(t *testing.T) {
+	s := newSoak(t, 43002, false)
+	for _, e := range s.endpoints {
+		e.AdvertiseLimit(strconv.Itoa(endpointRate))
+	}
+	s.serveAtOneNode()
+}
+
 // serveAtOneNode sends all new connections to one node, then to another as the first one leaves, and checks that they are served.
 func (s *soak) serveAtOneNode() {
 	s.waitReady()
