--- a/endpointgate/gate.go
+++ b/endpointgate/gate.go
@@ -112,8 +112,8 @@
 		Dur("rest_ms", bounded).Bool("extends", ok && before.endsAt > now).Msg("endpoint asks for rest")
 }
 
-// replaces reports whether a rest that a request to the endpoint began takes the place of an earlier one. One of another incarnation
-// does if it binds the listed one longer, or is its own.
+// replaces reports whether a rest that a request to the endpoint began takes the place of an earlier one: if it is longer or, for
+// another incarnation, unless the earlier one is the listed incarnation's own and binds that for longer.
 func (g *Gate) replaces(next, before rest, e *directory.Endpoint) bool {
 	if before.incarnation == next.incarnation {
 		return next.endsAt > before.endsAt
