poison: a test as strict as TestRecentEvidenceIsBounded was

Cause: removed quarantine.Tracker with its tests TestRecentEvidenceIsBounded and TestTrackersExchangeCrashEvidence. What took the place of the first asked for at most as many entries in a report as are allowed, so that an empty report passed; that evidence leaves the reports, which the second checked, was not checked. Product code is as it was.

--- a/poison/bounds_test.go
+++ b/poison/bounds_test.go
@@ -38,6 +38,32 @@
 	})
 }
 
+// Guards against reports that grow with the evidence, and against evidence that is reported for ever.
+func TestReportedEvidenceIsBoundedAndEnds(t *testing.T) {
+	withTracker(t, ErrEnded, func(tracker *Tracker) {
+		for i := range uint64(200) {
+			tracker.Broke(Break{
+				Request: Request{Scope: testScope, Prompt: []uint64{i, i + 1000}}, ID: fmt.Sprint(i), Endpoint: domain.EndpointID(fmt.Sprint(i)),
+				StartedAt: time.Now(),
+			})
+		}
+		time.Sleep(time.Millisecond) // the probes end
+		var report gossip.Report
+		tracker.FillReport(&report)
+		assert.Equal(t, len(report.EndedAnswers), maxReported)
+		for i := range uint64(200) {
+			tracker.Sound(Request{Scope: testScope, Prompt: []uint64{i, i + 1000}})
+		}
+		report = gossip.Report{}
+		tracker.FillReport(&report)
+		assert.Equal(t, len(report.SoundParts), maxReported)
+		time.Sleep(2 * reportPeriod)
+		report = gossip.Report{}
+		tracker.FillReport(&report)
+		assert.Equal(t, len(report.EndedAnswers)+len(report.SoundParts), 0)
+	})
+}
+
 func TestMalformedReportsAreDropped(t *testing.T) {
 	withTracker(t, ErrEnded, func(tracker *Tracker) {
 		tracker.ApplyReport(&gossip.Report{
