--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -16,8 +15,6 @@
 	// WorkTime is the time that a plain request runs, EventInterval that between two events, Events the number of events of a stream.
 	WorkTime, EventInterval time.Duration
 	Events                  int
-	// Serve, if set, answers a request that the server runs.
-	Serve func(w http.ResponseWriter, r *http.Request)
 
 	listener net.Listener
 	server   *http.Server
@@ -42,12 +39,6 @@
 // Close stops the server.
 func (s *Server) Close() { _ = s.server.Close() }
 
-// RequestOf returns the id of a request that the server runs, and the number of the last event that its caller has.
-func RequestOf(r *http.Request) (id string, lastEvent int) {
-	lastEvent, _ = strconv.Atoi(r.Header.Get(wire.Fields.LastEvent)) // 0 if there is none
-	return r.Header.Get(wire.Fields.Request), lastEvent
-}
-
 // Runs returns how many times the server began to run the request.
 func (s *Server) Runs(id string) int {
 	s.mu.Lock()
@@ -72,8 +63,6 @@
 	s.mu.Unlock()
 	w.Header().Set(wire.Fields.Signature, s.ID)
 	switch {
-	case s.Serve != nil:
-		s.Serve(w, r)
 	case r.Header.Get(wire.Fields.Model) != "":
 		s.stream(w)
 	default:
--- a/review/harness/wire.go
+++ b/review/harness/wire.go
@@ -27,7 +27,6 @@
 		ExpectedServer string `json:"expected_server"`
 		Server         string `json:"server"`
 		Signature      string `json:"signature"`
-		LastEvent      string `json:"last_event"`
 		Model          string `json:"model"`
 	} `json:"fields"`
 	StreamRequest string `json:"stream_request"`
