--- a/follow/feed.go
+++ b/follow/feed.go
@@ -33,6 +33,8 @@
 	failing     atomic.Bool
 	failures    int
 	recoveredAt boottime.Instant
+	// failedSince is the time of the first of the failed calls.
+	failedSince boottime.Instant
 
 	// mu serialises changes from the store and from peers.
 	mu sync.Mutex
@@ -189,6 +191,7 @@
 }
 
 func (d *feed) recordSuccess() {
+	failures := d.failures
 	d.failures = 0
 	if !d.failing.Swap(false) {
 		d.peersAheadSince.Store(0)
@@ -197,11 +200,16 @@
 	f := d.follower
 	now := f.deps.Clock()
 	d.recoveredAt = now
-	if since := d.peersAheadSince.Swap(0); since != 0 && now.Sub(boottime.Instant(since)) > isolationThreshold {
+	var peersAhead time.Duration
+	if since := d.peersAheadSince.Swap(0); since != 0 {
+		peersAhead = now.Sub(boottime.Instant(since))
+	}
+	if peersAhead > isolationThreshold {
 		// The store was available to other nodes, so missing entries were removed and did not expire in an outage.
 		d.recoveredAt = 0
 	}
 	f.deps.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(now)).Bool("outage", d.recoveredAt != 0).
+		Dur("failed_for_ms", now.Sub(d.failedSince)).Int("failures", failures).Dur("peers_ahead_ms", peersAhead).
 		Msg("store reachable again")
 }
 
@@ -214,6 +222,7 @@
 	f.failed.Inc()
 	d.failures++
 	if !d.failing.Swap(true) {
+		d.failedSince = f.deps.Clock()
 		f.deps.Log.Warn().Err(err).Stringer("topic", d.topic).Str("call", call).
 			Dur("age_ms", f.Age(f.deps.Clock())).Msg("store call failed")
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -157,8 +157,9 @@
 	f.activateFromStore(change)
 	f.deps.Directory.Drop(change.Unusable)
 	if len(change.Endpoints)+len(change.Removed) > 0 {
-		f.deps.Directory.Apply(f.deps.Clock(), change.Endpoints, change.Removed, d.retainMissingUntil())
-		f.logEndpoints(change)
+		now, keepUntil := f.deps.Clock(), d.retainMissingUntil()
+		f.deps.Directory.Apply(now, change.Endpoints, change.Removed, keepUntil)
+		f.logEndpoints(change, keepUntil.Sub(now))
 	}
 }
 
@@ -173,13 +174,14 @@
 	}
 }
 
-func (f *Follower) logEndpoints(change Change) {
+func (f *Follower) logEndpoints(change Change, retention time.Duration) {
 	for _, e := range change.Endpoints {
 		f.deps.Log.Info().Str("endpoint", string(e.ID)).Str("service", e.Service).Bool("leaving", e.Leaving).Int64("born", e.Born).
 			Str("software_version", e.Version).Uint64("revision", uint64(change.Revision)).Msg("endpoint listed")
 	}
 	for _, id := range change.Removed {
-		f.deps.Log.Info().Str("endpoint", string(id)).Uint64("revision", uint64(change.Revision)).Msg("endpoint removed")
+		f.deps.Log.Info().Str("endpoint", string(id)).Uint64("revision", uint64(change.Revision)).
+			Dur("retained_ms", max(retention, 0)).Msg("endpoint removed")
 	}
 }
 
--- a/follow/forwarding.go
+++ b/follow/forwarding.go
@@ -101,7 +101,7 @@
 	f.deps.Directory.Drop(c.Unusable)
 	f.deps.Directory.Apply(now, c.Listed, c.Removed, now.Add(c.KeepFor))
 	change := Change{Revision: Revision(c.Revision), Last: Revision(c.Last), Endpoints: c.Listed, Removed: c.Removed}
-	f.logEndpoints(change)
+	f.logEndpoints(change, c.KeepFor)
 	d.recordProgress(change, 0)
 	// If this node becomes the forwarder, its changes start here.
 	d.forwardBase = change.Last
