follow, onesend: a node calls the store at the end of a rest that it asked for

The error of such a call now says how long the rest lasts, and the node waits for that and up to 0.15 s.

--- a/endpoint/onesend/rest.go
+++ b/endpoint/onesend/rest.go
@@ -18,6 +18,17 @@
 // ErrResting means that the host has asked for a rest that is not over. Nothing was sent.
 var ErrResting = errors.New("onesend: host asked for a rest")
 
+// RestingError is ErrResting with the time that is left of the rest.
+type RestingError struct {
+	Left time.Duration
+}
+
+// Error implements error.
+func (e *RestingError) Error() string { return fmt.Sprintf("%v, %v left", ErrResting, e.Left) }
+
+// Unwrap returns ErrResting.
+func (e *RestingError) Unwrap() error { return ErrResting }
+
 // Rest is a host's refusal of a request with a time for which it wants no more.
 type Rest struct {
 	// Host is "IP:port".
@@ -48,7 +59,7 @@
 	return &rests{clock: boottime.Now, max: o.MaxRest, statuses: o.RestStatuses, onRest: o.OnRest, until: make(map[string]boottime.Instant)}
 }
 
-// check returns an error that wraps ErrResting if the request must not be sent now. A DELETE may be: it ends work.
+// check returns a RestingError if the request must not be sent now. A DELETE may be: it ends work.
 func (r *rests) check(request *http.Request) error {
 	if r == nil || request.Method == http.MethodDelete {
 		return nil
@@ -57,7 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if left := r.until[request.URL.Host].Sub(now); left > 0 {
-		return fmt.Errorf("%w, %v left", ErrResting, left)
+		return &RestingError{Left: left}
 	}
 	return nil
 }
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -10,6 +10,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/pacing"
+	"hawthornrill.example/hawthornrill/store"
 )
 
 // feed follows one topic. It is run by one goroutine; the atomics may be read by others.
@@ -213,19 +214,24 @@
 		Msg("store reachable again")
 }
 
-// backOff records a failed call and waits before the next one.
+// backOff records a failed call and waits before the next one. A call that the store's own rest held back was not sent.
 func (d *feed) backOff(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	f := d.follower
 	f.failed.Inc()
-	d.failures++
 	if !d.failing.Swap(true) {
 		d.failedSince = f.deps.Clock()
 		f.deps.Log.Warn().Err(err).Stringer("topic", d.topic).Str("call", call).
 			Dur("age_ms", f.Age(f.deps.Clock())).Msg("store call failed")
 	}
+	var rest *store.RestError
+	if errors.As(err, &rest) {
+		pacing.Sleep(ctx, rest.Left+rand.N(minRetryDelay))
+		return
+	}
+	d.failures++
 	maxDelay := min(minRetryDelay<<min(d.failures-1, 8), maxRetryDelay)
 	pacing.Sleep(ctx, maxDelay/2+rand.N(maxDelay))
 }
