follow: an endpoint that left is not kept by nodes that the store alone turned away

Cause: a node took its own failed calls for an outage of the store, in which entries expire, unless peers had been ahead of it for 1.5 s, and kept whatever was missing for 2.2 s from its own first successful call, up to 1.8 s after the store's return.

Change: nodes report since when and until when the store is known to answer any node. What is missing is kept only after a time in which it answered none, until 2.2 s after its first answer to any; a report that shows that it was there ends that at once. Without reports the last failed call bounds it. Why this works: an answer to another node is the one fact that tells the two cases apart, whether or not anything changed meanwhile.

TestRemovalDuringLocalDisconnectionIsNotRetained and the reports in the tests of forwarding now state the store's availability, as all reports do; what they ask is unchanged.

--- a/cmd/hawthornrill-soak/links_test.go
+++ b/cmd/hawthornrill-soak/links_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"net/http"
 	"net/http/httptest"
 	"regexp"
 	"strings"
@@ -31,6 +30,8 @@
 // of its own in place of each endpoint's.
 type endpointLinks struct {
 	t *testing.T
+	// view is the store as the node sees it.
+	view *platformtest.View
 
 	mu      sync.Mutex
 	proxies map[string]*proxy
@@ -57,7 +58,8 @@
 
 // serveStore returns the address of the store as the node sees it.
 func (l *endpointLinks) serveStore(store *platformtest.Store) string {
-	server := httptest.NewServer(http.Handler(store.View(l.rewrite)))
+	l.view = store.View(l.rewrite)
+	server := httptest.NewServer(l.view)
 	l.t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
--- a/cmd/hawthornrill-soak/process_test.go
+++ b/cmd/hawthornrill-soak/process_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
@@ -49,7 +50,7 @@
 memory_mb = 128
 [keys]
 strict = true
-max_age_ms = 5000
+max_age_ms = %d
 [retry]
 ratio = 0.5
 window_s = 10
@@ -62,13 +63,13 @@
 level = %q
 `
 
-func newProcess(t *testing.T, dir, name, centre, store string) *process {
+func newProcess(t *testing.T, dir, name, centre, store string, maxKeyAge time.Duration) *process {
 	p := &process{
 		name: name, callerAddress: platformtest.FreeAddress(), readyAddress: platformtest.FreeAddress(), peerAddress: platformtest.FreeAddress(),
 		log: filepath.Join(dir, name+".log"),
 	}
 	p.settings = filepath.Join(dir, name+".toml")
-	p.settingsText = fmt.Sprintf(settingsText, name, centre, store, p.callerAddress, p.readyAddress, p.peerAddress, "info")
+	p.settingsText = fmt.Sprintf(settingsText, name, centre, store, p.callerAddress, p.readyAddress, p.peerAddress, maxKeyAge.Milliseconds(), "info")
 	if err := p.writeSettings("info"); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hawthornrill-soak/signal_test.go
+++ b/cmd/hawthornrill-soak/signal_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a SIGHUP that ends a process which is still reading its settings.
 func TestReloadWhileStartingDoesNotEndTheProcess(t *testing.T) {
-	n := newProcess(t, t.TempDir(), "node-0", "dc-0", "127.0.0.1:1")
+	n := newProcess(t, t.TempDir(), "node-0", "dc-0", "127.0.0.1:1", maxRevocationDelay)
 	text, err := os.ReadFile(n.settings)
 	assert.NilError(t, err)
 	// The process waits in its first read of the settings until the test writes to the pipe.
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -169,6 +169,11 @@
 }
 
 func newSoak(t *testing.T, seed int64, series bool) *soak {
+	return newSoakWithKeyAge(t, seed, series, maxRevocationDelay)
+}
+
+// newSoakWithKeyAge returns a soak whose nodes accept keys that they knew to be in force up to that long ago.
+func newSoakWithKeyAge(t *testing.T, seed int64, series bool, maxKeyAge time.Duration) *soak {
 	s := &soak{
 		t: t, seed: seed, series: series, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
 		history: &history{started: time.Now(), revoked: make(map[string]time.Time)}, drainingSince: make(map[*platformtest.Endpoint]time.Time),
@@ -193,7 +198,7 @@
 		s.links = append(s.links, links)
 		storeProxy := newProxy(t, links.serveStore(s.store))
 		s.storeProxies = append(s.storeProxies, storeProxy)
-		n := newProcess(t, dir, fmt.Sprint("node-", i), fmt.Sprint("dc-", i%dataCentres()), storeProxy.address())
+		n := newProcess(t, dir, fmt.Sprint("node-", i), fmt.Sprint("dc-", i%dataCentres()), storeProxy.address(), maxKeyAge)
 		s.addNode(n)
 	}
 	s.store.RewriteValues(s.listRelays)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -131,6 +131,18 @@
 	return expired
 }
 
+// LimitRetention ends the retention of missing endpoints at the given time if it ends later. It reports whether it does for any.
+func (d *Directory) LimitRetention(until boottime.Instant) (limited bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, before := range d.missing {
+		if before > until {
+			d.missing[id], limited = until, true
+		}
+	}
+	return limited
+}
+
 // upsert adds or replaces an entry unless it belongs to an earlier incarnation. An entry without a start time is assigned
 // to the listed incarnation.
 func (d *Directory) upsert(e *Endpoint) {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -238,6 +238,7 @@
 	}
 	_, last := n.follower.Revision(follow.Endpoints)
 	report.Endpoints = uint64(last)
+	fillStoreAvailability(report, n.follower.StoreAvailability(), boottime.Now())
 	report.SetEndpointChanges(n.follower.EndpointChanges())
 	n.slots.FillReport(report)
 	n.reach.FillReport(report)
@@ -259,6 +260,7 @@
 		Version: report.Version, Endpoints: follow.Revision(report.Endpoints),
 		NotForwarded: report.PassesOn && report.DataCentre == n.settings.DataCentre && len(report.Document)+len(report.Steps) == 0,
 	}
+	update.Store = storeAvailability(report, sent, boottime.Now())
 	if sent > 0 {
 		update.Confirmed = sent.Add(-report.Age)
 	}
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -27,14 +27,10 @@
 	reloadNext atomic.Bool
 	receiving  atomic.Bool
 
-	// peersAheadSince is since when peers have been ahead while this node's calls failed, zero if they are not.
-	peersAheadSince atomic.Int64
-
-	// failing is true from a failed call until the next successful one, recoveredAt is the time of the latter.
+	// failing is true from a failed call until the next successful one. failures is the number of calls that have failed since
+	// failedSince.
 	failing     atomic.Bool
 	failures    int
-	recoveredAt boottime.Instant
-	// failedSince is the time of the first of the failed calls.
 	failedSince boottime.Instant
 
 	// mu serialises changes from the store and from peers.
@@ -70,11 +66,12 @@
 	f.calls.Inc()
 	change, err := f.deps.Source.Load(callCtx, d.topic)
 	if err != nil {
-		d.backOff(ctx, "full read", err)
+		d.backOff(ctx, "full read", sent, err)
 		return false
 	}
-	d.recordSuccess()
+	f.store.recordAnswer(f.deps.Clock())
 	d.replace(change, sent)
+	d.recordSuccess()
 	f.deps.Log.Info().Stringer("topic", d.topic).Uint64("revision", uint64(change.Revision)).
 		Int("endpoints", len(change.Endpoints)).Dur("took_ms", f.deps.Clock().Sub(sent)).Msg("topic read in full")
 	return true
@@ -101,11 +98,12 @@
 			// Interrupted by probeNow.
 			continue
 		case err != nil:
-			d.backOff(ctx, "watch", err)
+			d.backOff(ctx, "watch", sent, err)
 			continue
 		}
-		d.recordSuccess()
+		f.store.recordAnswer(f.deps.Clock())
 		d.apply(change, sent)
+		d.recordSuccess()
 		if change.Last > 0 {
 			pacing.Sleep(ctx, f.batchDelay())
 		}
@@ -191,43 +189,40 @@
 	}
 }
 
+// recordSuccess records that the response to a call has been applied.
 func (d *feed) recordSuccess() {
 	failures := d.failures
 	d.failures = 0
 	if !d.failing.Swap(false) {
-		d.peersAheadSince.Store(0)
 		return
 	}
 	f := d.follower
 	now := f.deps.Clock()
-	d.recoveredAt = now
-	var peersAhead time.Duration
-	if since := d.peersAheadSince.Swap(0); since != 0 {
-		peersAhead = now.Sub(boottime.Instant(since))
-	}
-	if peersAhead > isolationThreshold {
-		// The store was available to other nodes, so missing entries were removed and did not expire in an outage.
-		d.recoveredAt = 0
-	}
-	f.deps.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(now)).Bool("outage", d.recoveredAt != 0).
-		Dur("failed_for_ms", now.Sub(d.failedSince)).Int("failures", failures).Dur("peers_ahead_ms", peersAhead).
+	available, retainUntil := f.store.state()
+	f.deps.Log.Info().Stringer("topic", d.topic).Dur("age_ms", f.Age(now)).
+		Dur("failed_for_ms", now.Sub(d.failedSince)).Int("failures", failures).
+		Dur("available_for_ms", now.Sub(available.Since)).Dur("retention_ms", max(retainUntil.Sub(now), 0)).
 		Msg("store reachable again")
 }
 
 // backOff records a failed call and waits before the next one. A call that the store's own rest held back was not sent.
-func (d *feed) backOff(ctx context.Context, call string, err error) {
+func (d *feed) backOff(ctx context.Context, call string, sent boottime.Instant, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	f := d.follower
 	f.failed.Inc()
+	var rest *store.RestError
+	resting := errors.As(err, &rest)
+	if !resting {
+		f.store.recordFailure(sent)
+	}
 	if !d.failing.Swap(true) {
 		d.failedSince = f.deps.Clock()
 		f.deps.Log.Warn().Err(err).Stringer("topic", d.topic).Str("call", call).
 			Dur("age_ms", f.Age(f.deps.Clock())).Msg("store call failed")
 	}
-	var rest *store.RestError
-	if errors.As(err, &rest) {
+	if resting {
 		pacing.Sleep(ctx, rest.Left+rand.N(minRetryDelay))
 		return
 	}
@@ -235,11 +230,3 @@
 	maxDelay := min(minRetryDelay<<min(d.failures-1, 8), maxRetryDelay)
 	pacing.Sleep(ctx, maxDelay/2+rand.N(maxDelay))
 }
-
-// retainMissingUntil returns until when entries that are missing now are retained.
-func (d *feed) retainMissingUntil() boottime.Instant {
-	if d.recoveredAt == 0 {
-		return 0
-	}
-	return d.recoveredAt.Add(missingEntryRetention)
-}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -56,6 +56,7 @@
 	current       atomic.Pointer[configuration]
 	nodes         atomic.Pointer[[]Peer]
 	confirmed     atomic.Int64
+	store         storeHistory
 	peerProgress  peerProgress
 	recentChanges changeHistory
 	// activateMu serialises configurations from the store and from peers.
@@ -148,7 +149,13 @@
 		return
 	}
 	f.deps.Directory.Drop(change.Unusable)
-	f.deps.Directory.Replace(f.deps.Clock(), change.Endpoints, d.retainMissingUntil())
+	f.deps.Directory.Replace(f.deps.Clock(), change.Endpoints, f.retainMissingUntil())
+}
+
+// retainMissingUntil returns until when entries that are missing now are retained.
+func (f *Follower) retainMissingUntil() boottime.Instant {
+	_, until := f.store.state()
+	return until
 }
 
 // apply applies a change.
@@ -157,7 +164,7 @@
 	f.activateFromStore(change)
 	f.deps.Directory.Drop(change.Unusable)
 	if len(change.Endpoints)+len(change.Removed) > 0 {
-		now, keepUntil := f.deps.Clock(), d.retainMissingUntil()
+		now, keepUntil := f.deps.Clock(), f.retainMissingUntil()
 		f.deps.Directory.Apply(now, change.Endpoints, change.Removed, keepUntil)
 		f.logEndpoints(change, keepUntil.Sub(now))
 	}
@@ -198,14 +205,15 @@
 	}
 }
 
-// monitor removes retained endpoints that have expired and queries the store when the peers' confirmations have stopped.
+// monitor removes missing endpoints that are no longer retained. It queries the store when the peers'
+// confirmations have stopped.
 func (f *Follower) monitor(ctx context.Context) error {
 	configuration := f.feeds[Configuration]
 	var lastProbe boottime.Instant
 	for pacing.Sleep(ctx, monitorInterval) {
 		now := f.deps.Clock()
 		for _, id := range f.deps.Directory.Sweep(now) {
-			f.deps.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again after store outage, removed")
+			f.deps.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again, removed")
 		}
 		age := f.Age(now)
 		if age != unknownAge && age > peerConfirmationTimeout && now.Sub(lastProbe) > probeTimeout {
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -371,8 +371,9 @@
 		s := newFakeStore()
 		f := startFollower(t, s, true)
 		s.change(Endpoints, func() { s.down = true; s.endpoints = map[string]bool{} })
+		start := f.deps.Clock()
 		for range 30 {
-			f.ObservePeer(PeerState{Version: 1, Endpoints: s.changed[Endpoints]})
+			f.ObservePeer(PeerState{Version: 1, Endpoints: s.changed[Endpoints], Store: Availability{Since: start, Last: f.deps.Clock()}})
 			time.Sleep(100 * time.Millisecond)
 		}
 		s.set(func() { s.down = false })
--- a/follow/forwarding.go
+++ b/follow/forwarding.go
@@ -42,7 +42,7 @@
 	}
 	d.forwardBase = change.Last
 	if len(forwarded.Listed)+len(forwarded.Removed)+len(forwarded.Unusable) <= maxForwardedEndpoints {
-		d.forwarded = append(d.forwarded, forwardedChange{forwarded, now, d.retainMissingUntil()})
+		d.forwarded = append(d.forwarded, forwardedChange{forwarded, now, d.follower.retainMissingUntil()})
 	}
 }
 
--- a/follow/forwarding_test.go
+++ b/follow/forwarding_test.go
@@ -38,7 +38,7 @@
 		} else {
 			to.ApplyConfiguration("one", version, document)
 		}
-		to.ObservePeer(PeerState{Version: version, Endpoints: last, Confirmed: to.deps.Clock()})
+		to.ObservePeer(PeerState{Version: version, Endpoints: last, Confirmed: to.deps.Clock(), Store: from.StoreAvailability()})
 	}
 }
 
--- a/follow/peerstate.go
+++ b/follow/peerstate.go
@@ -18,6 +18,8 @@
 	NotForwarded bool
 	// Endpoints is the revision of the last endpoint change known to the peer.
 	Endpoints Revision
+	// Store is what the peer knows of the store's availability.
+	Store Availability
 }
 
 // peerProgress tracks changes that are known to peers but not to this node.
@@ -42,6 +44,7 @@
 // peer knows a later change that this node's own watch does not return in time, the watch is cancelled and the store
 // queried at once.
 func (f *Follower) ObservePeer(state PeerState) {
+	f.observeAvailability(state.Store)
 	table := f.Table()
 	if table == nil {
 		return
@@ -51,12 +54,28 @@
 	}
 	f.catchUpIfBehind(Configuration, table.Version, state.Version, state.NotForwarded)
 	known, _ := f.Revision(Endpoints)
-	if state.Endpoints > known {
-		f.feeds[Endpoints].peersAheadSince.CompareAndSwap(0, int64(f.deps.Clock()))
-	}
 	f.catchUpIfBehind(Endpoints, uint64(known), uint64(state.Endpoints), false)
 }
 
+// observeAvailability takes a peer's knowledge of the store's availability into account.
+func (f *Follower) observeAvailability(known Availability) {
+	if !f.store.recordPeer(known) {
+		return
+	}
+	now := f.deps.Clock()
+	available, until := f.store.state()
+	if f.deps.Directory.LimitRetention(until) {
+		f.deps.Log.Info().Dur("available_for_ms", now.Sub(available.Since)).Dur("retention_ms", max(until.Sub(now), 0)).
+			Msg("store was available to other nodes, missing endpoints are retained for a shorter time")
+	}
+}
+
+// StoreAvailability returns what this node and its peers know of the store's availability.
+func (f *Follower) StoreAvailability() Availability {
+	available, _ := f.store.state()
+	return available
+}
+
 // catchUpIfBehind queries the store if a change known to a peer has been unknown to this node for too long. Reports of peers
 // that lack the change as well don't end the wait: when they did so after a second, less than the timeout in a fleet of 17
 // nodes or more, a node whose neighbours were as far behind never queried the store. A later change does not restart the
--- a/follow/timing.go
+++ b/follow/timing.go
@@ -32,9 +32,17 @@
 	// missingEntryRetention is how long entries missing after an outage are retained: according to the platform, live
 	// endpoints are listed again about two seconds after the store returns.
 	missingEntryRetention = 2200 * time.Millisecond
-	// isolationThreshold is how long a peer must have been ahead for an outage to be considered local to this node. After an
-	// outage of the store itself, all nodes recover within about a second of each other, the longest delay between calls.
-	isolationThreshold = 1500 * time.Millisecond
+	// maxRetentionAfterFailure bounds that retention by the last call of this node that failed, for a node that receives no
+	// reports of others: the store returned later than that call was sent. It applies if the next call followed within
+	// maxCallInterval, and not after a rest that the store asked for, in which it may have returned at any time.
+	maxRetentionAfterFailure = 2900 * time.Millisecond
+	maxCallInterval          = probeTimeout + maxRetryDelay*3/2
+	// maxAnswerGap is the longest time between two answers of the store throughout which it is taken as available: a watch that
+	// confirms the configuration after a batch. It is below two heartbeats of an endpoint, the shortest outage in which an entry
+	// may expire. maxFailedAnswerGap is the same if a call has failed in between: a watch may be cut just before it would have
+	// been answered.
+	maxAnswerGap       = confirmingWatchWait + maxBatchDelay + 100*time.Millisecond
+	maxFailedAnswerGap = confirmingWatchWait + 300*time.Millisecond
 	// monitorInterval is how often retained entries and the age of the configuration are checked.
 	monitorInterval = 100 * time.Millisecond
 	// nodeListInterval is how often the list of nodes is read while a listed node is silent.
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -26,6 +26,10 @@
 	Age     time.Duration `cbor:"7,keyasint,omitempty"`
 	// Endpoints is the revision of the last endpoint change known to the sender.
 	Endpoints uint64 `cbor:"12,keyasint,omitempty"`
+	// StoreAnsweredMillis is how many milliseconds ago the store was last known to answer a node, zero if that is unknown.
+	// StoreSinceMillis is since when it has been available, zero if that is longer ago than the sender states.
+	StoreAnsweredMillis int `cbor:"34,keyasint,omitempty"`
+	StoreSinceMillis    int `cbor:"35,keyasint,omitempty"`
 	// Loads are the sender's outstanding requests, by endpoint.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
 	// Asked is the demand of the sender's callers, by service.
