follow: a node that can't call the store drops nothing that is missing

Cause: the store turned it away again 1.4 s after an outage; the entries were listed again meanwhile, and the end of the retention passed without its knowledge. Evidence: its log has the calls failing at 26 s and the endpoints removed at 27 s, the others' have them listed at 26 s. A missing endpoint is now dropped only by a node whose last calls succeeded: its first answer says whether the entry is back.

TestMissingEntryIsKeptWhileStoreTurnsNodeAway fails without it.

--- a/follow/availability.go
+++ b/follow/availability.go
@@ -91,6 +91,13 @@
 	return false
 }
 
+// fails reports whether a call of this node has failed since its last answer.
+func (h *storeHistory) fails() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
 // state returns the current period and until when missing entries are retained.
 func (h *storeHistory) state() (available Availability, retainUntil boottime.Instant) {
 	h.mu.Lock()
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -212,9 +212,7 @@
 	var lastProbe boottime.Instant
 	for pacing.Sleep(ctx, monitorInterval) {
 		now := f.deps.Clock()
-		for _, id := range f.deps.Directory.Sweep(now) {
-			f.deps.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again, removed")
-		}
+		f.removeMissing(now)
 		age := f.Age(now)
 		if age != unknownAge && age > peerConfirmationTimeout && now.Sub(lastProbe) > probeTimeout {
 			lastProbe = now
@@ -224,6 +222,17 @@
 	return ctx.Err()
 }
 
+// removeMissing removes missing endpoints that are no longer retained. While this node can't call the store, they may be listed
+// again without its knowledge.
+func (f *Follower) removeMissing(now boottime.Instant) {
+	if f.feeds[Endpoints].failing.Load() || f.store.fails() {
+		return
+	}
+	for _, id := range f.deps.Directory.Sweep(now) {
+		f.deps.Log.Info().Str("endpoint", string(id)).Msg("endpoint not listed again, removed")
+	}
+}
+
 // listNodes reads the list of nodes at the start, and again while a listed node is silent, since it may be gone.
 func (f *Follower) listNodes(ctx context.Context) error {
 	select {
--- a/follow/isolation_test.go
+++ b/follow/isolation_test.go
@@ -228,6 +228,33 @@
 	})
 }
 
+// Guards against a node that is turned away after an outage dropping what is listed again meanwhile.
+func TestMissingEntryIsKeptWhileStoreTurnsNodeAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		f.store.change(Endpoints, func() { f.store.down = true })
+		f.pass(3 * time.Second)
+		f.store.change(Endpoints, func() { f.store.down, f.store.endpoints = false, map[string]bool{"b": true} })
+		f.pass(1400 * time.Millisecond)
+		f.access[0].refuse()
+		synctest.Wait()
+		f.list()
+		for range 50 {
+			f.pass(100 * time.Millisecond)
+			assert.Equal(t, f.listing(), 3)
+		}
+		f.access[0].admit()
+		f.pass(2 * time.Second)
+		assert.Equal(t, f.listing(), 3)
+		f.access[0].refuse()
+		f.pass(time.Second)
+		f.remove()
+		f.access[0].admit()
+		f.pass(removalDelay)
+		assert.Equal(t, f.listing(), 0)
+	})
+}
+
 // Guards against discarded history, which the store announces by cutting all watches, being taken for an outage.
 func TestEntriesMissingAfterCompactionAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
