gossip, follow: another node confirms the configuration while the store turns the confirmer away

Nodes report that their calls for the configuration fail; the next one of the data centre takes over and asks the store at once, so that answers are known every 1.4 s.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -238,6 +238,7 @@
 	}
 	_, last := n.follower.Revision(follow.Endpoints)
 	report.Endpoints = uint64(last)
+	report.StoreFails = n.follower.StoreFails()
 	fillStoreAvailability(report, n.follower.StoreAvailability(), boottime.Now())
 	report.SetEndpointChanges(n.follower.EndpointChanges())
 	n.slots.FillReport(report)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -205,14 +205,21 @@
 	}
 }
 
-// monitor removes missing endpoints that are no longer retained. It queries the store when the peers'
-// confirmations have stopped.
+// monitor removes missing endpoints that are no longer retained. It queries the store when this node begins to confirm the configuration, and
+// when the peers' confirmations have stopped.
 func (f *Follower) monitor(ctx context.Context) error {
 	configuration := f.feeds[Configuration]
 	var lastProbe boottime.Instant
+	confirms := f.deps.Confirms()
 	for pacing.Sleep(ctx, monitorInterval) {
 		now := f.deps.Clock()
 		f.removeMissing(now)
+		// The watch of a node that did not confirm the configuration may wait for long.
+		confirmed := confirms
+		confirms = f.deps.Confirms()
+		if confirms && !confirmed {
+			configuration.probeNow()
+		}
 		age := f.Age(now)
 		if age != unknownAge && age > peerConfirmationTimeout && now.Sub(lastProbe) > probeTimeout {
 			lastProbe = now
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,6 +197,8 @@
 // role states what a follower does for the other nodes and they for it.
 type role struct {
 	confirms, forwardsChanges, hasForwarder bool
+	// becomesConfirmer, if set, makes the node confirm once it is true.
+	becomesConfirmer *atomic.Bool
 	// nodes is the number of nodes in the fleet, 3 if zero.
 	nodes int
 }
@@ -206,7 +209,7 @@
 	close(listed)
 	f := New(Dependencies{
 		Source: s, Directory: directory.New(), Clock: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(start)) },
-		OnConfiguration: func(*routetable.Table) {}, Confirms: func() bool { return r.confirms },
+		OnConfiguration: func(*routetable.Table) {}, Confirms: func() bool { return r.confirms || r.becomesConfirmer != nil && r.becomesConfirmer.Load() },
 		ForwardsChanges: func() bool { return r.forwardsChanges }, HasForwarder: func() bool { return r.hasForwarder },
 		Fleet: func() (int, bool) { return cmp.Or(r.nodes, 3), false }, Registered: listed, Log: zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
@@ -325,6 +328,20 @@
 	})
 }
 
+// Guards against a node that begins to confirm, since the store turned the confirmer away, waiting for the end of a long watch.
+func TestNewConfirmerQueriesStoreAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var confirms atomic.Bool
+		f := startFollowerWithRole(t, newFakeStore(), role{becomesConfirmer: &confirms})
+		time.Sleep(time.Second)
+		confirms.Store(true)
+		for range 50 {
+			time.Sleep(monitorInterval)
+			assert.Assert(t, f.deps.Clock().Sub(f.StoreAvailability().Last) <= confirmingWatchWait+2*monitorInterval)
+		}
+	})
+}
+
 func TestNodeBehindItsPeersQueriesStore(t *testing.T) {
 	states := map[Topic]PeerState{Configuration: {Version: 2}, Endpoints: {Version: 1, Endpoints: 2}}
 	for topic, state := range states {
--- a/follow/peerstate.go
+++ b/follow/peerstate.go
@@ -76,6 +76,9 @@
 	return available
 }
 
+// StoreFails reports whether the node's calls for the configuration fail.
+func (f *Follower) StoreFails() bool { return f.feeds[Configuration].failing.Load() }
+
 // catchUpIfBehind queries the store if a change known to a peer has been unknown to this node for too long. Reports of peers
 // that lack the change as well don't end the wait: when they did so after a second, less than the timeout in a fleet of 17
 // nodes or more, a node whose neighbours were as far behind never queried the store. A later change does not restart the
--- a/gossip/fleet.go
+++ b/gossip/fleet.go
@@ -83,13 +83,13 @@
 }
 
 // Confirms reports whether this node is one of those of its data centre that confirm the configuration for the others:
-// the first by name among the nodes that are neither silent nor leaving.
+// the first by name among the nodes that are neither silent nor leaving and whose calls to the store succeed.
 func (m *Mesh) Confirms() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := 0
 	for id, p := range m.peers {
-		if p.dataCentre == m.deps.DataCentre && !p.silent && !p.leaving && id < m.deps.Self {
+		if p.dataCentre == m.deps.DataCentre && !p.silent && !p.leaving && !p.storeFails && id < m.deps.Self {
 			before++
 		}
 	}
--- a/gossip/mesh.go
+++ b/gossip/mesh.go
@@ -99,6 +99,8 @@
 	dataCentre   domain.DataCentre
 	silent       bool
 	leaving      bool
+	// storeFails is true if the peer's calls to the store fail.
+	storeFails bool
 	// forwardsChanges is true if the peer forwards endpoint changes to its data centre.
 	forwardsChanges bool
 	// version is the peer's configuration version. behindSince is when it was first seen to be earlier than this node's, zero
@@ -220,6 +222,7 @@
 	}
 	p.incarnation, p.sentAt, p.lastReportAt, p.address = report.Life, report.SentAt, m.deps.Clock(), from
 	p.silent, p.leaving, p.dataCentre, p.forwardsChanges = false, report.Leaving, report.DataCentre, report.forwardsChanges()
+	p.storeFails = report.StoreFails
 	p.version, p.interval, p.partsDigest = report.Version, report.Every, report.PartsDigest
 	return true
 }
--- a/gossip/mesh_test.go
+++ b/gossip/mesh_test.go
@@ -90,7 +90,9 @@
 	// changes are the configuration changes that the member sends in place of a larger document.
 	changes atomic.Pointer[changeList]
 	// padding is the number of bytes added to each report.
-	padding              atomic.Int64
+	padding atomic.Int64
+	// storeFails is whether the member's calls to the store fail.
+	storeFails           atomic.Bool
 	configurationSenders map[domain.NodeID]int
 }
 
@@ -118,6 +120,7 @@
 			Self: a.Node, DataCentre: a.DataCentre, Incarnation: uint64(i + 1), Transport: port{net, a.HostPort}, Clock: clock,
 			Peers: func() []Address { return addresses },
 			Fill: func(r *Report) {
+				r.StoreFails = m.storeFails.Load()
 				if n := m.padding.Load(); n > 0 {
 					r.Failed = []domain.EndpointID{domain.EndpointID(strings.Repeat("x", int(n)))}
 				}
@@ -207,6 +210,20 @@
 	})
 }
 
+// Guards against a data centre in which nobody confirms since the store turns the confirmer away.
+func TestConfirmerWithoutStoreIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := startFleet(t, newNetwork(), 6, 2)
+		time.Sleep(2 * time.Second)
+		members[0].storeFails.Store(true)
+		time.Sleep(time.Second)
+		assert.Equal(t, confirming(members), "n000 n001 n002 ", "n000 tries again by itself")
+		members[0].storeFails.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, confirming(members), "n000 n001 ")
+	})
+}
+
 func confirming(members []*member) string {
 	text := ""
 	for _, m := range members {
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -30,6 +30,8 @@
 	// StoreSinceMillis is since when it has been available, zero if that is longer ago than the sender states.
 	StoreAnsweredMillis int `cbor:"34,keyasint,omitempty"`
 	StoreSinceMillis    int `cbor:"35,keyasint,omitempty"`
+	// StoreFails is true while the sender's own calls to the store fail.
+	StoreFails bool `cbor:"36,keyasint,omitempty"`
 	// Loads are the sender's outstanding requests, by endpoint.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
 	// Asked is the demand of the sender's callers, by service.
