exchange: interim responses without end break a response off

An endpoint in trouble may send bytes that are no answer without end. As interim (1xx) responses they were read until the request's deadline: the limit of a head of 64 KB began anew with each of them. A slot, a connection and processor time were used for as long, and a request that could have been repeated elsewhere in time was not.

A head is now limited together with all interim responses before it. TestEndlessHeadIsBroken failed before with interim responses and early hints (still reading after 5 s); status lines, fields, continuation lines, garbage and answers to other requests without end passed, and so did chunk sizes, extensions and trailers (TestEndlessFramingIsBroken).

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -18,7 +18,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -51,7 +50,8 @@
 	// defaultMaxIdle is the default limit on idle connections to one endpoint. It exceeds the
 	// number of concurrent requests from a node to an endpoint.
 	defaultMaxIdle = 32
-	// maxHeadBytes limits the size of a response's status line and header.
+	// maxHeadBytes limits the size of a response's status line and header, together with the interim
+	// responses before it.
 	maxHeadBytes = 64 << 10
 	// maxStaleResponses limits the number of skipped responses to other requests.
 	maxStaleResponses = 2
@@ -280,19 +280,13 @@
 // errStale means that only responses to other requests were received.
 var errStale = errors.New("exchange: received only responses to other requests")
 
-// readResponse reads the head of the response, skipping interim responses and those to other
-// requests.
+// readResponse reads the head of the response, skipping those to other requests.
 func (c *Client) readResponse(conn *conn, r *Request) (*http.Response, error) {
 	for skipped := 0; skipped <= maxStaleResponses; {
-		conn.readLimit = maxHeadBytes
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
-		conn.readLimit = math.MaxInt64
+		response, err := conn.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.Matches == nil || r.Matches(response.StatusCode, response.Header) {
 			return response, nil
 		}
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math"
+	"net/http"
 	"sync"
 	"time"
 
@@ -47,6 +49,19 @@
 	return n, err
 }
 
+// readHead reads the head of the next response, skipping interim responses. All of them together are limited to maxHeadBytes: an
+// endpoint may send interim responses without end.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.readLimit = maxHeadBytes
+	defer func() { c.readLimit = math.MaxInt64 }()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
 		_ = c.Conn.Close() // nothing more is written, so no data can be lost
--- a/endpoint/exchange/handshake.go
+++ b/endpoint/exchange/handshake.go
@@ -21,6 +21,8 @@
 func (c *conn) handshake(r *Request) (early *http.Response, err error) {
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only if the connection is closed
 	until := time.Now().Add(r.Handshake)
+	c.readLimit = maxHeadBytes
+	defer func() { c.readLimit = math.MaxInt64 }()
 	if _, err := c.Conn.Write(r.encodeHead()); err != nil {
 		return nil, err
 	}
@@ -28,9 +30,7 @@
 		if err := c.SetReadDeadline(deadline); err != nil {
 			return nil, err
 		}
-		c.readLimit = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.readLimit = math.MaxInt64
 		switch {
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w", errNoHandshake, err)
