exchange: idle connections on which data arrives are closed

After a whole answer an endpoint may go on sending on the kept connection. It was found out only when the connection was to be used again or its idle time was over; until then what arrived filled the kernel's buffer, which counts as the process's memory. PruneIdle closes such connections now. TestIdleConnectionWithUnreadBytesIsClosed does not end without it.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -254,8 +254,8 @@
 	c.idle[id] = append(c.idle[id], conn)
 }
 
-// PruneIdle closes the idle connections to endpoints that are not listed, and those that have
-// exceeded their idle timeout.
+// PruneIdle closes the idle connections to endpoints that are not listed, those that have exceeded
+// their idle timeout, and those on which data has arrived, which would fill their buffers.
 func (c *Client) PruneIdle(listed func(domain.EndpointID) bool) {
 	now := time.Now()
 	c.mu.Lock()
@@ -263,7 +263,7 @@
 	for id, list := range c.idle {
 		kept := list[:0]
 		for _, conn := range list {
-			if listed(id) && now.Before(conn.idleUntil) {
+			if listed(id) && now.Before(conn.idleUntil) && conn.reusable() {
 				kept = append(kept, conn)
 				continue
 			}
--- a/endpoint/exchange/endless_test.go
+++ b/endpoint/exchange/endless_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
 )
 
@@ -119,3 +120,20 @@
 		})
 	}
 }
+
+// Guards against a connection that is kept after a whole answer and on which bytes then come without end.
+func TestIdleConnectionWithUnreadBytesIsClosed(t *testing.T) {
+	s, closed := serveEndless(t, answerTo("1", "Keep-Alive: timeout=3600\r\nContent-Length: 2\r\n", "ok"), "more")
+	c := New(Options{}, metrics.NewSet())
+	for range 20 { // the bytes may arrive with the answer, and then the connection isn't kept
+		response, err := c.Send(context.Background(), s.request("1"))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response)
+		assert.NilError(t, err)
+		response.Close()
+		for c.open.Load() > 0 {
+			c.PruneIdle(func(domain.EndpointID) bool { return true })
+		}
+		assert.Assert(t, <-closed < maxUnreadBytes)
+	}
+}
