gateway: events are read right for every length of line and every split into reads

The reader of streams returned a line that filled its buffer of 2,048 bytes as a fragment and took what followed for a line of its own. After a line of that length or a multiple, the line end alone ended the event too early, so that a stream that broke off there was resumed after events that had not come in full; a rest that began with "id:" became the event's id. Lines that end in CR alone never ended.

Lines are now put together before they are read, with any of the three ends, and blocks without a field (comments, blank lines) belong to the event that follows: without end they are a stream without events, which counts as broken off after 1 MiB; they were forwarded as events for ever and kept the endpoint from being left. Comments reach the caller with the next event.

TestLineAsLongAsBuffer, TestRestOfLongLineIsNoField, TestEventsOfAnyLinesAndReads (3,000 streams beside a plain reference) and TestEndlessEventsAreBroken (comments, blank lines) failed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"hawthornrill.example/hawthornrill/capacity"
-	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
 )
 
@@ -14,7 +13,6 @@
 	errEndpointFailed = errors.New("gateway: the endpoint answered that it failed")
 	errUnsigned       = errors.New("gateway: response has no endpoint signature")
 	errOtherVersion   = errors.New("gateway: the events are of another software version than those before")
-	errTruncatedEvent = errors.New("gateway: stream ended in the middle of an event")
 )
 
 // forwardStream forwards complete events as they arrive. The header is sent with the first event, so that a stream that
@@ -30,13 +28,18 @@
 		if err != nil {
 			return a.responseLost(err)
 		}
+		if event.trailing {
+			if err := a.forwardEvent(response, event); err != nil {
+				return a.callerLost()
+			}
+			continue
+		}
 		a.recordEvent()
 		if !a.recordOrigin(response) {
 			return a.responseLost(errOtherVersion)
 		}
 		if err := a.forwardEvent(response, event); err != nil {
-			a.release(capacity.Result{})
-			return attemptResult{final: true, abort: true, err: errCallerGone}
+			return a.callerLost()
 		}
 		t.eventCount++
 		if event.id != "" {
@@ -45,6 +48,12 @@
 	}
 }
 
+// callerLost ends an attempt whose caller no longer reads.
+func (a *attempt) callerLost() attemptResult {
+	a.release(capacity.Result{})
+	return attemptResult{final: true, abort: true, err: errCallerGone}
+}
+
 func (a *attempt) forwardEvent(response *exchange.Response, event event) error {
 	t := a.task
 	if !t.headSent {
@@ -76,47 +85,3 @@
 	a.release(capacity.Result{Complete: true})
 	return attemptResult{final: true, status: response.StatusCode}
 }
-
-// event is one server-sent event, including its final blank line.
-type event struct {
-	id   string
-	data []byte
-}
-
-// eventReader reads complete events from a stream.
-type eventReader struct {
-	lines lineReader
-	// data is the buffer that all events share.
-	data []byte
-}
-
-func newEventReader(r io.Reader) *eventReader { return &eventReader{lines: newLineReader(r)} }
-
-// next returns the next event, io.EOF after the last one, or an error that wraps endpoint.ErrBroken if the stream is
-// truncated or ends in the middle of an event. The event is valid until the next call.
-func (r *eventReader) next() (event, error) {
-	r.data = r.data[:0]
-	var e event
-	for {
-		line, err := r.lines.next()
-		r.data = append(r.data, line...)
-		switch {
-		case errors.Is(err, io.EOF) && len(r.data) == 0:
-			return event{}, io.EOF
-		case errors.Is(err, io.EOF):
-			return event{}, errors.Join(endpoint.ErrBroken, errTruncatedEvent)
-		case err != nil:
-			return event{}, err
-		case len(r.data) > maxEventBytes:
-			return event{}, errors.Join(endpoint.ErrBroken, errEventTooLong)
-		}
-		text := trimLine(line)
-		if len(text) == 0 {
-			e.data = r.data
-			return e, nil
-		}
-		if id, ok := fieldID(text); ok {
-			e.id = id
-		}
-	}
-}
