gateway: an answer without end is broken off before its caller gets any of it

An endpoint in trouble may send a body without end. The node read 1 MiB of it and then forwarded what came until the request's deadline: the caller got a success and bytes without end, nothing was repeated elsewhere, and several such answers at once held 1 MiB each and more, without a common bound.

A plain answer that states no length has to end within 1 MiB, otherwise it counts as broken off, is repeated elsewhere where that is allowed, and its endpoint is judged as for other broken answers. One that states more is forwarded as it arrives, since its caller sees whether it is whole. All buffered answers and events together are bounded by a tenth of the host's memory.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -151,7 +151,7 @@
 		Metrics:        n.metrics,
 	}, gateway.Options{
 		MaxKeyAge: n.maxKeyAge(keyAgeMargin), MaxConfigLag: n.maxConfigLag(),
-		MaxHeldBodyBytes: int64(bodyFraction * float64(s.Host.MemoryMB) * (1 << 20)), Node: s.Node,
+		MaxHeldBodyBytes: s.Host.memoryBytes(bodyFraction), MaxHeldAnswerBytes: s.Host.memoryBytes(answerFraction), Node: s.Node,
 	})
 	n.metrics.NewGauge("hawthornrill_service_versions", func() float64 { return float64(n.directory.Current().MaxVersions()) })
 	n.openServers()
@@ -170,7 +170,7 @@
 // limitMemory sets the memory limit of the Go runtime.
 func limitMemory(h Host) {
 	if h.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryFraction * float64(h.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(h.memoryBytes(memoryFraction))
 	}
 }
 
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -24,6 +24,8 @@
 	memoryFraction = 0.6
 	// bodyFraction is the fraction of the host's memory for request bodies.
 	bodyFraction = 0.2
+	// answerFraction is the fraction of the host's memory for endpoints' responses.
+	answerFraction = 0.1
 	// readHeaderTimeout limits the time to read a request head.
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes limits the size of a request head. The limit in the configuration is lower.
--- a/entrynode/settings.go
+++ b/entrynode/settings.go
@@ -50,6 +50,11 @@
 	MaxFiles int `toml:"max_files"`
 }
 
+// memoryBytes returns a fraction of the memory in bytes, zero if the memory is not set.
+func (h Host) memoryBytes(fraction float64) int64 {
+	return int64(fraction * float64(h.MemoryMB) * (1 << 20))
+}
+
 // Keys limits the use of revoked API keys.
 type Keys struct {
 	// Strict requires that a revoked key stops working within MaxAgeMS on every node, even one that can't reach the store.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,6 +43,8 @@
 	lastEventAt      time.Time
 	// head is the decoded head of the last response received.
 	head AnswerHead
+	// answerBytes is what the buffered part of the response holds.
+	answerBytes reservation
 }
 
 // slot is the capacity that an attempt uses.
@@ -83,7 +85,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
-	a := &attempt{task: t, slot: slot, endpoint: slot.Endpoint, ctx: ctx, cancel: cancel, started: time.Now()}
+	a := &attempt{task: t, slot: slot, endpoint: slot.Endpoint, ctx: ctx, cancel: cancel, started: time.Now(), answerBytes: t.gateway.reserveAnswer()}
+	defer a.answerBytes.release()
 	if r := t.gateway.deps.Reach; r != nil {
 		defer r.Begin(t.service)()
 	}
@@ -127,7 +130,7 @@
 		// Part of a stream was already forwarded; only further events can follow it.
 		return a.responseLost(errEndpointFailed)
 	default:
-		return a.forwardBuffered(response, a.head)
+		return a.forwardWhole(response, a.head)
 	}
 }
 
@@ -318,9 +321,9 @@
 	return a.retry(cause, false)
 }
 
-// blamesEndpoint reports whether the endpoint caused the error, rather than the request's deadline or its caller.
+// blamesEndpoint reports whether the endpoint caused the error, rather than the request's deadline, its caller or this node.
 func (a *attempt) blamesEndpoint(cause error) bool {
-	return !errors.Is(cause, errTimeout) && !errors.Is(cause, errPartRefused) && a.task.request.Context().Err() == nil
+	return !errors.Is(cause, errTimeout) && !errors.Is(cause, errPartRefused) && !errors.Is(cause, errNoRoom) && a.task.request.Context().Err() == nil
 }
 
 // noSign reports whether the error leaves open that the endpoint is sound and only its link is not.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -27,6 +27,8 @@
 	in *bufio.Reader
 	// data is the buffer that all events share.
 	data []byte
+	// reserved is what the buffer holds beyond freeBytes.
+	reserved *reservation
 	// afterCR is true if the last line ended in CR and an LF that follows belongs to its end.
 	afterCR bool
 }
@@ -34,12 +36,12 @@
 // eventBufferBytes is large enough for a typical event.
 const eventBufferBytes = 2 << 10
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, reserved *reservation) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(r, eventBufferBytes), reserved: reserved}
 }
 
 // next returns the next event, io.EOF after the last one, or an error that wraps endpoint.ErrBroken if the stream is
-// truncated or ends in the middle of an event. Blocks without a field are part of the event that follows. The event is valid until
+// truncated or ends in the middle of an event, or errNoRoom. Blocks without a field are part of the event that follows. The event is valid until
 // the next call.
 func (r *eventReader) next() (event, error) {
 	r.data = r.data[:0]
@@ -101,10 +103,13 @@
 		}
 		complete := length < end
 		r.afterCR = complete && end == len(received) && received[end-1] == '\r'
-		r.take(received[:end])
-		if len(r.data) > maxEventBytes {
+		if len(r.data)+end > maxEventBytes {
 			return nil, errors.Join(endpoint.ErrBroken, errEventTooLong)
 		}
+		if !r.reserved.grow(2*int64(len(r.data)+end) - freeBytes) { // the buffer grows by up to half beyond its contents
+			return nil, errNoRoom
+		}
+		r.take(received[:end])
 		if complete {
 			return r.data[start : len(r.data)-(end-length)], nil
 		}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -22,7 +22,7 @@
 
 // readEvents reads all events of a stream.
 func readEvents(r io.Reader) (list []parsedEvent, err error) {
-	events := newEventReader(r)
+	events := newEventReader(r, &reservation{budget: &byteBudget{limit: 4 * maxEventBytes}})
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -175,7 +175,7 @@
 func TestEventIsReadBeforeTheStreamContinues(t *testing.T) {
 	for _, end := range []string{"\n", "\r\n", "\r"} {
 		in, out := io.Pipe()
-		events := newEventReader(in)
+		events := newEventReader(in, &reservation{budget: &byteBudget{}})
 		go func() { _, _ = io.WriteString(out, "id: 1"+end+"data: a"+end+end) }()
 		e, err := events.next()
 		assert.NilError(t, err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -56,7 +56,8 @@
 	defer cancel(nil)
 	slot := &forwardSlot{end: t.gateway.deps.Reach.BeginForward(helper.Node)}
 	defer slot.Release(resultNotDispatched)
-	a := &attempt{task: t, slot: slot, helper: helper.Node, ctx: ctx, cancel: cancel, started: time.Now()}
+	a := &attempt{task: t, slot: slot, helper: helper.Node, ctx: ctx, cancel: cancel, started: time.Now(), answerBytes: t.gateway.reserveAnswer()}
+	defer a.answerBytes.release()
 	t.endpoint, t.softwareVersion, t.unacknowledged = a.receiver(), "", false
 	head := t.newForwardHead()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("to", string(helper.Node)).Str("service", t.service).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,9 @@
 	options       Options
 	metrics       *metricSet
 	heldBodyBytes atomic.Int64
-	active        atomic.Int64
+	// answers bounds what is buffered of endpoints' responses.
+	answers byteBudget
+	active  atomic.Int64
 	// forwarded counts the requests in progress that other nodes forwarded, takeovers those of them that were admitted.
 	forwarded      atomic.Int64
 	takeovers      atomic.Int64
@@ -98,11 +100,18 @@
 	if options.MaxHeldBodyBytes <= 0 {
 		options.MaxHeldBodyBytes = defaultMaxBodyBytes
 	}
+	if options.MaxHeldAnswerBytes <= 0 {
+		options.MaxHeldAnswerBytes = defaultMaxAnswerBytes
+	}
 	g := &Gateway{deps: deps, options: options}
+	g.answers.limit = options.MaxHeldAnswerBytes
 	g.metrics = newMetricSet(deps.Metrics, g)
 	return g
 }
 
+// reserveAnswer returns an empty reservation for a response.
+func (g *Gateway) reserveAnswer() reservation { return reservation{budget: &g.answers} }
+
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -15,6 +15,9 @@
 	MaxConfigLag time.Duration
 	// MaxHeldBodyBytes bounds the total size of request bodies held in memory; zero means defaultMaxBodyBytes.
 	MaxHeldBodyBytes int64
+	// MaxHeldAnswerBytes bounds the total size of endpoints' responses held in memory, apart from small ones; zero means
+	// defaultMaxAnswerBytes.
+	MaxHeldAnswerBytes int64
 	// Node is this node's ID, told to the nodes to which it forwards requests.
 	Node domain.NodeID
 }
@@ -41,8 +44,12 @@
 	// minIdempotentStallTimeout is the lower bound for idempotent calls to plain services, which take tens of
 	// milliseconds.
 	minIdempotentStallTimeout = 300 * time.Millisecond
-	// maxBufferedBytes bounds a response that is buffered until it is complete; a longer one is forwarded as it arrives.
+	// maxBufferedBytes bounds a response that is buffered until it is complete; one that states a greater length, up to maxAnswerBytes, is
+	// forwarded as it arrives.
 	maxBufferedBytes = 1 << 20
+	maxAnswerBytes   = 1 << 30
+	// defaultMaxAnswerBytes is a tenth of the smallest node's memory.
+	defaultMaxAnswerBytes = 12 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// progressEventInterval is the number of events between progress reports to the slot.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,7 +19,7 @@
 // breaks off before it can be requested again from the beginning.
 func (a *attempt) forwardStream(response *exchange.Response) attemptResult {
 	t := a.task
-	events := newEventReader(response)
+	events := newEventReader(response, &a.answerBytes)
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
