--- a/follow/rest_test.go
+++ b/follow/rest_test.go
@@ -14,14 +14,19 @@
 // restingStore holds back calls until a rest is over.
 type restingStore struct {
 	*fakeStore
+	// until is the end of the rest and held counts the calls that were held back, both guarded by fakeStore.mu.
 	until time.Time
-	// held counts the calls that were held back.
-	held int
+	held  int
 }
 
 func (s *restingStore) Watch(ctx context.Context, topic Topic, after Revision, wait time.Duration) (Change, error) {
-	if left := time.Until(s.until); left > 0 {
-		s.held++
+	var left time.Duration
+	s.set(func() {
+		if left = time.Until(s.until); left > 0 {
+			s.held++
+		}
+	})
+	if left > 0 {
 		return Change{}, &store.RestError{Left: left}
 	}
 	return s.fakeStore.Watch(ctx, topic, after, wait)
@@ -33,9 +38,9 @@
 		s := &restingStore{fakeStore: newFakeStore()}
 		f := startFollower(t, s, true)
 		time.Sleep(3 * confirmingWatchWait)
-		s.until = time.Now().Add(5 * time.Second)
+		s.set(func() { s.until = time.Now().Add(5 * time.Second) })
 		time.Sleep(5*time.Second + minRetryDelay + 10*time.Millisecond)
 		assert.Assert(t, !f.feeds[Configuration].failing.Load() && !f.feeds[Endpoints].failing.Load())
-		assert.Assert(t, s.held <= int(topics), "%d calls held back", s.held)
+		s.set(func() { assert.Assert(t, s.held <= int(topics), "%d calls held back", s.held) })
 	})
 }
