--- a/review/trial/runner.go
+++ b/review/trial/runner.go
@@ -18,6 +18,8 @@
 	entryLife = 3 * HeartbeatInterval
 	// slots is the number of requests that a runner processes at a time; queued is how many more it takes.
 	slots, queued = 6, 24
+	// idleTimeout is how long a runner keeps an idle channel; its answers state it.
+	idleTimeout = 10 * time.Second
 )
 
 // Run is the start of work on a request by a runner.
@@ -79,7 +81,7 @@
 	id := r.id
 	conns := make(map[net.Conn]bool)
 	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(id, w, q) }), IdleTimeout: 10 * time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(id, w, q) }), IdleTimeout: idleTimeout,
 		ConnState: func(c net.Conn, state http.ConnState) { r.track(conns, c, state) },
 	}
 	r.server, r.conns = server, conns
@@ -168,6 +170,7 @@
 }
 
 func (r *Runner) serve(id string, w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTimeout.Seconds())))
 	request := q.Header.Get("Request-Id")
 	if request != "" {
 		w.Header().Set("Request-Id", request)
