follow: age of the list of endpoints, in logs, metrics, state and reports

Nodes knew how old their knowledge of the configuration was, but not how old their list of endpoints: a quiet list and one whose watch had been lost looked the same. The list is now confirmed by each answer of the store that states a revision up to which it is known, and by peers that know no later change. A line is logged when it has not been confirmed for 4 s, and when it is again.

No decision depends on it yet.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -236,8 +236,7 @@
 		report.Version = table.Version
 		report.Age = n.follower.Age(boottime.Now())
 	}
-	_, last := n.follower.Revision(follow.Endpoints)
-	report.Endpoints = uint64(last)
+	fillListState(report, n.follower, boottime.Now())
 	report.StoreFails = n.follower.StoreFails()
 	fillStoreAvailability(report, n.follower.StoreAvailability(), boottime.Now())
 	report.SetEndpointChanges(n.follower.EndpointChanges())
@@ -262,6 +261,7 @@
 		NotForwarded: report.PassesOn && report.DataCentre == n.settings.DataCentre && len(report.Document)+len(report.Steps) == 0,
 	}
 	update.Store = storeAvailability(report, sent, boottime.Now())
+	update.EndpointsConfirmed, update.StoreRevision = listConfirmed(report, sent), follow.Revision(report.StoreRevision)
 	if sent > 0 {
 		update.Confirmed = sent.Add(-report.Age)
 	}
--- a/entrynode/operators.go
+++ b/entrynode/operators.go
@@ -18,12 +18,14 @@
 
 // State is the state of a node, as served at /debug/state.
 type State struct {
-	Node      string       `json:"node"`
-	Build     string       `json:"build"`
-	Ready     bool         `json:"ready"`
-	Reason    string       `json:"reason,omitempty"`
-	Version   uint64       `json:"configuration_version"`
-	AgeMS     float64      `json:"knowledge_age_ms"`
+	Node    string  `json:"node"`
+	Build   string  `json:"build"`
+	Ready   bool    `json:"ready"`
+	Reason  string  `json:"reason,omitempty"`
+	Version uint64  `json:"configuration_version"`
+	AgeMS   float64 `json:"knowledge_age_ms"`
+	// ListAgeMS is the age of the list of endpoints in milliseconds.
+	ListAgeMS float64      `json:"endpoint_list_age_ms"`
 	Revision  uint64       `json:"store_revision"`
 	Active    int          `json:"requests_active"`
 	Waiting   int          `json:"requests_waiting"`
@@ -47,6 +49,7 @@
 		Ready:     ready,
 		Reason:    reason,
 		AgeMS:     float64(n.follower.Age(boottime.Now()).Microseconds()) / 1000,
+		ListAgeMS: float64(n.follower.EndpointsAge(boottime.Now()).Microseconds()) / 1000,
 		Active:    n.gateway.Active(),
 		Waiting:   n.slots.Waiting(),
 		Fleet:     n.mesh.Fleet(),
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -20,6 +20,8 @@
 	// revision is the store revision up to which the topic is known, last the revision of its last change.
 	revision atomic.Uint64
 	last     atomic.Uint64
+	// loaded is true once the topic has been read in full.
+	loaded atomic.Bool
 	// interrupt cancels the watch in progress, nil if there is none. probeNext makes the next watch a probe.
 	interrupt atomic.Pointer[context.CancelFunc]
 	probeNext atomic.Bool
@@ -115,6 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.follower.replace(d, change)
+	d.loaded.Store(true)
 	d.recordProgress(change, sent)
 	d.complete, d.forwardBase, d.forwarded = true, change.Revision, nil
 }
@@ -140,13 +143,16 @@
 	d.complete = false
 }
 
-// recordProgress records the revisions up to which the topic is known.
+// recordProgress records the revisions up to which the topic is known. sent is when the call was sent, zero if a peer forwarded the change.
 func (d *feed) recordProgress(change Change, sent boottime.Instant) {
 	d.revision.Store(max(uint64(change.Revision), d.revision.Load()))
 	d.last.Store(max(uint64(change.Last), d.last.Load()))
 	if d.topic == Configuration {
 		d.follower.confirm(sent)
 	}
+	if sent > 0 {
+		d.follower.observeAnswer(d.topic, change, sent)
+	}
 }
 
 func (d *feed) watchOnce(ctx context.Context) (Change, error) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -57,6 +57,7 @@
 	nodes         atomic.Pointer[[]Peer]
 	confirmed     atomic.Int64
 	store         storeHistory
+	list          listAge
 	peerProgress  peerProgress
 	recentChanges changeHistory
 	// activateMu serialises configurations from the store and from peers.
@@ -84,6 +85,9 @@
 	deps.Metrics.NewGauge("hawthornrill_store_knowledge_age_seconds", func() float64 {
 		return f.Age(deps.Clock()).Seconds()
 	})
+	deps.Metrics.NewGauge("hawthornrill_endpoint_list_age_seconds", func() float64 {
+		return f.EndpointsAge(deps.Clock()).Seconds()
+	})
 	return f
 }
 
@@ -214,6 +218,7 @@
 	for pacing.Sleep(ctx, monitorInterval) {
 		now := f.deps.Clock()
 		f.removeMissing(now)
+		f.logListAge(now)
 		// The watch of a node that did not confirm the configuration may wait for long.
 		confirmed := confirms
 		confirms = f.deps.Confirms()
--- a/follow/peerstate.go
+++ b/follow/peerstate.go
@@ -16,8 +16,12 @@
 	// NotForwarded is true if the peer is this node's forwarder but did not send the configuration of that version, so that it
 	// must be read from the store.
 	NotForwarded bool
-	// Endpoints is the revision of the last endpoint change known to the peer.
-	Endpoints Revision
+	// Endpoints is the revision of the last endpoint change known to the peer. The peer knew its list to be complete at some time not
+	// before EndpointsConfirmed, which is zero if unknown.
+	Endpoints          Revision
+	EndpointsConfirmed boottime.Instant
+	// StoreRevision is the latest revision that the store has stated to any node, as far as the peer knows, zero if unknown.
+	StoreRevision Revision
 	// Store is what the peer knows of the store's availability.
 	Store Availability
 }
@@ -45,6 +49,7 @@
 // queried at once.
 func (f *Follower) ObservePeer(state PeerState) {
 	f.observeAvailability(state.Store)
+	f.observeList(state)
 	table := f.Table()
 	if table == nil {
 		return
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -26,6 +26,10 @@
 	Age     time.Duration `cbor:"7,keyasint,omitempty"`
 	// Endpoints is the revision of the last endpoint change known to the sender.
 	Endpoints uint64 `cbor:"12,keyasint,omitempty"`
+	// EndpointsAgeMillis is the age in milliseconds of the sender's knowledge that its list of endpoints is complete, zero if that is
+	// unknown. StoreRevision is the latest revision that the store has stated to any node, as far as the sender knows.
+	EndpointsAgeMillis int    `cbor:"37,keyasint,omitempty"`
+	StoreRevision      uint64 `cbor:"38,keyasint,omitempty"`
 	// StoreAnsweredMillis is how many milliseconds ago the store was last known to answer a node, zero if that is unknown.
 	// StoreSinceMillis is since when it has been available, zero if that is longer ago than the sender states.
 	StoreAnsweredMillis int `cbor:"34,keyasint,omitempty"`
