origin: an unnamed stream goes on only once all streams of its content are on record

Cause: a stream that is not named is taken at the content of its request, over the streams on record. After a loss of all nodes a later stream of the same content, begun at the new version, is the only one.

Evidence: TestUnnamedStreamOfBeforeTheStartDoesNotGoOn, before: status 200 in place of 503. Named take-ups after such a loss find no record and are refused, as before.

Change: until a node has recorded for as long as a stream of the route may last, it refuses unnamed take-ups (503, not run). Open: a node lost together with all replicas of its records, in a fleet that goes on.

--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -38,8 +38,7 @@
 
 // lookupOrigin finds what began the stream that the request resumes.
 func (t *task) lookupOrigin() *problem {
-	named := t.call.Resumes != ""
-	found := t.gateway.deps.Origins.Lookup(t.request.Context(), t.originKey(), named)
+	found := t.searchOrigin()
 	t.origin = found.Origin
 	t.gateway.metrics.resumptions[found.State].Inc()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("resumes", t.call.Resumes).Str("last_event", t.call.LastEventID).
@@ -57,6 +56,16 @@
 	}
 }
 
+// searchOrigin searches for what began the stream. One that is not named is taken at its content, so that all streams of the content that
+// may have to be continued have to be known: after a loss of all nodes a later one may be the only one on record.
+func (t *task) searchOrigin() origin.Result {
+	origins, named := t.gateway.deps.Origins, t.call.Resumes != ""
+	if !named && !origins.Covers(t.route.Timeout+originGrace) {
+		return origin.Result{State: origin.Unknown}
+	}
+	return origins.Lookup(t.request.Context(), t.originKey(), named)
+}
+
 // notResumable refuses to continue a stream. Without Retry-After it promises nothing: only a new stream may be answered.
 func notResumable(title string) *problem {
 	return &problem{Status: http.StatusServiceUnavailable, Title: title, Outcome: outcomeNotRun}
--- a/gateway/resumption_test.go
+++ b/gateway/resumption_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"hawthornrill.example/hawthornrill/domain"
@@ -320,3 +321,18 @@
 	assert.Equal(t, got.Body, threeEvents)
 	assert.Equal(t, f.call(resumption("1")).Status, http.StatusServiceUnavailable, "it is not known which version it was")
 }
+
+// Guards against a stream joined from two versions: after the loss of all nodes the only record of its content is that of a later stream, which
+// another version began.
+func TestUnnamedStreamOfBeforeTheStartDoesNotGoOn(t *testing.T) {
+	f := newFixture(t, func(r *routetable.Route) { r.Timeout = 10 * time.Second }, streaming)
+	f.gateway.deps.Origins = f.origins(metrics.NewSet())
+	f.began("later", "s", "v1")
+	got := f.call(resumption(""))
+	assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.Header.Get("Retry-After"), "")
+	assert.Equal(t, f.dispatches.Load(), int64(0))
+	assert.Equal(t, f.call(resumption("later")).Body, thirdOnly, "a named stream goes on")
+	f.clock.Add(int64(10*time.Second + originGrace))
+	assert.Equal(t, f.call(resumption("")).Body, thirdOnly, "no stream of before the start can be continued any more")
+}
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -63,6 +63,7 @@
 // Keeper holds the origins of streams. It is safe for concurrent use.
 type Keeper struct {
 	config    Config
+	started   boottime.Instant
 	placement atomic.Pointer[placement]
 	// reported is the list of nodes by which records were last reported; nextRepair is when they may be again. Both are Run's.
 	reported   *placement
@@ -80,7 +81,7 @@
 // New returns a Keeper without records. Run keeps them at their replicas.
 func New(config Config) *Keeper {
 	k := &Keeper{
-		config: config, table: newTable(), queries: make(map[uint64]chan reply),
+		config: config, started: config.Clock(), table: newTable(), queries: make(map[uint64]chan reply),
 		messages:  config.Metrics.NewCounter("hawthornrill_origin_messages_sent_total"),
 		bytes:     config.Metrics.NewCounter("hawthornrill_origin_bytes_sent_total"),
 		malformed: config.Metrics.NewCounter("hawthornrill_origin_messages_malformed_total"),
@@ -133,6 +134,10 @@
 	return ok && r.conflicting
 }
 
+// Covers reports whether this node has recorded streams for at least d. Streams that began earlier may be missing from what is known of a
+// content, if the nodes that knew of them were lost.
+func (k *Keeper) Covers(d time.Duration) bool { return k.config.Clock().Sub(k.started) >= d }
+
 // applyVersionChanges takes account of the endpoints whose versions have changed.
 func (k *Keeper) applyVersionChanges() {
 	for _, id := range k.config.VersionChanges() {
