gateway: a legal head of many short lines is not refused for bytes that were not sent

Callers saw 431, which they don't repeat, for a head of 16,384 bytes on the wire of short lines: headerBytes counted a space after each colon and a CRLF after each line, though a line may do without the space and end in LF alone. It now counts the least size that the head can have had.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,9 +207,10 @@
 	return g.options.MaxConfigLag > 0 && g.deps.Config.Behind(g.deps.Clock()) > g.options.MaxConfigLag
 }
 
-// headerBytes is the size of the request line and header as sent, apart from optional white space.
+// headerBytes is the least size that the request line and header can have had as they were sent: white space after a colon is
+// optional, and a line may end in LF alone.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
+	const separators = len(":\n")
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, value := range values {
