gateway: request bodies count against their bound while they are read

A burst of large bodies of legal length, whole, in pieces or in chunks, most stopping just short of their end, took a node over its host's memory: 227 to 338 MB on a host of 64 MB. Bodies were counted once they had been read whole, and a growing buffer is not bounded by anything until then.

A body now reserves its buffer before it is allocated. The buffer starts at 16 KiB and doubles as bytes arrive, whatever length is announced, up to that length: who announces a body without sending it holds little. Bodies above 128 KiB may use three quarters of the bound, lower tiers less, so that small ones and those of higher tiers still find room. A request without room is refused with 503 and Retry-After before more of it is read. The budget of answers is the same type, now in a package of its own.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/places"
 	"hawthornrill.example/hawthornrill/routetable"
 )
@@ -45,7 +46,7 @@
 	route := f.config.table.Route("h.example", "/r/")
 	t := &task{gateway: f.gateway, writer: discardWriter{}, route: route, service: "s", headSent: true, started: time.Now()}
 	a := &attempt{task: t, slot: slot, started: time.Now(), stallTimer: time.NewTimer(time.Hour)}
-	events := newEventReader(&repeatReader{text: "id: 12\ndata: " + strings.Repeat("x", 75) + "\n\n"}, &reservation{budget: &byteBudget{}})
+	events := newEventReader(&repeatReader{text: "id: 12\ndata: " + strings.Repeat("x", 75) + "\n\n"}, &bytebudget.Reservation{})
 	b.ReportAllocs()
 	for b.Loop() {
 		event, err := events.next()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -10,6 +10,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/brittle"
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/domain"
@@ -44,7 +45,7 @@
 	// head is the decoded head of the last response received.
 	head AnswerHead
 	// answerBytes is what the buffered part of the response holds.
-	answerBytes reservation
+	answerBytes bytebudget.Reservation
 }
 
 // slot is the capacity that an attempt uses.
@@ -86,7 +87,7 @@
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
 	a := &attempt{task: t, slot: slot, endpoint: slot.Endpoint, ctx: ctx, cancel: cancel, started: time.Now(), answerBytes: t.gateway.reserveAnswer()}
-	defer a.answerBytes.release()
+	defer a.answerBytes.Release()
 	if r := t.gateway.deps.Reach; r != nil {
 		defer r.Begin(t.service)()
 	}
@@ -173,7 +174,7 @@
 		Target:   t.request.RequestURI,
 		Host:     t.request.Host,
 		Header:   head,
-		Body:     t.body,
+		Body:     t.body.data,
 		Permit:   func() error { return t.gateway.deps.EndpointGate.Check(a.endpoint.Incarnation()) },
 		Matches:  a.readHead,
 	}
@@ -323,7 +324,7 @@
 
 // blamesEndpoint reports whether the endpoint caused the error, rather than the request's deadline, its caller or this node.
 func (a *attempt) blamesEndpoint(cause error) bool {
-	return !errors.Is(cause, errTimeout) && !errors.Is(cause, errPartRefused) && !errors.Is(cause, errNoRoom) && a.task.request.Context().Err() == nil
+	return !errors.Is(cause, errTimeout) && !errors.Is(cause, errPartRefused) && !errors.Is(cause, bytebudget.ErrNoRoom) && a.task.request.Context().Err() == nil
 }
 
 // noSign reports whether the error leaves open that the endpoint is sound and only its link is not.
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -128,7 +128,7 @@
 				assert.Equal(t, got.Body, want)
 				assert.Equal(t, f.dispatches.Load(), int64(2))
 				f.await(func() bool { return e.open.Load() == 0 && f.gateway.Active() == 0 })
-				assert.Equal(t, f.gateway.answers.held.Load(), int64(0))
+				assert.Equal(t, f.gateway.answers.Held(), int64(0))
 			})
 		}
 	}
@@ -192,7 +192,7 @@
 			growth := e.peak.Load() - int64(before.HeapAlloc)
 			t.Logf("the heap grew by %.1f MB", float64(growth)/(1<<20))
 			assert.Assert(t, growth < maxHeapGrowth)
-			assert.Equal(t, f.gateway.answers.held.Load(), int64(0))
+			assert.Equal(t, f.gateway.answers.Held(), int64(0))
 		})
 	}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/endpoint"
 )
 
@@ -27,8 +28,8 @@
 	in *bufio.Reader
 	// data is the buffer that all events share.
 	data []byte
-	// reserved is what the buffer holds beyond freeBytes.
-	reserved *reservation
+	// reserved is what the buffer holds beyond freeAnswerBytes.
+	reserved *bytebudget.Reservation
 	// afterCR is true if the last line ended in CR and an LF that follows belongs to its end.
 	afterCR bool
 }
@@ -36,12 +37,12 @@
 // eventBufferBytes is large enough for a typical event.
 const eventBufferBytes = 2 << 10
 
-func newEventReader(r io.Reader, reserved *reservation) *eventReader {
+func newEventReader(r io.Reader, reserved *bytebudget.Reservation) *eventReader {
 	return &eventReader{in: bufio.NewReaderSize(r, eventBufferBytes), reserved: reserved}
 }
 
 // next returns the next event, io.EOF after the last one, or an error that wraps endpoint.ErrBroken if the stream is
-// truncated or ends in the middle of an event, or errNoRoom. Blocks without a field are part of the event that follows. The event is valid until
+// truncated or ends in the middle of an event, or bytebudget.ErrNoRoom. Blocks without a field are part of the event that follows. The event is valid until
 // the next call.
 func (r *eventReader) next() (event, error) {
 	r.data = r.data[:0]
@@ -106,8 +107,8 @@
 		if len(r.data)+end > maxEventBytes {
 			return nil, errors.Join(endpoint.ErrBroken, errEventTooLong)
 		}
-		if !r.reserved.grow(2*int64(len(r.data)+end) - freeBytes) { // the buffer grows by up to half beyond its contents
-			return nil, errNoRoom
+		if !r.reserved.Grow(2*int64(len(r.data)+end) - freeAnswerBytes) { // the buffer grows by up to half beyond its contents
+			return nil, bytebudget.ErrNoRoom
 		}
 		r.take(received[:end])
 		if complete {
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/endpoint"
 )
 
@@ -22,7 +23,7 @@
 
 // readEvents reads all events of a stream.
 func readEvents(r io.Reader) (list []parsedEvent, err error) {
-	events := newEventReader(r, &reservation{budget: &byteBudget{limit: 4 * maxEventBytes}})
+	events := newEventReader(r, new(bytebudget.New(4*maxEventBytes, 0).Reserve(1)))
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -175,7 +176,7 @@
 func TestEventIsReadBeforeTheStreamContinues(t *testing.T) {
 	for _, end := range []string{"\n", "\r\n", "\r"} {
 		in, out := io.Pipe()
-		events := newEventReader(in, &reservation{budget: &byteBudget{}})
+		events := newEventReader(in, &bytebudget.Reservation{})
 		go func() { _, _ = io.WriteString(out, "id: 1"+end+"data: a"+end+end) }()
 		e, err := events.next()
 		assert.NilError(t, err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -57,7 +57,7 @@
 	slot := &forwardSlot{end: t.gateway.deps.Reach.BeginForward(helper.Node)}
 	defer slot.Release(resultNotDispatched)
 	a := &attempt{task: t, slot: slot, helper: helper.Node, ctx: ctx, cancel: cancel, started: time.Now(), answerBytes: t.gateway.reserveAnswer()}
-	defer a.answerBytes.release()
+	defer a.answerBytes.Release()
 	t.endpoint, t.softwareVersion, t.unacknowledged = a.receiver(), "", false
 	head := t.newForwardHead()
 	t.gateway.deps.Log.Info().Str("request", t.call.ID).Str("to", string(helper.Node)).Str("service", t.service).
@@ -113,7 +113,7 @@
 	setField(header, field, head)
 	return &exchange.Request{
 		Endpoint: domain.EndpointID(helper.Node), Address: helper.Address, Method: t.request.Method, Target: t.request.RequestURI,
-		Host: t.request.Host, Header: header, Body: t.body, Handshake: min(handshakeTimeout, max(head.TimeLeft, 1)),
+		Host: t.request.Host, Header: header, Body: t.body.data, Handshake: min(handshakeTimeout, max(head.TimeLeft, 1)),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,8 +11,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -24,6 +22,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/brittle"
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
 	"hawthornrill.example/hawthornrill/endpointgate"
@@ -80,12 +79,12 @@
 
 // Gateway is an http.Handler that routes requests to endpoints.
 type Gateway struct {
-	deps          Dependencies
-	options       Options
-	metrics       *metricSet
-	heldBodyBytes atomic.Int64
-	// answers bounds what is buffered of endpoints' responses.
-	answers byteBudget
+	deps    Dependencies
+	options Options
+	metrics *metricSet
+	// bodies bounds the request bodies, also while they are read, answers what is buffered of endpoints' responses.
+	bodies  *bytebudget.Budget
+	answers *bytebudget.Budget
 	active  atomic.Int64
 	// forwarded counts the requests in progress that other nodes forwarded, takeovers those of them that were admitted.
 	forwarded      atomic.Int64
@@ -103,14 +102,16 @@
 	if options.MaxHeldAnswerBytes <= 0 {
 		options.MaxHeldAnswerBytes = defaultMaxAnswerBytes
 	}
-	g := &Gateway{deps: deps, options: options}
-	g.answers.limit = options.MaxHeldAnswerBytes
+	g := &Gateway{
+		deps: deps, options: options,
+		bodies: bytebudget.New(options.MaxHeldBodyBytes, smallBodyBytes), answers: bytebudget.New(options.MaxHeldAnswerBytes, 0),
+	}
 	g.metrics = newMetricSet(deps.Metrics, g)
 	return g
 }
 
 // reserveAnswer returns an empty reservation for a response.
-func (g *Gateway) reserveAnswer() reservation { return reservation{budget: &g.answers} }
+func (g *Gateway) reserveAnswer() bytebudget.Reservation { return g.answers.Reserve(1) }
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
@@ -189,7 +190,7 @@
 	for _, part := range []string{t.request.Method, t.request.Host, t.request.RequestURI, t.call.Key} {
 		_, _ = d.WriteString(part + "\n") // never fails
 	}
-	_, _ = d.Write(t.body)
+	_, _ = d.Write(t.body.data)
 	return d.Sum64()
 }
 
@@ -262,43 +263,6 @@
 // defaultTimeout applies if neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-// readBody buffers the whole body, so that the endpoint never waits for the caller and the request can be retried.
-func (t *task) readBody(limit int64) *problem {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if t.request.ContentLength > limit {
-		return &problem{Status: http.StatusRequestEntityTooLarge, Title: "the body is too long"}
-	}
-	if t.request.ContentLength == 0 {
-		return nil
-	}
-	controller := http.NewResponseController(t.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(t.timeout)) // supported by net/http's server
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	return t.bufferBody(limit)
-}
-
-// bufferBody reads the body.
-func (t *task) bufferBody(limit int64) *problem {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(t.writer, t.request.Body, limit))
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return &problem{Status: http.StatusRequestEntityTooLarge, Title: "the body is too long"}
-	}
-	if err != nil {
-		return &problem{Status: http.StatusBadRequest, Title: "the body could not be read", Cause: err}
-	}
-	t.body = body
-	if t.gateway.heldBodyBytes.Add(int64(len(body))) > t.gateway.options.MaxHeldBodyBytes {
-		return unavailable("the node holds too many request bodies")
-	}
-	return nil
-}
-
 // chargeLimit charges the request's cost to its organisation's limit.
 func (t *task) chargeLimit() *problem {
 	if t.organisation == nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,8 +21,8 @@
 
 func newMetricSet(set *metrics.Set, g *Gateway) *metricSet {
 	set.NewGauge("hawthornrill_requests_active", func() float64 { return float64(g.active.Load()) })
-	set.NewGauge("hawthornrill_request_body_bytes_held", func() float64 { return float64(g.heldBodyBytes.Load()) })
-	set.NewGauge("hawthornrill_answer_bytes_held", func() float64 { return float64(g.answers.held.Load()) })
+	set.NewGauge("hawthornrill_request_body_bytes_held", func() float64 { return float64(g.bodies.Held()) })
+	set.NewGauge("hawthornrill_answer_bytes_held", func() float64 { return float64(g.answers.Held()) })
 	set.NewGauge("hawthornrill_requests_taken_over", func() float64 { return float64(g.takeovers.Load()) })
 	m := &metricSet{
 		set: set, retries: set.NewCounter("hawthornrill_request_retries_total"),
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -33,6 +33,8 @@
 	// crashPartRetryAfter is the Retry-After of a request that is refused for a part of its prompt: it will not be served sooner, and callers
 	// that come back are load on all nodes.
 	crashPartRetryAfter = time.Minute
+	// sharedTiers is the number of tiers of which each lower one may use a smaller part of a bound.
+	sharedTiers = 4
 	// minDispatchTime is the time left below which a request is not dispatched, since it can't be answered in time.
 	minDispatchTime = 20 * time.Millisecond
 	// stallFactor is how many times the route's objective for the first byte, or for the gap between events, an endpoint
@@ -50,6 +52,8 @@
 	maxAnswerBytes   = 1 << 30
 	// defaultMaxAnswerBytes is a tenth of the smallest node's memory.
 	defaultMaxAnswerBytes = 12 << 20
+	// freeAnswerBytes is what each buffer for responses may hold without a reservation, enough for nearly all of them.
+	freeAnswerBytes = 16 << 10
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// progressEventInterval is the number of events between progress reports to the slot.
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -91,7 +91,7 @@
 	for _, part := range []string{t.request.Method, t.request.Host, t.request.RequestURI} {
 		_, _ = d.WriteString(part + "\n") // never fails
 	}
-	_, _ = d.Write(t.body)
+	_, _ = d.Write(t.body.data)
 	return d.Sum64()
 }
 
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -16,9 +16,6 @@
 	takeoverFraction = 1
 	takeoverRatio    = 2
 	minTakeovers     = 16
-	// takeoverTiers is the number of tiers of which each lower one may use a smaller part of the bound, so that requests of higher
-	// tiers are refused last.
-	takeoverTiers = 4
 	// bodyTimeout limits the time in which the body of a forwarded request must arrive once a slot is held for it: a lost segment
 	// takes several hundred milliseconds.
 	bodyTimeout = time.Second
@@ -83,9 +80,7 @@
 	g := t.gateway
 	own := float64(g.active.Load() - g.forwarded.Load())
 	bound := max(takeoverFraction*float64(g.deps.Places.Slots(t.service)), takeoverRatio*own, minTakeovers)
-	tier, _ := t.tiers()
-	bound *= 1 - float64(min(max(int(tier), 0), takeoverTiers-1))/(2*takeoverTiers)
-	if float64(g.takeovers.Add(1)) > bound {
+	if float64(g.takeovers.Add(1)) > bound*t.tierPart() {
 		g.takeovers.Add(-1)
 		return false
 	}
@@ -98,10 +93,7 @@
 	if !t.bodyPending {
 		return nil
 	}
-	controller := http.NewResponseController(t.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by net/http's server
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	if refused := t.bufferBody(t.gateway.deps.Config.Table().Limits.MaxBodyBytes); refused != nil {
+	if refused := t.bufferBody(t.gateway.deps.Config.Table().Limits.MaxBodyBytes, bodyTimeout); refused != nil {
 		refused.Cause = errors.Join(errForwardAbandoned, refused.Cause)
 		return refused
 	}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -44,7 +44,7 @@
 	timeout       time.Duration
 	// waitedBefore estimates how long the caller had been waiting when it sent this attempt.
 	waitedBefore time.Duration
-	body         []byte
+	body         requestBody
 	// contentHash identifies the request's content and key.
 	contentHash uint64
 	cost        float64
@@ -98,8 +98,6 @@
 	return &task{gateway: g, writer: w, request: r, arrived: g.deps.Clock(), started: time.Now()}
 }
 
-func (t *task) releaseBody() { t.gateway.heldBodyBytes.Add(-int64(len(t.body))) }
-
 // timeLeft is the time until the request's deadline. Time in which the host was suspended counts.
 func (t *task) timeLeft() time.Duration { return t.timeout - t.gateway.deps.Clock().Sub(t.arrived) }
 
@@ -244,6 +242,12 @@
 	return t.route.Tier, 0
 }
 
+// tierPart is the part of a bound of the node that requests of a tier may use, so that those of higher tiers are refused last.
+func (t *task) tierPart() float64 {
+	tier, _ := t.tiers()
+	return 1 - float64(min(max(int(tier), 0), sharedTiers-1))/(2*sharedTiers)
+}
+
 // recheckBeforeDispatch repeats, immediately before a dispatch, the checks whose result may have changed while the request
 // was queued or the process was suspended.
 func (t *task) recheckBeforeDispatch() *problem {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/capacity"
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
@@ -65,9 +66,9 @@
 	case length > maxBufferedBytes:
 		return nil, true, nil
 	}
-	body, err = readAll(response, length, maxBufferedBytes+1, &a.answerBytes)
+	body, err = bytebudget.Reader{Limit: maxBufferedBytes + 1, Expected: length, Free: freeAnswerBytes}.ReadAll(response, &a.answerBytes)
 	switch {
-	case errors.Is(err, errNoRoom) && length >= 0:
+	case errors.Is(err, bytebudget.ErrNoRoom) && length >= 0:
 		return body, true, nil
 	case err != nil:
 		return nil, false, err
