gateway: a refusal doesn't wait for a body that does not come

A client that stopped inside its body was neither answered nor closed, with a key and without. readBody took its read deadline away before the refusal was written, and net/http reads what is left of a body before it writes a response, then, without a deadline. The same held for each refusal before the body is read (401, 404, 413, 431, 503).

A refusal now reads a short body that has come with its head, within 50 ms, so that the connection is kept. Otherwise it is sent at once, the connection is closed, and the caller has 500 ms to read the response.

--- a/gateway/final.go
+++ b/gateway/final.go
@@ -9,10 +9,15 @@
 // FinalResponse returns the response, in its form on the wire, to a request that the node does not read because it closes the
 // connection: 408 with the outcome "not_run" and the time after which another attempt may be made.
 func FinalResponse() []byte {
-	p := &problem{
-		Status: http.StatusRequestTimeout, Title: "the connection was closed before a request was read",
-		Outcome: outcomeNotRun, RetryAfter: shortRetryAfter,
-	}
+	return timedOut("the connection was closed before a request was read").wire()
+}
+
+func timedOut(title string) *problem {
+	return &problem{Status: http.StatusRequestTimeout, Title: title, Outcome: outcomeNotRun, RetryAfter: shortRetryAfter}
+}
+
+// wire returns the response in its form on the wire. It asks the caller to close the connection.
+func (p *problem) wire() []byte {
 	response := http.Response{StatusCode: p.Status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
 	body := p.header(response.Header)
 	response.ContentLength = int64(len(body))
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -370,6 +370,7 @@
 func (t *task) refuse(p *problem) {
 	t.releaseBody()
 	t.logEnd(attemptResult{refusal: p, err: p.Cause})
+	t.setWriteDeadline(time.Now().Add(writeGrace))
 	t.respond(p)
 }
 
@@ -378,5 +379,6 @@
 	if t.forwarded != nil {
 		t.addForwardResult(p)
 	}
+	t.settleBody()
 	p.write(t.writer)
 }
