callers: requests in progress and their heads count against a bound as they arrive

Clients that sent heads of very many short lines, legal, over the limit or without an end, took a node over its host's memory: 107 to 167 MB on a host of 64 MB. net/http parses a head whole, up to a fixed 64 KiB, before the limit of the configuration is looked at, and a parsed line costs many times its bytes; the parsed head lives, with its copies, as long as the request.

Each connection now measures its head as the bytes arrive, before net/http gets them: bytes, lines and elements of lists, with an estimate of what each costs once parsed and copied, beside what any request in progress costs. It reserves that in one budget of 0.15 of the host's memory, and the reservation lasts as long as the request. A head that costs more than 32 KiB may use half of it, so that ordinary ones still find room. Without room the request is refused with 503 and Retry-After, over the configuration's limit with 431, before more is read. What may have arrived of a next request behind the one before it is reserved as well.

The time for a head is now that of the configuration: the fixed 5 s of net/http ignored header_timeout_ms. A head that comes too late gets 408 with "not_run" in place of a close without an answer.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"hawthornrill.example/hawthornrill/bytebudget"
 )
 
 // conn is a caller's connection that records whether part of a request has arrived.
@@ -29,9 +31,22 @@
 	requestStarted bool
 	closeDeferred  bool
 	closed         bool
-	// finalSentAt is when the listener's final response was sent on the idle connection, zero before. What arrives after
-	// that is discarded until the caller closes the connection.
+	// finalSentAt is when the listener's final response, or a refusal, was sent on the connection, zero before. What arrives after
+	// a final response is discarded until the caller closes the connection.
 	finalSentAt time.Time
+	// refused is true if it was a refusal: reads fail. closing is true once the close after it is due.
+	refused, closing bool
+
+	// head measures the head that is being read, of which the first byte arrived at headSince. held is what the connection holds of
+	// the listener's budget for that request, or, between requests, for what may have arrived of the next one.
+	head      headMeter
+	headSince time.Time
+	held      bytebudget.Reservation
+	// afterHead is what was read behind the last head, nextCost the most that this can cost as part of the next one.
+	afterHead surplus
+	nextCost  int64
+	// admitted is false if there was no room for a request whose head has been read.
+	admitted bool
 }
 
 // Read implements net.Conn.
@@ -45,26 +60,55 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.recordRead(n)
+	if refused := c.recordRead(p[:n]); refused != nil {
+		return 0, refused
+	}
 	return n, err
 }
 
-// recordRead records that n bytes have been read. The mutex must be held.
-func (c *conn) recordRead(n int) {
-	if n > 0 && c.idle {
-		c.requestStarted = true
+// recordRead records that bytes have been read. It returns an error if they are refused. The mutex must be held.
+func (c *conn) recordRead(p []byte) error {
+	switch {
+	case c.refused:
+		return errRefused
+	case len(p) == 0:
+		return nil
+	case !c.idle:
+		c.afterHead.add(p)
+		return nil
+	}
+	if !c.requestStarted {
+		c.requestStarted, c.headSince = true, time.Now()
 	}
+	return c.recordHead(p)
 }
 
 // Close implements net.Conn. While the server shuts down, net/http closes idle connections; that call is deferred if part of a
-// request has arrived. The next call, after the answer, closes the connection.
+// request has arrived. The next call, after the answer, closes the connection. After a refusal the connection is closed once the
+// caller has had time to read it: a close with unread bytes would discard it.
 func (c *conn) Close() error {
+	if c.closesLater() {
+		time.AfterFunc(finalReadTimeout, func() { _ = c.Close() }) // the caller may have closed it already
+		return nil
+	}
 	if !c.endUnlessDeferred() {
 		return nil
 	}
 	return c.Conn.Close()
 }
 
+// closesLater reports whether the connection is to be closed later, and releases what its request holds.
+func (c *conn) closesLater() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	later := c.refused && !c.closing && !c.closed
+	if later {
+		c.closing = true
+		c.held.Release()
+	}
+	return later
+}
+
 func (c *conn) endUnlessDeferred() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,7 +172,7 @@
 		return false
 	}
 	c.finalSentAt = time.Now()
-	_ = c.socket.Control(func(fd uintptr) { c.sendEnd(int(fd)) }) // fails if the connection is closed
+	_ = c.socket.Control(func(fd uintptr) { sendEnd(int(fd), c.listener.finalResponse) }) // fails if the connection is closed
 	return true
 }
 
@@ -141,6 +185,7 @@
 		return
 	}
 	c.closed = true
+	c.held.Release()
 	c.listener.remove(c)
 }
 
@@ -160,8 +205,10 @@
 	switch state {
 	case http.StateIdle:
 		c.idle, c.requestStarted, c.idleSince = true, false, time.Now()
+		c.endRequest()
 	case http.StateActive:
 		c.idle = false
+		c.beginRequest()
 	}
 }
 
--- a/callers/listener.go
+++ b/callers/listener.go
@@ -26,8 +26,12 @@
 	closeOnce func() error
 	// finalResponse is sent on an idle connection before it is closed; none if empty.
 	finalResponse []byte
-	// slots holds a token for each open connection, up to its capacity; nil for no limit.
-	slots chan struct{}
+	// limit is the number of connections that are served, 0 for no limit. freed receives a token when one is closed.
+	limit int
+	freed chan struct{}
+	heads HeadLimits
+	// refusals counts connections and requests that were refused since the last report.
+	refusals [reasons]atomic.Int64
 	// draining is true once net/http may close idle connections because the server is shut down.
 	draining atomic.Bool
 
@@ -39,24 +43,33 @@
 
 // NewListener returns a listener that holds at most limit connections open; 0 means no limit.
 func NewListener(l net.Listener, limit int) *Listener {
-	c := &Listener{Listener: l, closeOnce: sync.OnceValue(func() error { return l.Close() }), open: make(map[*conn]bool)}
-	if limit > 0 {
-		c.slots = make(chan struct{}, limit)
+	return &Listener{
+		Listener: l, closeOnce: sync.OnceValue(func() error { return l.Close() }), open: make(map[*conn]bool), limit: limit,
+		freed: make(chan struct{}, 1),
 	}
-	return c
 }
 
+// SetHeadLimits sets bounds for requests and their heads. It must not be called while connections are accepted.
+func (l *Listener) SetHeadLimits(limits HeadLimits) { l.heads = limits }
+
 // SetFinalResponse sets the response, in its form on the wire, that the caller of an idle connection gets before the connection
 // is closed: it answers a request that was sent before the caller noticed the close. It must not be called while connections
 // are accepted.
 func (l *Listener) SetFinalResponse(response []byte) { l.finalResponse = response }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. At the limit it holds a further connection until another one is closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	if l.slots != nil {
-		l.slots <- struct{}{}
-	}
 	raw, err := l.Listener.Accept()
+	c, err := l.add(raw, err)
+	if err != nil {
+		return nil, err
+	}
+	l.waitForRoom()
+	return c, nil
+}
+
+// add adds a connection that was accepted, or one of those that were established when the listener was closed.
+func (l *Listener) add(raw net.Conn, err error) (*conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && len(l.pending) > 0 {
@@ -64,7 +77,6 @@
 		l.pending = l.pending[1:]
 	}
 	if err != nil {
-		l.release()
 		return nil, err
 	}
 	c := l.newConn(raw)
@@ -72,8 +84,28 @@
 	return c, nil
 }
 
+// waitForRoom waits until there are no more connections than the limit.
+func (l *Listener) waitForRoom() {
+	for l.limit > 0 && l.openCount() > l.limit {
+		select {
+		case <-l.freed:
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func (l *Listener) openCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 func (l *Listener) newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
+	c := &conn{Conn: raw, socket: socketOf(raw), listener: l, accepted: time.Now(), idle: true}
+	if l.heads.Budget != nil {
+		c.held = l.heads.Budget.Reserve(largeHeadPart)
+	}
+	return c
 }
 
 // IgnoreNewConnections makes the kernel drop requests for new connections until the listener is closed, and waits for the
@@ -155,18 +187,15 @@
 	return slices.Collect(maps.Keys(l.open))
 }
 
-func (l *Listener) release() {
-	if l.slots != nil {
-		<-l.slots
-	}
-}
-
-// remove removes a closed connection and releases its slot.
+// remove removes a closed connection, which makes room for another one.
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	delete(l.open, c)
 	l.mu.Unlock()
-	l.release()
+	select {
+	case l.freed <- struct{}{}:
+	default: // there is a token already
+	}
 }
 
 // CloseIdle closes connections that have been idle for longer than the limit of the configuration; 0 means no limit.
--- a/callers/options.go
+++ b/callers/options.go
@@ -14,6 +14,20 @@
 	neverUsedTimeout = 5 * time.Second
 	// finalReadTimeout is how long the caller of an idle connection has to close it after the final response.
 	finalReadTimeout = 500 * time.Millisecond
+	// requestCost is the estimated memory of a request in progress in bytes, beside its head and body: its goroutines and buffers.
+	requestCost = 16 << 10
+	// smallHeadCost is the cost up to which a head may use the whole budget, largeHeadPart the part of it that others may use.
+	smallHeadCost = 32 << 10
+	largeHeadPart = 0.5
+	// headMargin is added to the limit for heads in bytes: it need not count the request line and the ends of lines.
+	headMargin = 1 << 10
+	// readBufferBytes is the size of net/http's buffer for reads, minLineBytes that of the shortest line that is not empty.
+	readBufferBytes = 4 << 10
+	minLineBytes    = 3
+	// defaultHeadTimeout limits the time to read a head if the configuration does not.
+	defaultHeadTimeout = 5 * time.Second
+	// waitInterval is the interval at which a connection above the limit checks for room.
+	waitInterval = 100 * time.Millisecond
 	// closePollInterval is the interval at which a draining server checks the use of its connections.
 	closePollInterval = 10 * time.Millisecond
 	// idleTimeoutMargin is added to the idle timeout in the configuration, since callers reuse connections for almost that
--- a/callers/socket.go
+++ b/callers/socket.go
@@ -35,6 +35,8 @@
 	switch {
 	case waitErr != nil:
 		return 0, waitErr
+	case err == error(errRefused), err == error(errNoRoom): //nolint:errorlint // never wrapped
+		return 0, err
 	case err != nil:
 		return 0, os.NewSyscallError("read", err)
 	case n == 0:
@@ -51,10 +53,12 @@
 	}
 	for {
 		n, err := unix.Read(fd, p)
-		if err == unix.EINTR || n > 0 && !c.finalSentAt.IsZero() { //nolint:errorlint // a bare errno, never wrapped
+		if err == unix.EINTR || n > 0 && !c.finalSentAt.IsZero() && !c.refused { //nolint:errorlint // a bare errno, never wrapped
 			continue
 		}
-		c.recordRead(n)
+		if refused := c.recordRead(p[:max(n, 0)]); refused != nil {
+			return 0, refused
+		}
 		return max(n, 0), err
 	}
 }
@@ -77,16 +81,16 @@
 	ended := true
 	_ = c.socket.Control(func(fd uintptr) { // fails if the connection is closed
 		if ended = !unreadBytes(int(fd)); ended {
-			c.sendEnd(int(fd))
+			sendEnd(int(fd), c.listener.finalResponse)
 		}
 	})
 	return ended
 }
 
-// sendEnd sends the listener's final response and the end of the connection.
-func (c *conn) sendEnd(fd int) {
+// sendEnd sends a response and the end of the connection.
+func sendEnd(fd int, response []byte) {
 	// Both fail if the caller has closed the connection.
-	_, _ = unix.SendmsgN(fd, c.listener.finalResponse, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	_, _ = unix.SendmsgN(fd, response, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
 	_ = unix.Shutdown(fd, unix.SHUT_WR)
 }
 
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -190,13 +190,6 @@
 	return fleet.Known, fleet.Heard < fleet.Known
 }
 
-func (n *Node) idleTimeout() time.Duration {
-	if table := n.follower.Table(); table != nil {
-		return table.Limits.IdleTimeout
-	}
-	return 0
-}
-
 func (n *Node) openGossip() error {
 	socket, err := gossip.ListenUDP(n.settings.Listen.Peers)
 	if err != nil {
@@ -294,19 +287,19 @@
 	requests, stop := context.WithCancelCause(context.Background())
 	n.stopRequests = stop
 	n.callerServer = &http.Server{
-		BaseContext:       func(net.Listener) context.Context { return requests },
-		Addr:              n.settings.Listen.Callers,
-		Handler:           http.HandlerFunc(n.serveCaller),
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         callers.TrackState,
-		ErrorLog:          debugLogger(n.log),
+		BaseContext:    func(net.Listener) context.Context { return requests },
+		Addr:           n.settings.Listen.Callers,
+		Handler:        http.HandlerFunc(n.serveCaller),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    callers.ConnContext,
+		ConnState:      callers.TrackState,
+		ErrorLog:       debugLogger(n.log),
 	}
 	n.peerServer = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		Addr:              n.settings.Listen.Peers,
 		Handler:           http.HandlerFunc(n.servePeer),
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          debugLogger(n.log),
@@ -338,6 +331,7 @@
 	defer stop()
 	callerListener := callers.NewListener(listener, n.settings.Host.callerConnections())
 	callerListener.SetFinalResponse(gateway.FinalResponse())
+	callerListener.SetHeadLimits(n.headLimits())
 	n.addBackground(&group, background, stop, callerListener)
 	group.Add(func() error { return n.serveCallers(ctx, callerListener) }, func(error) { _ = n.callerServer.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callerServer.Addr).Msg("node started")
@@ -352,7 +346,7 @@
 // addBackground adds the background tasks and the other servers to the run group.
 func (n *Node) addBackground(group *run.Group, ctx context.Context, stop func(), listener *callers.Listener) {
 	sweep := func(ctx context.Context) error {
-		return pacing.Every(ctx, idleSweepInterval, func() { listener.CloseIdle(n.idleTimeout()) })
+		return pacing.Every(ctx, idleSweepInterval, func() { n.sweepCallers(listener) })
 	}
 	background := []func(context.Context) error{
 		n.follower.Run, n.announcer.Run, n.mesh.Run, n.mesh.Listen, n.slots.Run, n.sweepEndpoints, sweep, n.reach.Run, n.origins.Run, n.crashParts.Run,
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -26,10 +26,13 @@
 	bodyFraction = 0.2
 	// answerFraction is the fraction of the host's memory for endpoints' responses.
 	answerFraction = 0.1
-	// readHeaderTimeout limits the time to read a request head.
-	readHeaderTimeout = 5 * time.Second
-	// maxHeaderBytes limits the size of a request head. The limit in the configuration is lower.
-	maxHeaderBytes = 64 << 10
+	// headFraction is the fraction of the host's memory for callers' requests in progress and their heads.
+	headFraction = 0.15
+	// peerHeaderTimeout limits the time to read the head of a request that another node forwards.
+	peerHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes limits the size of a request head, whatever the configuration says; defaultHeaderBytes does if it sets no limit.
+	maxHeaderBytes     = 1 << 20
+	defaultHeaderBytes = 64 << 10
 	// peerIdleTimeout is how long a connection over which another node has forwarded requests is kept. It exceeds the time for
 	// which that node uses it again.
 	peerIdleTimeout = 10 * time.Second
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/bytebudget"
+	"hawthornrill.example/hawthornrill/callers"
 )
 
 const (
@@ -52,6 +53,7 @@
 	if t.request.ContentLength > limit {
 		return &problem{Status: http.StatusRequestEntityTooLarge, Title: "the body is too long"}
 	}
+	defer func() { callers.EndBody(t.request.Context(), len(t.body.data)) }()
 	t.setReadDeadline(time.Now().Add(within))
 	t.body.reserved = t.gateway.bodies.Reserve(largeBodyPart * t.tierPart())
 	reader := bytebudget.Reader{Limit: limit + 1, Expected: t.request.ContentLength, First: firstBodyBytes, Free: 1}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/brittle"
 	"hawthornrill.example/hawthornrill/bytebudget"
+	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
 	"hawthornrill.example/hawthornrill/endpointgate"
@@ -144,6 +145,9 @@
 		return unavailable("the configuration is not known yet")
 	}
 	t.configVersion = table.Version
+	if !callers.Admitted(t.request.Context()) {
+		return headNoRoom()
+	}
 	if t.gateway.configOutdated() {
 		return unavailable("a later configuration is in force than this node has")
 	}
@@ -151,7 +155,7 @@
 		return &problem{Status: http.StatusBadRequest, Title: "the request target must be a path"}
 	}
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(t.request) > limit {
-		return &problem{Status: http.StatusRequestHeaderFieldsTooLarge, Title: "the head is too long"}
+		return headTooLong()
 	}
 	call, err := t.gateway.deps.Protocol.ReadCall(t.request.Header)
 	if err != nil {
