callers: connections whose callers send too slowly yield to others

Clients that stopped inside a request kept all connections that a node accepts for as long as their route allows, while /ready stayed 200: others waited in the kernel's queue, or were refused for want of room.

When a connection waits at the limit, or there is no room for a request, the node now closes connections whose head has been arriving for a second, whose body has been arriving for a second at less than 4 KiB/s, or which have had no request for a second. If there are none and a connection waits, one in sixteen of the idle ones is closed, those that have been idle for longest. Each is told 408 with "not_run" and Retry-After; requests that run are never closed, and nothing is while there is room. A connection at the limit is accepted and then waits, so that nothing is closed unless one waits.

TestMisbehavingClientsOnAllConnections (real process, 1,200 clients before 900 connections, a route of one hour) failed before: 503 or no answer for 60 s; it passes in 2.6 s.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -47,10 +47,22 @@
 	nextCost  int64
 	// admitted is false if there was no room for a request whose head has been read.
 	admitted bool
+	// bodySince is when the read of a body began, zero if none is read. bodyRead is the number of bytes that were read since.
+	bodySince   time.Time
+	bodyRead    int
+	bodyEvicted bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err == error(errNoRoom) { //nolint:errorlint // never wrapped
+		c.listener.reclaim(memory)
+	}
+	return n, err
+}
+
+func (c *conn) read(p []byte) (int, error) {
 	if c.socket != nil {
 		return c.readSocket(p)
 	}
@@ -74,6 +86,7 @@
 	case len(p) == 0:
 		return nil
 	case !c.idle:
+		c.bodyRead += len(p)
 		c.afterHead.add(p)
 		return nil
 	}
--- a/callers/listener.go
+++ b/callers/listener.go
@@ -32,6 +32,9 @@
 	heads HeadLimits
 	// refusals counts connections and requests that were refused since the last report.
 	refusals [reasons]atomic.Int64
+	// reclaiming is held while connections are reclaimed, last at reclaimedAt.
+	reclaiming  sync.Mutex
+	reclaimedAt time.Time
 	// draining is true once net/http may close idle connections because the server is shut down.
 	draining atomic.Bool
 
@@ -87,9 +90,10 @@
 // waitForRoom waits until there are no more connections than the limit.
 func (l *Listener) waitForRoom() {
 	for l.limit > 0 && l.openCount() > l.limit {
+		l.reclaim(connections)
 		select {
 		case <-l.freed:
-		case <-time.After(waitInterval):
+		case <-time.After(reclaimInterval):
 		}
 	}
 }
--- a/callers/options.go
+++ b/callers/options.go
@@ -26,8 +26,13 @@
 	minLineBytes    = 3
 	// defaultHeadTimeout limits the time to read a head if the configuration does not.
 	defaultHeadTimeout = 5 * time.Second
-	// waitInterval is the interval at which a connection above the limit checks for room.
-	waitInterval = 100 * time.Millisecond
+	// slowAfter is the time after which a head, or a body below minBodyRate in bytes a second, is too slow if there is no room for others.
+	slowAfter   = time.Second
+	minBodyRate = 4 << 10
+	// reclaimInterval is the shortest interval between two searches for connections to close.
+	reclaimInterval = 100 * time.Millisecond
+	// idlePart is the part, one in so many, of the idle connections that are closed at a time.
+	idlePart = 16
 	// closePollInterval is the interval at which a draining server checks the use of its connections.
 	closePollInterval = 10 * time.Millisecond
 	// idleTimeoutMargin is added to the idle timeout in the configuration, since callers reuse connections for almost that
--- a/callers/refusal.go
+++ b/callers/refusal.go
@@ -14,14 +14,15 @@
 	reasonTooLong reason = iota
 	reasonNoRoom
 	reasonSlow
+	reasonIdle
 	reasons
 )
 
 // Refusals counts the connections that were closed, and the requests that were refused, before the request was read.
 type Refusals struct {
-	// TooLong is for heads over the limit, NoRoom for heads without room in the budget, Slow for heads that arrived
-	// too slowly.
-	TooLong, NoRoom, Slow int64
+	// TooLong is for heads over the limit, NoRoom for heads without room in the budget, Slow for heads and bodies that arrived too slowly,
+	// Idle for idle connections that were closed for others.
+	TooLong, NoRoom, Slow, Idle int64
 }
 
 func (l *Listener) refused(r reason, n int) { l.refusals[r].Add(int64(n)) }
@@ -30,7 +31,7 @@
 func (l *Listener) TakeRefusals() Refusals {
 	return Refusals{
 		TooLong: l.refusals[reasonTooLong].Swap(0), NoRoom: l.refusals[reasonNoRoom].Swap(0),
-		Slow: l.refusals[reasonSlow].Swap(0),
+		Slow: l.refusals[reasonSlow].Swap(0), Idle: l.refusals[reasonIdle].Swap(0),
 	}
 }
 
--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -194,6 +194,18 @@
 	n.check()
 }
 
+// Guards against clients that stop inside a request and thereby keep all others out for as long as a request may take.
+func TestMisbehavingClientsOnAllConnections(t *testing.T) {
+	n := newCrowdedNode(t, func(r *platformtest.Route) { r.Timeout = time.Hour })
+	n.crowd.join(clientForm{clients: 1200, send: func(w io.Writer, i int) {
+		head := platformtest.RequestHead("/book/x", fmt.Sprint("crowd-", i), "k0", time.Hour, "Content-Length: 100")
+		writeTexts(w, head+"\r\n", shortOf100)
+	}})
+	time.Sleep(crowdTime)
+	n.smallRequest()
+	n.check()
+}
+
 // Guards against a request whose body never ends and that is neither answered nor closed.
 func TestMisbehavingClientWithStalledBodyIsAnswered(t *testing.T) {
 	for _, announced := range []int{100, maxBodyBytes} {
--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -45,7 +45,7 @@
 	listener.CloseSlowHeads(idle)
 	refused := listener.TakeRefusals()
 	for reason, count := range map[string]int64{
-		"head_too_long": refused.TooLong, "no_room": refused.NoRoom, "too_slow": refused.Slow,
+		"head_too_long": refused.TooLong, "no_room": refused.NoRoom, "too_slow": refused.Slow, "idle": refused.Idle,
 	} {
 		if count == 0 {
 			continue
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -53,7 +53,8 @@
 	if t.request.ContentLength > limit {
 		return &problem{Status: http.StatusRequestEntityTooLarge, Title: "the body is too long"}
 	}
-	defer func() { callers.EndBody(t.request.Context(), len(t.body.data)) }()
+	receiving := callers.BeginBody(t.request.Context())
+	defer func() { receiving.End(len(t.body.data)) }()
 	t.setReadDeadline(time.Now().Add(within))
 	t.body.reserved = t.gateway.bodies.Reserve(largeBodyPart * t.tierPart())
 	reader := bytebudget.Reader{Limit: limit + 1, Expected: t.request.ContentLength, First: firstBodyBytes, Free: 1}
@@ -74,6 +75,7 @@
 	case errors.As(err, &tooLong):
 		return &problem{Status: http.StatusRequestEntityTooLarge, Title: "the body is too long"}
 	case errors.Is(err, bytebudget.ErrNoRoom):
+		callers.Reclaim(t.request.Context())
 		return unavailable("the node holds too many request bodies")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		t.body.timedOut = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,6 +146,7 @@
 	}
 	t.configVersion = table.Version
 	if !callers.Admitted(t.request.Context()) {
+		callers.Reclaim(t.request.Context())
 		return headNoRoom()
 	}
 	if t.gateway.configOutdated() {
