entrynode: the ports for the balancer, operators and other nodes are bounded as well

The same clients at the other ports took a node over its memory and descriptors: 315 MB of 64 with 20 heads of 1 MB on the ready port, 2,217 descriptors of 2,000 with as many stalled requests. These ports had no bound on connections, the ready and operators' ports none on time either, and heads were bounded by net/http alone.

Each now accepts a bounded number of connections, 16 for the balancer and the operators each and 4 of 100 descriptors for other nodes; further ones wait, and slow ones yield as those of callers do. Heads of 8 KiB are read at most on the former; those of other nodes count against the budget of requests, and a refusal there is a close, since the node that forwards would take a response for the endpoint's. The former read no bodies.

TestMisbehavingClientsOfOtherPorts (real process) failed before in its four cases; it passes with peaks of 7 to 9 MB.

--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -71,8 +71,9 @@
 }
 
 func (n *crowdedNode) waitReady() {
+	client := &http.Client{Timeout: hangTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(hangTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		response, err := http.Get("http://" + n.readyAddress)
+		response, err := client.Get("http://" + n.readyAddress)
 		if err != nil {
 			continue
 		}
@@ -206,6 +207,35 @@
 	n.check()
 }
 
+// portForms are clients of the ports for the balancer and for other nodes.
+var portForms = []clientForm{
+	{"heads of 1 MB of short lines without an end", 20, func(w io.Writer, i int) {
+		writeTexts(w, headOf(i), distinctLines(1<<20))
+	}},
+	{"a small body one byte short", 2200, func(w io.Writer, i int) {
+		writeTexts(w, headOf(i, "Content-Length: 100")+"\r\n", shortOf100)
+	}},
+}
+
+// Guards against the same clients at ports that are not meant for callers.
+func TestMisbehavingClientsOfOtherPorts(t *testing.T) {
+	for port, address := range map[string]func(p *process) string{
+		"ready": func(p *process) string { return p.readyAddress }, "peers": func(p *process) string { return p.peerAddress },
+	} {
+		for _, form := range portForms {
+			t.Run(port+", "+form.name, func(t *testing.T) {
+				n := newCrowdedNode(t, nil)
+				n.crowd.address = address(n.process)
+				n.crowd.join(form)
+				time.Sleep(crowdTime)
+				n.smallRequest()
+				n.waitReady()
+				n.check()
+			})
+		}
+	}
+}
+
 // Guards against a request whose body never ends and that is neither answered nor closed.
 func TestMisbehavingClientWithStalledBodyIsAnswered(t *testing.T) {
 	for _, announced := range []int{100, maxBodyBytes} {
--- a/entrynode/callers.go
+++ b/entrynode/callers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/gateway"
 	"hawthornrill.example/hawthornrill/routetable"
@@ -16,18 +17,31 @@
 	return routetable.Limits{}
 }
 
-// headLimits returns the bounds for what callers make the node hold before their requests are dispatched.
-func (n *Node) headLimits() callers.HeadLimits {
-	limits := callers.HeadLimits{
+// callerHeadLimits returns the bounds for what callers make the node hold before their requests are dispatched.
+func (n *Node) callerHeadLimits() callers.HeadLimits {
+	return callers.HeadLimits{
+		Budget:   n.headBudget,
 		MaxBytes: n.maxHeadBytes,
 		Timeout:  func() time.Duration { return n.callerLimits().HeaderTimeout },
 		Refusals: gateway.HeadRefusals(),
 	}
-	if bytes := n.settings.Host.memoryBytes(headFraction); bytes > 0 {
-		limits.Budget = callers.NewHeadBudget(bytes)
-		n.metrics.NewGauge("hawthornrill_request_head_bytes_held", func() float64 { return float64(limits.Budget.Held()) })
+}
+
+// peerHeadLimits returns those for other nodes. A request that is refused gets no response: the node that forwards it takes one for the
+// endpoint's.
+func (n *Node) peerHeadLimits() callers.HeadLimits {
+	return callers.HeadLimits{Budget: n.headBudget, MaxBytes: func() int { return n.maxHeadBytes() + maxForwardBytes }}
+}
+
+// newHeadBudget returns the budget of requests in progress and their heads, nil if the host's memory is not set.
+func (n *Node) newHeadBudget() *bytebudget.Budget {
+	bytes := n.settings.Host.memoryBytes(headFraction)
+	if bytes <= 0 {
+		return nil
 	}
-	return limits
+	budget := callers.NewHeadBudget(bytes)
+	n.metrics.NewGauge("hawthornrill_request_head_bytes_held", func() float64 { return float64(budget.Held()) })
+	return budget
 }
 
 func (n *Node) maxHeadBytes() int {
--- a/entrynode/files.go
+++ b/entrynode/files.go
@@ -9,8 +9,12 @@
 	// endpoints. A request in progress needs one of each. The rest is for the store, the operators and the balancer.
 	callerFraction   = 0.5
 	endpointFraction = 0.4
-	// peerFraction is that for connections over which requests are forwarded to other nodes.
-	peerFraction = 0.05
+	// peerFraction is that for connections over which requests are forwarded to other nodes, forwarderFraction that for those over
+	// which other nodes forward requests.
+	peerFraction      = 0.05
+	forwarderFraction = 0.04
+	// maxPortConnections limits the connections of the balancer, and again those of the operators.
+	maxPortConnections = 16
 	// maxIdlePerPeer limits the idle connections to one of these nodes.
 	maxIdlePerPeer = 16
 	// maxIdlePerEndpoint limits the idle connections to one endpoint if its own limit is higher or absent.
@@ -23,6 +27,9 @@
 // endpointConnections returns the maximum number of connections to endpoints, 0 for no limit.
 func (h Host) endpointConnections() int { return h.connectionShare(endpointFraction) }
 
+// forwarderConnections returns the maximum number of connections from other nodes, 0 for no limit. Further ones wait to be accepted.
+func (h Host) forwarderConnections() int { return h.connectionShare(forwarderFraction) }
+
 // peerConnections returns the maximum number of connections to other nodes, 0 for no limit.
 func (h Host) peerConnections() int { return h.connectionShare(peerFraction) }
 
--- a/entrynode/files_test.go
+++ b/entrynode/files_test.go
@@ -17,6 +17,7 @@
 		h := Host{MaxFiles: test.files}
 		assert.Equal(t, h.callerConnections(), test.callers)
 		assert.Equal(t, h.endpointConnections(), test.endpoints)
-		assert.Assert(t, test.files < 1000 || test.callers+test.endpoints+reservedDescriptors < test.files)
+		others := h.peerConnections() + h.forwarderConnections() + 2*maxPortConnections
+		assert.Assert(t, test.files < 1000 || test.callers+test.endpoints+others+reservedDescriptors < test.files)
 	}
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -17,6 +17,7 @@
 
 	"hawthornrill.example/hawthornrill/boottime"
 	"hawthornrill.example/hawthornrill/brittle"
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/callers"
 	"hawthornrill.example/hawthornrill/directory"
 	"hawthornrill.example/hawthornrill/endpoint/exchange"
@@ -66,6 +67,8 @@
 	peerClient   *exchange.Client
 	gateway      *gateway.Gateway
 	callerServer *http.Server
+	// headBudget bounds the requests in progress and their heads, nil for no bound.
+	headBudget *bytebudget.Budget
 	// peerServer serves requests that other nodes forward.
 	peerServer *http.Server
 	// stopRequests ends the contexts of all requests with a cause.
@@ -154,6 +157,7 @@
 		MaxHeldBodyBytes: s.Host.memoryBytes(bodyFraction), MaxHeldAnswerBytes: s.Host.memoryBytes(answerFraction), Node: s.Node,
 	})
 	n.metrics.NewGauge("hawthornrill_service_versions", func() float64 { return float64(n.directory.Current().MaxVersions()) })
+	n.headBudget = n.newHeadBudget()
 	n.openServers()
 	return n, nil
 }
@@ -297,6 +301,8 @@
 	}
 	n.peerServer = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnContext:       callers.ConnContext,
+		ConnState:         callers.TrackState,
 		Addr:              n.settings.Listen.Peers,
 		Handler:           http.HandlerFunc(n.servePeer),
 		ReadHeaderTimeout: peerHeaderTimeout,
@@ -304,8 +310,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          debugLogger(n.log),
 	}
-	n.readyServer = &http.Server{Addr: n.settings.Listen.Ready, Handler: http.HandlerFunc(n.serveReady), ErrorLog: debugLogger(n.log)}
-	n.operatorServer = &http.Server{Addr: n.settings.Listen.Operators, Handler: n.operatorHandler(), ErrorLog: debugLogger(n.log)}
+	n.readyServer = n.portServer(n.settings.Listen.Ready, http.HandlerFunc(n.serveReady))
+	n.operatorServer = n.portServer(n.settings.Listen.Operators, n.operatorHandler())
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -331,7 +337,7 @@
 	defer stop()
 	callerListener := callers.NewListener(listener, n.settings.Host.callerConnections())
 	callerListener.SetFinalResponse(gateway.FinalResponse())
-	callerListener.SetHeadLimits(n.headLimits())
+	callerListener.SetHeadLimits(n.callerHeadLimits())
 	n.addBackground(&group, background, stop, callerListener)
 	group.Add(func() error { return n.serveCallers(ctx, callerListener) }, func(error) { _ = n.callerServer.Close() })
 	n.log.Info().Str("node", string(n.settings.Node)).Str("callers", n.callerServer.Addr).Msg("node started")
@@ -363,13 +369,13 @@
 		servers = append(servers, n.operatorServer)
 	}
 	for _, server := range servers {
-		group.Add(server.ListenAndServe, func(error) { _ = server.Close() })
+		group.Add(func() error { return serveLimited(server, maxPortConnections, portHeadLimits()) }, func(error) { _ = server.Close() })
 	}
 }
 
 // servePeers serves requests that other nodes forward until the context ends, also after the server was shut down.
 func (n *Node) servePeers(ctx context.Context) error {
-	err := n.peerServer.ListenAndServe()
+	err := serveLimited(n.peerServer, n.settings.Host.forwarderConnections(), n.peerHeadLimits())
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return ctx.Err()
--- a/entrynode/options.go
+++ b/entrynode/options.go
@@ -33,6 +33,14 @@
 	// maxHeaderBytes limits the size of a request head, whatever the configuration says; defaultHeaderBytes does if it sets no limit.
 	maxHeaderBytes     = 1 << 20
 	defaultHeaderBytes = 64 << 10
+	// maxForwardBytes limits the part of the head of a forwarded request that the node that forwards it adds.
+	maxForwardBytes = 8 << 10
+	// Limits for the ports of the balancer and of the operators: of a request head in bytes, for reading a request, for writing the response
+	// and for an idle connection.
+	maxPortHeaderBytes = 8 << 10
+	portReadTimeout    = 5 * time.Second
+	portWriteTimeout   = 30 * time.Second
+	portIdleTimeout    = time.Minute
 	// peerIdleTimeout is how long a connection over which another node has forwarded requests is kept. It exceeds the time for
 	// which that node uses it again.
 	peerIdleTimeout = 10 * time.Second
