entrynode: requests whose bodies have not arrived are answered at the end of the grace period

A node that exits at the end of its grace period reset the connections of requests whose bodies it was still reading: their callers could not know that they had not run. Ending the requests' contexts doesn't end a read of a body. The reads are now ended, and the callers get 408 with "not_run".

TestMisbehavingClientWithStalledBodyIsAnsweredAtShutdown (real process) fails without the fix: unexpected EOF.

--- a/callers/reclaim.go
+++ b/callers/reclaim.go
@@ -105,6 +105,27 @@
 	return c.held.Bytes() > 0 && now.Sub(c.idleSince) >= slowAfter
 }
 
+// EndBodies ends the reading of bodies, so that requests that have not arrived get a final response. It is for a process that exits.
+func (l *Listener) EndBodies() (ended int) {
+	for _, c := range l.openConns() {
+		if c.endBody() {
+			ended++
+		}
+	}
+	return ended
+}
+
+func (c *conn) endBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.bodySince.IsZero() {
+		return false
+	}
+	c.bodyEvicted = true
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // ends a read in progress; a connection takes deadlines
+	return true
+}
+
 func (c *conn) bodyIsSlow(now time.Time) bool {
 	if c.bodySince.IsZero() || c.bodyEvicted {
 		return false
--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -276,11 +276,31 @@
 		n.crowd.join(form)
 	}
 	time.Sleep(crowdTime)
+	n.shutDown()
+}
+
+// shutDown asks the process to shut down and waits for its exit.
+func (n *crowdedNode) shutDown() {
 	select {
 	case <-n.signalEnd():
 	case <-time.After(hangTime):
-		t.Error("the process has not exited")
+		n.t.Error("the process has not exited")
 	}
 	close(n.stop)
 	<-n.stopped
 }
+
+// Guards against a request that has not arrived when the node exits and gets no answer.
+func TestMisbehavingClientWithStalledBodyIsAnsweredAtShutdown(t *testing.T) {
+	n := newCrowdedNode(t, func(r *platformtest.Route) { r.Timeout = time.Hour })
+	head := platformtest.RequestHead("/book/x", "stalled", "k0", time.Hour, "Content-Length: 100") + "\r\n"
+	conn, err := net.Dial("tcp4", n.callerAddress)
+	assert.NilError(t, err)
+	defer conn.Close()
+	writeTexts(conn, head, shortOf100)
+	n.smallRequest() // the node has begun to read the other one
+	n.shutDown()
+	status, err := readStatus(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusRequestTimeout)
+}
--- a/entrynode/leave.go
+++ b/entrynode/leave.go
@@ -79,6 +79,9 @@
 	defer cancel()
 	n.gateway.StopDispatching()
 	n.stopRequests(gateway.ErrStopped)
+	if bodies := listener.EndBodies(); bodies > 0 {
+		n.log.Warn().Int("bodies", bodies).Msg("leaving: requests that have not arrived are refused")
+	}
 	if err := listener.CloseConnections(ctx, 0); err != nil {
 		unread := listener.EndUnread()
 		n.log.Warn().Err(err).Int("active", n.gateway.Active()).Int("unread", unread).Msg("leaving: requests are cut off")
