soak: clients that don't behave, among faults

Crowds of all forms of which no request completes join single nodes, stay up to four seconds and leave, several at a time, while nodes are stopped, killed, paused and cut off in series and callers use open connections until their process is gone.

--- a/cmd/hawthornrill-soak/clientio_test.go
+++ b/cmd/hawthornrill-soak/clientio_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 // endlessBody is a reader without an end.
@@ -46,3 +53,22 @@
 
 // signalEnd asks the process to shut down and returns the channel that is closed when it has exited.
 func (p *process) signalEnd() <-chan struct{} { return p.signal(syscall.SIGTERM) }
+
+// anonymousBytes returns the anonymous resident memory of the process, 0 if it does not run.
+func (p *process) anonymousBytes(t *testing.T) int64 {
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(status), "RssAnon:")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return 0
+	}
+	kilobytes, err := strconv.ParseInt(fields[0], 10, 64)
+	assert.Check(t, err)
+	return kilobytes << 10
+}
--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -100,26 +98,10 @@
 }
 
 func (n *crowdedNode) measure() {
-	n.peakBytes.Store(max(n.peakBytes.Load(), n.anonymousBytes()))
+	n.peakBytes.Store(max(n.peakBytes.Load(), n.anonymousBytes(n.t)))
 	n.peakFiles.Store(max(n.peakFiles.Load(), n.openFiles()))
 }
 
-// anonymousBytes returns the anonymous resident memory of the process, 0 once it has exited.
-func (n *crowdedNode) anonymousBytes() int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, after, _ := strings.Cut(string(status), "RssAnon:")
-	fields := strings.Fields(after)
-	if len(fields) == 0 {
-		return 0
-	}
-	kilobytes, err := strconv.ParseInt(fields[0], 10, 64)
-	assert.Check(n.t, err)
-	return kilobytes << 10
-}
-
 // openFiles returns the number of open descriptors of the process, 0 once it has exited.
 func (n *crowdedNode) openFiles() int64 {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", n.command.Process.Pid))
@@ -209,10 +191,10 @@
 
 // portForms are clients of the ports for the balancer and for other nodes.
 var portForms = []clientForm{
-	{"heads of 1 MB of short lines without an end", 20, func(w io.Writer, i int) {
+	{name: "heads of 1 MB of short lines without an end", clients: 20, send: func(w io.Writer, i int) {
 		writeTexts(w, headOf(i), distinctLines(1<<20))
 	}},
-	{"a small body one byte short", 2200, func(w io.Writer, i int) {
+	{name: "a small body one byte short", clients: 2200, send: func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100")+"\r\n", shortOf100)
 	}},
 }
--- a/cmd/hawthornrill-soak/crowd_test.go
+++ b/cmd/hawthornrill-soak/crowd_test.go
@@ -26,6 +26,8 @@
 	clients int
 	// send writes what the i-th client sends. It ends early if the node closes the connection.
 	send func(w io.Writer, i int)
+	// completes is true if one of the requests is complete.
+	completes bool
 }
 
 // crowd holds the connections of clients that stay until leave is called.
@@ -145,50 +147,50 @@
 var clientForms = []clientForm{
 	{"distinct short lines and a body one byte short", 450, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100"), distinctLines(16000), "\r\n", shortOf100)
-	}},
+	}, false},
 	{"one short line repeated and a body one byte short", 850, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100"), equalLines(16000), "\r\n", shortOf100)
-	}},
+	}, false},
 	{"a head of distinct short lines without an end", 450, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100"), distinctLines(16000))
-	}},
+	}, false},
 	{"a head of 60,000 bytes of short lines and a body one byte short", 150, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100"), distinctLines(60000), "\r\n", shortOf100)
-	}},
+	}, false},
 	{"a head of 67,000 bytes of short lines without an end", 150, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100"), distinctLines(67000))
-	}},
+	}, false},
 	{"a field of very many prompt parts and a body one byte short", 450, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100", platformtest.PromptLine(strings.Repeat(",", 16000))), "\r\n", shortOf100)
-	}},
+	}, false},
 	{"short lines after a complete request", 800, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 4")+"\r\nbody"+headOf(i)+distinctLines(3800))
-	}},
-	{"lines without an end", 100, func(w io.Writer, i int) { endless(w, headOf(i)) }},
-	{"empty lines without an end", 100, func(w io.Writer, _ int) { endless(w, "\r\n") }},
+	}, true},
+	{"lines without an end", 100, func(w io.Writer, i int) { endless(w, headOf(i)) }, false},
+	{"empty lines without an end", 100, func(w io.Writer, _ int) { endless(w, "\r\n") }, false},
 	{"a body of 4 MiB one byte short", 40, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, fmt.Sprint("Content-Length: ", maxBodyBytes))+"\r\n")
 		sendBody(w, 1, 0, writePlain)
-	}},
+	}, false},
 	{"a body of 4 MiB in pieces, one byte short", 60, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, fmt.Sprint("Content-Length: ", maxBodyBytes))+"\r\n")
 		sendBody(w, 10, bodyPause, writePlain)
-	}},
+	}, false},
 	{"a body of 4 MiB in chunks, one byte short", 60, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Transfer-Encoding: chunked")+"\r\n")
 		sendBody(w, 10, bodyPause, writeChunk)
-	}},
+	}, false},
 	{"chunks of one byte", 60, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Transfer-Encoding: chunked")+"\r\n")
 		endless(w, "1\r\nx\r\n")
-	}},
+	}, false},
 	{"trailers of short lines without an end", 450, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Transfer-Encoding: chunked")+"\r\n1\r\nx\r\n0\r\n", distinctLines(4000))
-	}},
+	}, false},
 	{"a small body one byte short, on more connections than there are", 1200, func(w io.Writer, i int) {
 		writeTexts(w, headOf(i, "Content-Length: 100")+"\r\n", shortOf100)
-	}},
-	{"connections without a byte, more than there are", 1200, func(io.Writer, int) {}},
+	}, false},
+	{"connections without a byte, more than there are", 1200, func(io.Writer, int) {}, false},
 	{"a head a byte at a time, on more connections than there are", 1200, func(w io.Writer, i int) {
 		for _, b := range []byte(headOf(i)) {
 			if writePlain(w, []byte{b}) != nil {
@@ -196,5 +198,5 @@
 			}
 			time.Sleep(bodyPause)
 		}
-	}},
+	}, false},
 }
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -126,8 +126,9 @@
 	t      *testing.T
 	seed   int64
 	series bool
-	// paths adds faults between nodes and endpoints.
+	// paths adds faults between nodes and endpoints, crowds adds clients that don't behave.
 	paths  bool
+	crowds bool
 	random *rand.Rand
 	dir    string
 	store  *platformtest.Store
@@ -174,6 +175,11 @@
 
 // newSoakWithKeyAge returns a soak whose nodes accept keys that they knew to be in force up to that long ago.
 func newSoakWithKeyAge(t *testing.T, seed int64, series bool, maxKeyAge time.Duration) *soak {
+	return newSoakWithSettings(t, seed, series, maxKeyAge, func(text string) string { return text })
+}
+
+// newSoakWithSettings returns a soak whose nodes have edited settings.
+func newSoakWithSettings(t *testing.T, seed int64, series bool, maxKeyAge time.Duration, edit func(text string) string) *soak {
 	s := &soak{
 		t: t, seed: seed, series: series, random: rand.New(rand.NewPCG(uint64(seed), 0)), store: platformtest.NewStore(),
 		history: &history{started: time.Now(), revoked: make(map[string]time.Time)}, drainingSince: make(map[*platformtest.Endpoint]time.Time),
@@ -199,6 +205,10 @@
 		storeProxy := newProxy(t, links.serveStore(s.store))
 		s.storeProxies = append(s.storeProxies, storeProxy)
 		n := newProcess(t, dir, fmt.Sprint("node-", i), fmt.Sprint("dc-", i%dataCentres()), storeProxy.address(), maxKeyAge)
+		n.settingsText = edit(n.settingsText)
+		if err := n.writeSettings("info"); err != nil {
+			t.Fatal(err)
+		}
 		s.addNode(n)
 	}
 	s.store.RewriteValues(s.listRelays)
@@ -286,6 +296,10 @@
 	if s.paths {
 		faults.Go(func() { s.givePathFaults(rand.New(rand.NewPCG(uint64(s.seed), pathStream)), end, faults.Go) })
 	}
+	if s.crowds {
+		faults.Go(func() { s.giveCrowds(rand.New(rand.NewPCG(uint64(s.seed), crowdStream)), end, faults.Go) })
+		s.watchMemory(stop, &callers)
+	}
 	if s.series {
 		s.startStayingCallers(stop, callers.Go)
 	}
