--- a/callers/reclaim.go
+++ b/callers/reclaim.go
@@ -86,7 +86,7 @@
 	default:
 		return false
 	}
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // ends a read in progress; a connection takes deadlines
+	_ = c.Conn.SetReadDeadline(time.Now()) // ends a read in progress; a connection takes deadlines
 	return true
 }
 
@@ -122,7 +122,7 @@
 		return false
 	}
 	c.bodyEvicted = true
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // ends a read in progress; a connection takes deadlines
+	_ = c.Conn.SetReadDeadline(time.Now()) // ends a read in progress; a connection takes deadlines
 	return true
 }
 
--- a/callers/refusal.go
+++ b/callers/refusal.go
@@ -72,13 +72,10 @@
 		return false
 	}
 	c.refuse(c.listener.heads.Refusals.TooSlow)
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // ends a read in progress; a connection takes deadlines
+	_ = c.Conn.SetReadDeadline(time.Now()) // ends a read in progress; a connection takes deadlines
 	return true
 }
 
-// aLongTimeAgo is a deadline in the past.
-var aLongTimeAgo = time.Unix(1, 0)
-
 // endUnused closes the connection if nothing of a request has arrived, and reports whether it did.
 func (c *conn) endUnused() bool {
 	c.mu.Lock()
@@ -87,7 +84,7 @@
 		return false
 	}
 	c.refuse(c.listener.finalResponse)
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // as above
+	_ = c.Conn.SetReadDeadline(time.Now()) // as above
 	return true
 }
 
