--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -31,7 +31,6 @@
 type crowdedNode struct {
 	*process
 	t         *testing.T
-	endpoint  *platformtest.Endpoint
 	crowd     *crowd
 	requests  atomic.Int64
 	peakBytes atomic.Int64
@@ -59,7 +58,7 @@
 	host := fmt.Sprintf("memory_mb = %d\nmax_files = %d\n", clientsMemoryMB, clientsMaxFiles)
 	p.settingsText = strings.Replace(p.settingsText, "memory_mb = 128\n", host, 1)
 	assert.NilError(t, p.writeSettings("info"))
-	n := &crowdedNode{process: p, t: t, endpoint: endpoint, crowd: &crowd{address: p.callerAddress}, stop: make(chan struct{}), stopped: make(chan struct{})}
+	n := &crowdedNode{process: p, t: t, crowd: &crowd{address: p.callerAddress}, stop: make(chan struct{}), stopped: make(chan struct{})}
 	p.start(t, binary)
 	t.Cleanup(p.killAndWait)
 	t.Cleanup(n.crowd.leave)
@@ -110,17 +109,16 @@
 }
 
 // ordinary is a request of a caller that repeats it after a refusal, as long as that promises that it has not run.
-func (n *crowdedNode) ordinary(head string, body func() io.Reader) bool {
+func (n *crowdedNode) ordinary(head string, body func() io.Reader) {
 	var last string
 	for end := time.Now().Add(hangTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		status, err := n.once(head, body())
 		if status == http.StatusOK {
-			return true
+			return
 		}
 		last = fmt.Sprintf("status %d, %v", status, err)
 	}
 	n.t.Errorf("an ordinary request was not answered: %s", last)
-	return false
 }
 
 // once sends a request on a connection of its own and returns the status of its response.
@@ -137,9 +135,9 @@
 	return readStatus(conn)
 }
 
-func (n *crowdedNode) smallRequest() bool {
+func (n *crowdedNode) smallRequest() {
 	id := int(n.requests.Add(1))
-	return n.ordinary(headOf(-id, "Content-Length: 4")+"\r\n", func() io.Reader { return strings.NewReader("body") })
+	n.ordinary(headOf(-id, "Content-Length: 4")+"\r\n", func() io.Reader { return strings.NewReader("body") })
 }
 
 // check ends the measurement and checks that the process lives and has kept its limits.
