exchange: a response whose status is out of range is no answer

What callers saw: an endpoint that sent status 600 or 999 had it passed on as its answer; after a status line of 000 to 099, or a 101 that nobody had asked for, whatever came next was passed on as a 200.

Cause: net/http accepts any status of three digits, and any digit for the version. The client skipped all heads below 200 as interim responses.

Change: package httpresponse checks a head as its bytes arrive, in front of net/http. The status line must be one of HTTP/1 with a status from 100 to 599; 101 is accepted only by a request for an upgrade. Values outside are invalid (RFC 9110, section 15) and are treated as a broken response rather than as 5xx: what sent them can't be trusted to have sent the rest, and the caller gets the same 502 with outcome "unknown". Another endpoint is tried if the route allows it. The handshake between nodes uses the same check.

Evidence: responsetest.Malformed are the responses as sent. Status 000 alone was refused with 502 before: its test stays.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -6,8 +6,8 @@
 // the expected one. Requests and responses are written and parsed by net/http.
 //
 // Guarantees: An error that wraps endpoint.ErrNotDispatched means that not a single byte was sent.
-// After any other error the request may have been run. A response that belongs to another request
-// is skipped. A connection is reused only if its last response was read to the end, no other data
+// After any other error the request may have been run. A malformed response is such an error; see package httpresponse. A response that
+// belongs to another request is skipped. A connection is reused only if its last response was read to the end, no other data
 // has arrived since, and it has been idle for less than the endpoint allows. A connection that is
 // closed before the endpoint's host has acknowledged the whole request is reset, so that the rest
 // of the request is never delivered.
--- a/endpoint/exchange/client_test.go
+++ b/endpoint/exchange/client_test.go
@@ -76,7 +76,11 @@
 
 func send(t *testing.T, c *Client, r *Request) (string, error) {
 	t.Helper()
-	answer, err := c.Send(context.Background(), r)
+	return sendWith(context.Background(), c, r)
+}
+
+func sendWith(ctx context.Context, c *Client, r *Request) (string, error) {
+	answer, err := c.Send(ctx, r)
 	if err != nil {
 		return "", err
 	}
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/netdial"
 )
 
@@ -22,6 +23,9 @@
 	idleUntil time.Time
 	// readLimit is the number of bytes that may still be read.
 	readLimit int64
+	// head checks the head that is being read, if headExpected.
+	head         httpresponse.Head
+	headExpected bool
 	// onClose is called once, when the connection is closed.
 	onClose   func()
 	closeOnce sync.Once
@@ -39,29 +43,52 @@
 
 var errHeaderTooLong = errors.New("exchange: response header too long")
 
-// Read enforces readLimit.
+// Read enforces readLimit and checks the head that is being read.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readLimit <= 0 {
 		return 0, errHeaderTooLong
 	}
 	n, err := c.Conn.Read(p)
 	c.readLimit -= int64(n)
+	if c.headExpected {
+		if err := c.checkHead(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
+// checkHead checks the next bytes of the head, until it is complete.
+func (c *conn) checkHead(p []byte) error {
+	_, complete, err := c.head.Check(p)
+	c.headExpected = !complete
+	return err
+}
+
 // readHead reads the head of the next response, skipping interim responses. All of them together are limited to maxHeadBytes: an
 // endpoint may send interim responses without end.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.readLimit = maxHeadBytes
 	defer func() { c.readLimit = math.MaxInt64 }()
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := c.readAnyHead(method)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
 }
 
+// readAnyHead reads and checks the head of the next response, which may be an interim one.
+func (c *conn) readAnyHead(method string) (*http.Response, error) {
+	c.head.Reset()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	if err := c.checkHead(buffered); err != nil {
+		return nil, err
+	}
+	defer func() { c.headExpected = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
 		_ = c.Conn.Close() // nothing more is written, so no data can be lost
--- a/endpoint/exchange/handshake.go
+++ b/endpoint/exchange/handshake.go
@@ -30,7 +30,7 @@
 		if err := c.SetReadDeadline(deadline); err != nil {
 			return nil, err
 		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := c.readAnyHead(r.Method)
 		switch {
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w", errNoHandshake, err)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -106,6 +106,8 @@
 	bodyBytes   int64
 	// probe is the result of the probe of an endpoint whose answer broke off.
 	probe error
+	// log is the gateway's.
+	log zerolog.Logger
 
 	endpointLimits *endpointlimit.Limiter
 	endpointGate   *endpointgate.Gate
@@ -125,7 +127,7 @@
 )
 
 func newFixture(t testing.TB, edit func(*routetable.Route), endpoints ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, config: &testConfigSource{}, directory: directory.New(), retries: ampleRetryBudget}
+	f := &fixture{t: t, config: &testConfigSource{}, directory: directory.New(), retries: ampleRetryBudget, log: zerolog.Nop()}
 	f.clock.Store(int64(time.Hour))
 	route := routetable.Route{
 		Name: "r", Host: "h.example", Prefix: "/r/", Kind: routetable.Stream, Resumable: true, Timeout: time.Minute,
@@ -205,7 +207,7 @@
 		Reach:              f.reach,
 		PeerClient:         f.peerClient,
 		Clock:              f.now,
-		Log:                zerolog.Nop(),
+		Log:                f.log,
 		Metrics:            set,
 	}, Options{MaxKeyAge: testMaxKeyAge, MaxConfigLag: testMaxConfigLag, MaxHeldBodyBytes: f.bodyBytes})
 	f.clock.Add(int64(time.Hour)) // limits start as used up
--- /dev/null
+++ b/httpresponse/responsetest/malformed.go
@@ -0,0 +1,49 @@
+package responsetest
+
+import "strings"
+
+// Form is a malformed response.
+type Form struct {
+	Name string
+	// Text is the whole response as sent.
+	Text string
+}
+
+const (
+	framed  = "Content-Length: 5\r\n\r\nhello"
+	chunked = "\r\n5\r\nhello\r\n0\r\n\r\n"
+	ok      = "HTTP/1.1 200 OK\r\n"
+)
+
+// Malformed returns responses that no reader may take for an answer. The fields, each ended by CRLF, are part of the head of each.
+func Malformed(fields string) []Form {
+	good := ok + fields + framed
+	return []Form{
+		{"status 000", "HTTP/1.1 000 None\r\n" + fields + framed},
+		{"status 000 without a body", "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+		{"status 000 before a response", "HTTP/1.1 000 None\r\n\r\n" + good},
+		{"status 099 before a response", "HTTP/1.1 099 None\r\n\r\n" + good},
+		{"signed status before a response", "HTTP/1.1 +20 None\r\n\r\n" + good},
+		{"unexpected change of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + good},
+		{"status 600", "HTTP/1.1 600 More\r\n" + fields + framed},
+		{"status 600 without a body", "HTTP/1.1 600 More\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+		{"status 999", "HTTP/1.1 999 More\r\n" + fields + framed},
+		{"status of four digits", "HTTP/1.1 2000 OK\r\n" + fields + framed},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n" + fields + framed},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + fields + framed},
+	}
+}
+
+// WellFormed returns unusual responses with the body "hello" that are answers.
+func WellFormed(fields string) []Form {
+	return []Form{
+		{"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok + fields + framed},
+		{"HTTP/1.0 without a length", "HTTP/1.0 200 OK\r\n" + fields + "\r\nhello"},
+		{"no reason", "HTTP/1.1 200\r\n" + fields + framed},
+		{"lines that end with LF", strings.ReplaceAll(ok+fields+framed, "\r\n", "\n")},
+		{"continued line", ok + fields + "X-Folded: a\r\n b c: d\r\n" + framed},
+		{"trailer", ok + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nFoo: x\r\n\r\n"},
+		{"many fields", ok + fields + strings.Repeat("Set-Cookie: a=b\r\n", 200) + framed},
+		{"long field", ok + fields + "X-Long: " + strings.Repeat("x", 30<<10) + "\r\n" + framed},
+	}
+}
