exchange: a blank in the name of a field makes a response malformed

What callers saw: an endpoint's "Content-Length : 5" before "helloEXTRA" came through as a 200 with ten bytes; with "Transfer-Encoding : chunked" the framing of the chunks was the body; "Foo Bar: x" was left out and the rest passed on.

Cause: net/http leaves names with blanks as they are, so that neither the length nor the coding is found under such a name, and the body lasts until the connection ends. It does so in heads, in interim responses and in the fields after a chunked body.

Change: each name must be a token (RFC 9110, section 5.1), in all heads and trailers, also those of responses that are skipped.

Evidence, before the change: TestMalformedAnswerIsLost/blank_after_the_name_of_the_length,_plain,_directly: 200 (got.Status int) != 502: "helloEXTRA" TestMalformedResponseIsBroken/blank_after_the_name_of_the_coding: error is nil: body "5\r\nhello\r\n0\r\n\r\n" TestMalformedResponseIsBroken/blank_in_a_name_of_a_trailer: error is nil: body "hello" and the same through another node, and for interim responses and the handshake.

--- a/endpoint/exchange/response.go
+++ b/endpoint/exchange/response.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // Response is the response of an endpoint whose head has been read.
@@ -28,9 +30,12 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end that the body's framing defines; if the
-// body is cut short, the error wraps endpoint.ErrBroken.
+// body is cut short or followed by malformed fields, the error wraps endpoint.ErrBroken.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(httpresponse.CheckTrailer(r.Trailer), err)
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -103,8 +108,12 @@
 		return errNotDiscardable
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes+1))
-	if err == nil && n > maxDiscardBytes {
-		err = errNotDiscardable
+	switch {
+	case err != nil:
+		return err
+	case n > maxDiscardBytes:
+		return errNotDiscardable
+	default:
+		return httpresponse.CheckTrailer(response.Trailer)
 	}
-	return err
 }
--- a/httpresponse/head.go
+++ b/httpresponse/head.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// Head checks the head of a response as its bytes arrive: the status line. The zero value expects a status line.
+// Head checks the head of a response as its bytes arrive: status line, names of fields. It does not check what net/http
+// checks, such as values and lengths. The zero value expects a status line.
 type Head struct {
 	// Upgrade is set if the request asks for another protocol, so that status 101 is an answer.
 	Upgrade bool
@@ -14,6 +17,7 @@
 	line []byte
 	// status is 0 until the status line has been read.
 	status int
+	fields bool
 	err    error
 }
 
@@ -53,8 +57,11 @@
 		return false, h.checkStatusLine(line)
 	case len(line) == 0:
 		return true, nil
-	default:
+	case h.fields && (line[0] == ' ' || line[0] == '\t'): // continues the value of the line before
 		return false, nil
+	default:
+		h.fields = true
+		return false, h.checkField(line)
 	}
 }
 
@@ -78,3 +85,11 @@
 	}
 	return nil
 }
+
+func (h *Head) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return malformed("name of a field", line)
+	}
+	return nil
+}
--- a/httpresponse/responsetest/malformed.go
+++ b/httpresponse/responsetest/malformed.go
@@ -31,6 +31,21 @@
 		{"status of four digits", "HTTP/1.1 2000 OK\r\n" + fields + framed},
 		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n" + fields + framed},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + fields + framed},
+		{"blank after the name of the length", ok + fields + "Content-Length : 5\r\n\r\nhelloEXTRA"},
+		{"blank after the name of the coding", ok + fields + "Transfer-Encoding : chunked\r\n" + chunked},
+		{"blank after the name of the coding, and a length", ok + fields + "Content-Length: 15\r\nTransfer-Encoding : chunked\r\n" + chunked},
+		{"blank in a name", ok + fields + "Foo Bar: x\r\n" + framed},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nFoo Bar: x\r\n\r\n" + good},
+		{"tab after a name", ok + fields + "Foo\t: x\r\n" + framed},
+		{"control byte in a name", ok + fields + "Fo\x01o: x\r\n" + framed},
+		{"NUL in a name", ok + fields + "Fo\x00o: x\r\n" + framed},
+		{"bare CR in a name", ok + fields + "Fo\ro: x\r\n" + framed},
+		{"high byte in a name", ok + fields + "Fo\xffo: x\r\n" + framed},
+		{"no name", ok + fields + ": x\r\n" + framed},
+		{"control byte in a value", ok + fields + "Foo: x\x01\r\n" + framed},
+		{"two lengths", ok + fields + "Content-Length: 4\r\n" + framed},
+		{"two codings", ok + fields + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunked},
+		{"blank in a name of a trailer", ok + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nFoo Bar: x\r\n\r\n"},
 	}
 }
 
