exchange: a coding of the body in HTTP/1.0 makes a response malformed

What callers saw: "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" came through as a 200 whose body was the framing of the chunks.

Cause: net/http removes the field in HTTP/1.0 and reads the body until the connection ends, so that it can't be seen after parsing.

Change: the check of heads, which sees the bytes as they arrive, refuses the field there (RFC 9112, section 6.1: the framing is faulty, even if there is a length). HTTP/1.0 without the field is an answer as before (TestUnusualResponseIsAnAnswer).

--- a/httpresponse/head.go
+++ b/httpresponse/head.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
 
-// Head checks the head of a response as its bytes arrive: status line, names of fields. It does not check what net/http
+// Head checks the head of a response as its bytes arrive: status line, names of fields, framing. It does not check what net/http
 // checks, such as values and lengths. The zero value expects a status line.
 type Head struct {
 	// Upgrade is set if the request asks for another protocol, so that status 101 is an answer.
@@ -17,6 +18,7 @@
 	line []byte
 	// status is 0 until the status line has been read.
 	status int
+	http10 bool
 	fields bool
 	err    error
 }
@@ -74,6 +76,7 @@
 	if !ok || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' {
 		return malformed("not a status line of HTTP/1", line)
 	}
+	h.http10 = minor[0] == '0'
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(digits), 10, 16)
 	if err != nil || len(digits) != statusDigits || status < 100 || status > 599 {
@@ -88,8 +91,12 @@
 
 func (h *Head) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+	switch {
+	case !found || !httpguts.ValidHeaderFieldName(string(name)):
 		return malformed("name of a field", line)
+	case h.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
+		return malformed("coding of the body in HTTP/1.0", line)
+	default:
+		return nil
 	}
-	return nil
 }
--- a/httpresponse/responsetest/malformed.go
+++ b/httpresponse/responsetest/malformed.go
@@ -45,6 +45,8 @@
 		{"control byte in a value", ok + fields + "Foo: x\x01\r\n" + framed},
 		{"two lengths", ok + fields + "Content-Length: 4\r\n" + framed},
 		{"two codings", ok + fields + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunked},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n" + chunked},
+		{"chunks in HTTP/1.0, and a length", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunked},
 		{"blank in a name of a trailer", ok + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nFoo Bar: x\r\n\r\n"},
 	}
 }
