onesend: malformed responses are no answers

What callers saw, on the product's own way to services, engines and the store: status 000 or 600 came as the status of the answer; a body of 7 bytes where "Content-Length : 2" was stated, the line passed on as a field; the framing of chunks as the body, also in HTTP/1.0. The store's client took such a response to a write for its acceptance.

Cause: the responses come from http.Transport, which checks no more than http.ReadResponse.

Change: httpresponse.Transport wraps an http.Transport. Its connections check each head by the same httpresponse.Head as endpoint/exchange, before net/http sees it, so that http.Transport closes the connection. Fields after a chunked body are checked where the body ends; as http.Transport considers the connection idle by then, it is closed, and the next request on it waits for the verdict.

--- a/endpoint/httpservice/client_test.go
+++ b/endpoint/httpservice/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,8 @@
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/httpservice"
 	"hawthornrill.example/hawthornrill/endpoint/onesend"
+	"hawthornrill.example/hawthornrill/httpresponse"
+	"hawthornrill.example/hawthornrill/httpresponse/responsetest"
 )
 
 func newClient(t *testing.T, handler http.HandlerFunc) *httpservice.Client {
@@ -123,3 +126,21 @@
 	_, err = call(t, client, "BAD METHOD", nil)
 	assert.ErrorIs(t, err, endpoint.ErrNotDispatched)
 }
+
+// Guards against malformed responses, and parts of responses to requests that were not sent whole, coming as answers of a service.
+func TestBrokenResponseIsNoAnswer(t *testing.T) {
+	transport := onesend.New(onesend.Options{})
+	for _, form := range responsetest.Malformed("") {
+		t.Run(form.Name, func(t *testing.T) {
+			client := httpservice.New("http://"+responsetest.Serve(t, form.Text).Address, transport)
+			response, err := call(t, client, "POST", strings.NewReader("payload"))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			assert.ErrorIs(t, err, endpoint.ErrBroken)
+			assert.Assert(t, form.ByNetHTTP || errors.Is(err, httpresponse.ErrMalformed), "%v", err)
+			assert.Assert(t, !errors.Is(err, endpoint.ErrNotDispatched))
+		})
+	}
+}
--- a/endpoint/onesend/transport.go
+++ b/endpoint/onesend/transport.go
@@ -1,7 +1,6 @@
 package onesend
 
 import (
-	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,12 +8,13 @@
 	"sync/atomic"
 
 	"hawthornrill.example/hawthornrill/endpoint"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // Transport pools connections to endpoints. It speaks HTTP/1.1, does not follow redirects or use a
 // proxy, and does not modify bodies.
 type Transport struct {
-	pool  http.Transport
+	pool  *httpresponse.Transport
 	rests *rests
 }
 
@@ -22,15 +22,16 @@
 func New(options Options) *Transport {
 	options = options.withDefaults()
 	d := options.dialer()
-	t := &Transport{rests: newRests(options)}
-	t.pool.DialContext = d.dial
-	t.pool.TLSClientConfig = options.TLS
-	t.pool.TLSHandshakeTimeout = options.DialTimeout
-	t.pool.TLSNextProto = map[string]func(string, *tls.Conn) http.RoundTripper{}
-	t.pool.MaxIdleConnsPerHost = options.IdlePerHost
-	t.pool.IdleConnTimeout = options.IdleTimeout
-	t.pool.DisableCompression = true
-	return t
+	return &Transport{
+		pool: httpresponse.NewTransport(&http.Transport{
+			DialContext:         d.dial,
+			TLSClientConfig:     options.TLS,
+			TLSHandshakeTimeout: options.DialTimeout,
+			MaxIdleConnsPerHost: options.IdlePerHost,
+			IdleConnTimeout:     options.IdleTimeout,
+		}),
+		rests: newRests(options),
+	}
 }
 
 // Send sends the request at most once. If it fails before any byte was written, the error wraps
@@ -80,9 +81,14 @@
 	a.conn.Store(c)
 }
 
+// trackedConn returns the connection under those that check it or encrypt it.
 func trackedConn(c net.Conn) (*conn, bool) {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
+	for {
+		layer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = layer.NetConn()
 	}
 	tracked, ok := c.(*conn)
 	return tracked, ok
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -89,7 +89,7 @@
 					assert.Assert(t, strings.Contains(got.Body, string(outcomeUnknown)), "%q", got.Body)
 					assert.Equal(t, endpoint.Requests.Load(), int64(1))
 					serving.await(func() bool { return serving.gateway.Active() == 0 })
-					if !parsedByLibrary[form.Name] {
+					if !form.ByNetHTTP {
 						assert.Assert(t, len(log.Lines(httpresponse.ErrMalformed.Error())) > 0, "no line says what was wrong")
 					}
 				})
@@ -98,9 +98,6 @@
 	}
 }
 
-// parsedByLibrary are the forms that net/http refuses by itself, with errors of its own.
-var parsedByLibrary = map[string]bool{"control byte in a value": true, "two lengths": true, "two codings": true}
-
 func TestMalformedAnswerIsRepeatedElsewhere(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\n" + signed + "Connection: close\r\nContent-Length: 5\r\n\r\nwhole"
 	for _, form := range responsetest.Malformed(signed) {
--- /dev/null
+++ b/httpresponse/conn.go
@@ -0,0 +1,99 @@
+package httpresponse
+
+import (
+	"net"
+	"sync"
+)
+
+// conn checks the heads that arrive on a connection.
+type conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head Head
+	// headExpected is true until the head of a final response has arrived.
+	headExpected bool
+	// err is set once something malformed has arrived.
+	err error
+
+	closed    chan struct{}
+	closeOnce sync.Once
+
+	// unread is held while a body is read after which something malformed may come. http.Transport takes the connection for idle as
+	// soon as the body has been read.
+	unread sync.Mutex
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, headExpected: true, closed: make(chan struct{})}
+}
+
+// expect makes the next bytes those of a head. It returns once the response before has been checked.
+func (c *conn) expect(upgrade bool) {
+	c.unread.Lock()
+	defer c.unread.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.headExpected = Head{Upgrade: upgrade}, true
+}
+
+// Read implements net.Conn. Its error wraps ErrMalformed at the first line of a head that is not valid.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checkHead(p[:n])
+	if c.err != nil {
+		return 0, c.err
+	}
+	return n, err
+}
+
+// checkHead checks further bytes if they belong to a head. The lock is held.
+func (c *conn) checkHead(p []byte) {
+	for len(p) > 0 && c.headExpected && c.err == nil {
+		var n int
+		var complete bool
+		n, complete, c.err = c.head.Check(p)
+		p = p[n:]
+		switch {
+		case complete && c.head.Interim():
+			c.head.Reset()
+		case complete:
+			c.headExpected = false
+		}
+	}
+}
+
+// Write implements net.Conn. It writes nothing once something malformed has arrived.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.failed(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// NetConn returns the connection that is checked.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// fail makes the connection unusable. It returns once http.Transport, whose reader fails, has closed it as well and will not choose it
+// again.
+func (c *conn) fail(err error) {
+	c.mu.Lock()
+	c.err = err
+	c.mu.Unlock()
+	_ = c.Conn.Close() // what it could report concerns nobody any more
+	<-c.closed
+}
+
+func (c *conn) failed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
