onesend: a reset is not the end of a body without a length

What callers saw: a service answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports the error of a reset once. http.Transport writes and reads in two goroutines; when the writer gets the error, the reader finds an ordinary end, which is the end of a body without a length. The moment decides.

Change: such a body is complete only if the connection was closed by the peer, not reset (the state of the socket when the read arrives at its end), and the whole request had been sent: an answer to a request that has not been sent whole has no known end. Answers with a length or in chunks state their end themselves and may come early as before.

--- a/httpresponse/conn.go
+++ b/httpresponse/conn.go
@@ -1,6 +1,8 @@
 package httpresponse
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -15,6 +17,8 @@
 	headExpected bool
 	// err is set once something malformed has arrived.
 	err error
+	// reset is true if the connection ended without the peer having closed it.
+	reset bool
 
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -46,6 +50,9 @@
 	if c.err != nil {
 		return 0, c.err
 	}
+	if errors.Is(err, io.EOF) {
+		c.reset = wasReset(c.Conn)
+	}
 	return n, err
 }
 
@@ -97,3 +104,10 @@
 	defer c.mu.Unlock()
 	return c.err
 }
+
+// endedByReset reports whether the end that Read returned was no close of the peer.
+func (c *conn) endedByReset() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reset
+}
--- a/httpresponse/errors.go
+++ b/httpresponse/errors.go
@@ -5,8 +5,17 @@
 	"fmt"
 )
 
-// ErrMalformed means that what was received is not a valid response. The connection can't be used again.
-var ErrMalformed = errors.New("httpresponse: malformed response")
+var (
+	// ErrMalformed means that what was received is not a valid response. The connection can't be used again.
+	ErrMalformed = errors.New("httpresponse: malformed response")
+	// ErrIncomplete means that a body without a length ended in a way that leaves open whether it is complete.
+	ErrIncomplete = errors.New("httpresponse: end of the response is not known")
+)
+
+var (
+	errReset         = fmt.Errorf("%w: the connection was reset", ErrIncomplete)
+	errRequestUnsent = fmt.Errorf("%w: it ended before the whole request was sent", ErrIncomplete)
+)
 
 // maxQuotedBytes limits how much of a malformed line an error quotes.
 const maxQuotedBytes = 60
--- a/httpresponse/roundtrip.go
+++ b/httpresponse/roundtrip.go
@@ -5,16 +5,20 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // roundTrip is a request and its response.
 type roundTrip struct {
 	upgrade bool
 	conn    atomic.Pointer[conn]
+	// written is true once the whole request has been handed to the connection. wrote receives when that has ended, one way or other.
+	written atomic.Bool
+	wrote   chan struct{}
 }
 
 func newRoundTrip(request *http.Request) *roundTrip {
-	return &roundTrip{upgrade: request.Header.Get("Upgrade") != ""}
+	return &roundTrip{upgrade: request.Header.Get("Upgrade") != "", wrote: make(chan struct{}, 1)}
 }
 
 // trace returns a context that makes the connection expect a response.
@@ -28,13 +32,20 @@
 			c.expect(r.upgrade)
 			r.conn.Store(c)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			r.written.Store(info.Err == nil)
+			select {
+			case r.wrote <- struct{}{}:
+			default:
+			}
+		},
 	})
 }
 
-// watch makes the end of the response's body depend on what net/http does not check: the fields after it.
+// watch makes the end of the response's body depend on what net/http does not check: the fields after it, or how its connection ended.
 func (r *roundTrip) watch(response *http.Response) {
 	c := r.conn.Load()
-	if c == nil || len(response.TransferEncoding) == 0 {
+	if c == nil || response.ContentLength >= 0 || response.Body == http.NoBody || response.StatusCode == http.StatusSwitchingProtocols {
 		return
 	}
 	c.unread.Lock()
@@ -43,9 +54,38 @@
 
 // checkEnd checks a response whose body has been read to its end.
 func (r *roundTrip) checkEnd(response *http.Response) error {
-	err := CheckTrailer(response.Trailer)
-	if err != nil {
-		r.conn.Load().fail(err)
+	c := r.conn.Load()
+	if len(response.TransferEncoding) > 0 {
+		err := CheckTrailer(response.Trailer)
+		if err != nil {
+			c.fail(err)
+		}
+		return err
+	}
+	switch {
+	case !r.requestSent():
+		return errRequestUnsent
+	case c.endedByReset():
+		return errReset
+	default:
+		return nil
+	}
+}
+
+// maxWriterLag bounds the wait for the writer of a request whose response has ended. http.Transport closes the connection then, so that
+// the writer ends soon unless it waits for the rest of the request.
+const maxWriterLag = time.Second
+
+// requestSent reports whether the whole request was sent. The response may have ended before the writer reports that.
+func (r *roundTrip) requestSent() bool {
+	if r.written.Load() {
+		return true
+	}
+	timer := time.NewTimer(maxWriterLag)
+	defer timer.Stop()
+	select {
+	case <-r.wrote:
+	case <-timer.C:
 	}
-	return err
+	return r.written.Load()
 }
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -7,8 +7,8 @@
 	"net/http"
 )
 
-// Transport is an http.Transport whose responses are checked. An error of RoundTrip or of reading a body that wraps ErrMalformed
-// means that the request may have run. The connection of such a response is not used again.
+// Transport is an http.Transport whose responses are checked. An error of RoundTrip or of reading a body that wraps ErrMalformed or
+// ErrIncomplete means that the request may have run. The connection of such a response is not used again.
 type Transport struct{ pool *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
