All other readers of answers refuse malformed responses

What was seen: "000 None" in answer to an operator's edit counted as "certainly not accepted"; "Foo Bar: x" before "{}" as accepted. The list of hosts, the reply of another node on what began a stream, the upgrade to a link between nodes, the weights of an engine and the answers in a measurement were taken from such responses; a status of 000 ended the load generator with a panic.

Cause: each used an http.Transport of its own.

Change: they use httpresponse.Transport; so do the demonstrations and the clients of the soaks. The upgrade of a link asks for 101, so that it is an answer there. Health checks only connect and read no answers. Clients of tests that call http.ReadResponse themselves use httpresponse.Check.

--- a/cmd/hawthornrill-demo/platformsample.go
+++ b/cmd/hawthornrill-demo/platformsample.go
@@ -15,6 +15,7 @@
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint/onesend"
 	"hawthornrill.example/hawthornrill/entrynode"
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
@@ -30,6 +31,9 @@
 	sampleKey = "sample-key"
 )
 
+// sampleClient sends the requests of callers.
+var sampleClient = httpresponse.NewClient()
+
 // errPlatformSample means that the platform sample failed.
 var errPlatformSample = errors.New("demo: platform sample failed")
 
@@ -162,7 +166,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errPlatformSample, err)
 	}
-	response, err := http.DefaultTransport.RoundTrip(request.WithContext(ctx))
+	response, err := sampleClient.Do(request.WithContext(ctx))
 	if err != nil {
 		return fmt.Errorf("%w: %w", errPlatformSample, err)
 	}
--- a/cmd/hawthornrill-entry/shutdown_test.go
+++ b/cmd/hawthornrill-entry/shutdown_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -92,6 +93,7 @@
 	c.t.Helper()
 	response, err := http.ReadResponse(o.reader, nil)
 	assert.NilError(c.t, err)
+	assert.NilError(c.t, httpresponse.Check(response))
 	data, err := io.ReadAll(response.Body)
 	assert.NilError(c.t, err)
 	return response.StatusCode, string(data), response.Close
--- a/cmd/hawthornrill-soak/callers_test.go
+++ b/cmd/hawthornrill-soak/callers_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -25,15 +26,15 @@
 
 // callUntil sends one request after another until stop is closed.
 func (s *soak) callUntil(stop chan struct{}, random *rand.Rand, choose func() *process) {
-	s.sendUntil(stop, random, func(client *http.Transport) outcome {
+	s.sendUntil(stop, random, func(client http.RoundTripper) outcome {
 		return s.call(client, choose(), paths[random.IntN(len(paths))], fmt.Sprint("k", random.IntN(8)))
 	})
 }
 
 // sendUntil sends one request after another until stop is closed, and resumes streams that break. Connections are kept open until the
 // node closes them.
-func (s *soak) sendUntil(stop chan struct{}, random *rand.Rand, send func(client *http.Transport) outcome) {
-	client := &http.Transport{}
+func (s *soak) sendUntil(stop chan struct{}, random *rand.Rand, send func(client http.RoundTripper) outcome) {
+	client := httpresponse.NewTransport(&http.Transport{})
 	defer client.CloseIdleConnections()
 	for {
 		select {
@@ -51,11 +52,11 @@
 // callTimeout is how long a caller waits for its answer.
 const callTimeout = 9 * time.Second
 
-func (s *soak) call(client *http.Transport, n *process, path, key string) outcome {
+func (s *soak) call(client http.RoundTripper, n *process, path, key string) outcome {
 	return s.callWithin(client, n, path, key, callTimeout)
 }
 
-func (s *soak) callWithin(client *http.Transport, n *process, path, key string, timeout time.Duration) outcome {
+func (s *soak) callWithin(client http.RoundTripper, n *process, path, key string, timeout time.Duration) outcome {
 	number := s.requests.Add(1)
 	o := outcome{id: fmt.Sprint("r", number), node: n.name, key: key, path: path, content: "body"}
 	if path == "/chat/" && number%2 == 0 { // other streams have the same content
@@ -65,7 +66,7 @@
 }
 
 // send sends the request that the outcome describes so far, and completes it.
-func (s *soak) send(client *http.Transport, n *process, o outcome, timeout time.Duration) outcome {
+func (s *soak) send(client http.RoundTripper, n *process, o outcome, timeout time.Duration) outcome {
 	o.sent = time.Now()
 	model := o.path == "/chat/" || o.path == "/once/"
 	request, err := platformtest.NewRequest("http://"+n.callerAddress+o.path, o.id, o.key, timeout, model, strings.NewReader(o.content))
--- a/cmd/hawthornrill-soak/clientio_test.go
+++ b/cmd/hawthornrill-soak/clientio_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // endlessBody is a reader without an end.
@@ -40,6 +42,9 @@
 	reader := bufio.NewReader(conn)
 	for {
 		response, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			err = httpresponse.Check(response)
+		}
 		if err != nil {
 			return 0, err
 		}
--- a/cmd/hawthornrill-soak/clients_test.go
+++ b/cmd/hawthornrill-soak/clients_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -68,7 +69,7 @@
 }
 
 func (n *crowdedNode) waitReady() {
-	client := &http.Client{Timeout: hangTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: hangTime, Transport: httpresponse.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	for end := time.Now().Add(hangTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		response, err := client.Get("http://" + n.readyAddress)
 		if err != nil {
--- a/cmd/hawthornrill-soak/crashpart_test.go
+++ b/cmd/hawthornrill-soak/crashpart_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -229,7 +230,7 @@
 		number := s.requests.Add(1)
 		calls.Go(func() {
 			for try, n := range nodes {
-				client := &http.Transport{}
+				client := httpresponse.NewTransport(&http.Transport{})
 				o := s.send(client, n, outcome{
 					id: fmt.Sprintf("r%d-%d", number, try), node: n.name, key: "k1", path: path, content: fmt.Sprint("body of ", number),
 					prompt: crashPrompt(path, number, part.id),
--- a/cmd/hawthornrill-soak/cutoff_test.go
+++ b/cmd/hawthornrill-soak/cutoff_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -113,7 +114,10 @@
 func (s *soak) callAllNodes(stop chan struct{}, interval time.Duration) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	clients := make([]http.Transport, len(s.nodes))
+	clients := make([]http.RoundTripper, len(s.nodes))
+	for i := range clients {
+		clients[i] = httpresponse.NewTransport(&http.Transport{})
+	}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -124,7 +128,7 @@
 		}
 		for i, n := range s.nodes {
 			for _, path := range paths {
-				calls.Go(func() { s.history.addOutcome(s.callWithin(&clients[i], n, path, "k0", cutOffDeadline)) })
+				calls.Go(func() { s.history.addOutcome(s.callWithin(clients[i], n, path, "k0", cutOffDeadline)) })
 			}
 		}
 	}
--- a/cmd/hawthornrill-soak/oneentry_test.go
+++ b/cmd/hawthornrill-soak/oneentry_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 const (
@@ -97,7 +99,7 @@
 			n = s.nodes[random.IntN(len(s.nodes))]
 		}
 		calls.Go(func() {
-			client := &http.Transport{}
+			client := httpresponse.NewTransport(&http.Transport{})
 			o := s.callWithin(client, n, path, fmt.Sprint("k", s.requests.Load()%8), callTimeout)
 			client.CloseIdleConnections()
 			s.history.addOutcome(o)
--- a/cmd/hawthornrill-soak/resumption_test.go
+++ b/cmd/hawthornrill-soak/resumption_test.go
@@ -119,7 +119,7 @@
 
 // streamUntil sends one stream after another to any node until stop is closed, on connections that are kept open.
 func (s *soak) streamUntil(stop chan struct{}, random *rand.Rand) {
-	s.sendUntil(stop, random, func(client *http.Transport) outcome {
+	s.sendUntil(stop, random, func(client http.RoundTripper) outcome {
 		n := s.nodes[random.IntN(len(s.nodes))]
 		number := s.requests.Add(1)
 		o := outcome{
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -354,8 +355,11 @@
 	}
 }
 
+// readyClient asks nodes whether they are ready.
+var readyClient = httpresponse.NewClient()
+
 func (s *soak) ready(n *process) bool {
-	response, err := http.Get("http://" + n.readyAddress + "/ready")
+	response, err := readyClient.Get("http://" + n.readyAddress + "/ready")
 	if err != nil {
 		return false
 	}
--- a/cmd/hawthornrill-soak/streams_test.go
+++ b/cmd/hawthornrill-soak/streams_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -43,7 +44,7 @@
 			id: fmt.Sprint("r", s.requests.Add(1)), node: n.name, key: first.key, path: first.path, content: first.content,
 			lastEvent: st.events, resumes: first.id,
 		}
-		client := &http.Transport{}
+		client := httpresponse.NewTransport(&http.Transport{})
 		attempt = s.send(client, n, next, callTimeout-time.Since(first.sent))
 		client.CloseIdleConnections()
 		s.history.addOutcome(attempt)
--- a/demo/conversation.go
+++ b/demo/conversation.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // answerTokens is the length of a sample answer in tokens.
@@ -47,6 +49,9 @@
 	} `json:"choices"`
 }
 
+// client sends the requests of callers.
+var client = httpresponse.NewClient()
+
 // conversation is the client side of a chat with a model.
 type conversation struct {
 	model, key string
@@ -66,7 +71,7 @@
 		return err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -108,7 +113,7 @@
 	request.Header.Set("Idempotency-Key", requestKey)
 	request.Header.Set(sessionHeader, c.session)
 	sent := time.Now()
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return streamedAnswer{}, err
 	}
--- a/demo/servicecall.go
+++ b/demo/servicecall.go
@@ -23,7 +23,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Idempotency-Key", c.requestKey)
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return "", err
 	}
--- a/entrynode/origins.go
+++ b/entrynode/origins.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"hawthornrill.example/hawthornrill/gateway"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 const (
@@ -30,10 +31,10 @@
 }
 
 func newOriginClient() *originClient {
-	transport := &http.Transport{
+	transport := httpresponse.NewTransport(&http.Transport{
 		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		DisableKeepAlives: true,
-	}
+	})
 	return &originClient{http.Client{Transport: transport}, make(chan struct{}, maxOriginQueries)}
 }
 
--- a/hostlist/httphostlist/client.go
+++ b/hostlist/httphostlist/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hawthornrill.example/hawthornrill/hostlist"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 const (
@@ -50,7 +51,8 @@
 // New returns a client.
 func New(options Options) *Client {
 	if options.HTTP == nil {
-		options.HTTP = &http.Client{Timeout: DefaultTimeout}
+		options.HTTP = httpresponse.NewClient()
+		options.HTTP.Timeout = DefaultTimeout
 	}
 	return &Client{url: options.BaseURL + Path, http: options.HTTP}
 }
--- a/httpresponse/head.go
+++ b/httpresponse/head.go
@@ -79,7 +79,7 @@
 	h.http10 = minor[0] == '0'
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(digits), 10, 16)
-	if err != nil || len(digits) != statusDigits || status < 100 || status > 599 {
+	if err != nil || len(digits) != statusDigits || !validStatus(int(status)) {
 		return malformed("status out of range", line)
 	}
 	h.status = int(status)
@@ -89,6 +89,8 @@
 	return nil
 }
 
+func validStatus(status int) bool { return status >= 100 && status <= 599 }
+
 func (h *Head) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
 	switch {
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -31,6 +31,13 @@
 	return &Transport{pool}
 }
 
+// NewClient returns a client whose responses are checked. It uses no proxy.
+func NewClient() *http.Client {
+	pool := http.DefaultTransport.(*http.Transport).Clone()
+	pool.Proxy = nil
+	return &http.Client{Transport: NewTransport(pool)}
+}
+
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // checked returns a dialFunc whose connections check the heads that arrive.
--- a/load/httpserverrecord.go
+++ b/load/httpserverrecord.go
@@ -9,6 +9,7 @@
 
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/standin/engine"
 	"hawthornrill.example/hawthornrill/standin/service"
 )
@@ -51,12 +52,15 @@
 	return err
 }
 
+// recordClient reads the logs of stand-ins.
+var recordClient = httpresponse.NewClient()
+
 func fetchJSON(ctx context.Context, url string, value any) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrServerRecord, err)
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := recordClient.Do(r)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrServerRecord, err)
 	}
--- a/load/httptarget.go
+++ b/load/httptarget.go
@@ -8,6 +8,7 @@
 	"net/url"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // ErrInvalidAddress means that the address of a node is not a URL with a host, or that
@@ -24,7 +25,7 @@
 // NewHTTPTarget returns a Target for the nodes at the given URLs, keeping up to the given
 // number of idle connections to each.
 func NewHTTPTarget(addresses []string, connections int) (*HTTPTarget, error) {
-	t := &HTTPTarget{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}}}
+	t := &HTTPTarget{client: &http.Client{Transport: httpresponse.NewTransport(&http.Transport{MaxIdleConnsPerHost: connections})}}
 	for _, address := range addresses {
 		u, err := url.Parse(address)
 		if err != nil || u.Host == "" {
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -15,6 +15,7 @@
 
 	"hawthornrill.example/hawthornrill/config"
 	"hawthornrill.example/hawthornrill/document"
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 var (
@@ -44,10 +45,10 @@
 // NewClient returns a client for the nodes, given as "http://IP:port", that
 // authenticates with an operator's key.
 func NewClient(nodes []string, key string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	return &Client{nodes: nodes, key: key, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	pool := http.DefaultTransport.(*http.Transport).Clone()
+	pool.Proxy = nil
+	pool.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &Client{nodes: nodes, key: key, http: &http.Client{Transport: httpresponse.NewTransport(pool), Timeout: requestTimeout}}
 }
 
 // SetTransport replaces the HTTP transport. It must be called before the first
--- a/peer/wslink/dial.go
+++ b/peer/wslink/dial.go
@@ -10,6 +10,7 @@
 	"github.com/coder/websocket"
 
 	"hawthornrill.example/hawthornrill/domain"
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/peer/pki"
 )
 
@@ -37,7 +38,7 @@
 // upgrade opens a WebSocket connection to the node. With TLS, the handshake fails
 // unless the certificate names the node.
 func (t *Transport) upgrade(ctx context.Context, to domain.Member) (*websocket.Conn, error) {
-	roundTripper := &http.Transport{
+	roundTripper := httpresponse.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return t.options.Dial(ctx, to.Address)
 		},
@@ -45,7 +46,7 @@
 			return t.dialTLS(ctx, to)
 		},
 		DisableKeepAlives: true,
-	}
+	})
 	scheme := "ws"
 	if t.options.Credentials != nil {
 		scheme = "wss"
--- a/standin/weightserver/client.go
+++ b/standin/weightserver/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/standin/engine"
 )
 
@@ -30,7 +31,7 @@
 
 // NewClient returns a client of the store at the base URL "http://IP:port".
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), httpClient: &http.Client{}, maxRetryTime: defaultMaxRetryTime}
+	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), httpClient: httpresponse.NewClient(), maxRetryTime: defaultMaxRetryTime}
 }
 
 // Fetch downloads the weights and discards them; it is meant for
