onesend: a head without end is read up to 64 KiB

What was seen: a faulty server that sends a head, or bytes that are no response, without end. 60 calls at once kept up to 3,844 MB before each of them failed; a small node has 128 MB.

Cause: http.Transport reads 10 MB of a head, and net/http keeps lines and fields of all of it.

Change: the check of heads ends a response whose head, with the interim responses before it, exceeds 64 KiB, the limit that endpoint/exchange has. It applies to all users of httpresponse.Transport.

--- a/httpresponse/conn.go
+++ b/httpresponse/conn.go
@@ -7,6 +7,9 @@
 	"sync"
 )
 
+// MaxHeadBytes limits the size of a response's head, together with the interim responses before it.
+const MaxHeadBytes = 64 << 10
+
 // conn checks the heads that arrive on a connection.
 type conn struct {
 	net.Conn
@@ -15,6 +18,8 @@
 	head Head
 	// headExpected is true until the head of a final response has arrived.
 	headExpected bool
+	// headBytes is the size of what has arrived of it, with the interim responses before it.
+	headBytes int
 	// err is set once something malformed has arrived.
 	err error
 	// reset is true if the connection ended without the peer having closed it.
@@ -38,7 +43,7 @@
 	defer c.unread.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.headExpected = Head{Upgrade: upgrade}, true
+	c.head, c.headExpected, c.headBytes = Head{Upgrade: upgrade}, true, 0
 }
 
 // Read implements net.Conn. Its error wraps ErrMalformed at the first line of a head that is not valid.
@@ -63,7 +68,10 @@
 		var complete bool
 		n, complete, c.err = c.head.Check(p)
 		p = p[n:]
+		c.headBytes += n
 		switch {
+		case c.err == nil && c.headBytes > MaxHeadBytes:
+			c.err = errHeadTooLong
 		case complete && c.head.Interim():
 			c.head.Reset()
 		case complete:
--- a/httpresponse/errors.go
+++ b/httpresponse/errors.go
@@ -12,6 +12,8 @@
 	ErrIncomplete = errors.New("httpresponse: end of the response is not known")
 )
 
+var errHeadTooLong = fmt.Errorf("%w: head exceeds %d bytes", ErrMalformed, MaxHeadBytes)
+
 var (
 	errReset         = fmt.Errorf("%w: the connection was reset", ErrIncomplete)
 	errRequestUnsent = fmt.Errorf("%w: it ended before the whole request was sent", ErrIncomplete)
