Heads of many short lines are malformed

Cause: a line of five bytes takes ten times as much once net/http has parsed it, and the head lives as long as its answer.

Change: a head may have 1,000 lines. The limits of size and lines are now those of package httpresponse, for both transports.

--- a/endpoint/exchange/client.go
+++ b/endpoint/exchange/client.go
@@ -50,9 +50,6 @@
 	// defaultMaxIdle is the default limit on idle connections to one endpoint. It exceeds the
 	// number of concurrent requests from a node to an endpoint.
 	defaultMaxIdle = 32
-	// maxHeadBytes limits the size of a response's status line and header, together with the interim
-	// responses before it.
-	maxHeadBytes = 64 << 10
 	// maxStaleResponses limits the number of skipped responses to other requests.
 	maxStaleResponses = 2
 )
--- a/endpoint/exchange/conn.go
+++ b/endpoint/exchange/conn.go
@@ -65,10 +65,10 @@
 	return err
 }
 
-// readHead reads the head of the next response, skipping interim responses. All of them together are limited to maxHeadBytes: an
+// readHead reads the head of the next response, skipping interim responses. All of them together are limited to httpresponse.MaxHeadBytes: an
 // endpoint may send interim responses without end.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.readLimit = maxHeadBytes
+	c.readLimit = httpresponse.MaxHeadBytes
 	defer func() { c.readLimit = math.MaxInt64 }()
 	for {
 		response, err := c.readAnyHead(method)
--- a/endpoint/exchange/handshake.go
+++ b/endpoint/exchange/handshake.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"hawthornrill.example/hawthornrill/httpresponse"
 )
 
 // aliveTimeout limits the time to the first byte of a receiver that has been sent the head of a two-phase request.
@@ -21,7 +23,7 @@
 func (c *conn) handshake(r *Request) (early *http.Response, err error) {
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only if the connection is closed
 	until := time.Now().Add(r.Handshake)
-	c.readLimit = maxHeadBytes
+	c.readLimit = httpresponse.MaxHeadBytes
 	defer func() { c.readLimit = math.MaxInt64 }()
 	if _, err := c.Conn.Write(r.encodeHead()); err != nil {
 		return nil, err
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/httpresponse/responsetest"
 	"hawthornrill.example/hawthornrill/routetable"
 )
 
@@ -196,3 +198,47 @@
 		})
 	}
 }
+
+// manyLines is a head of short lines up to its limit in bytes.
+func manyLines() string {
+	var b strings.Builder
+	b.WriteString(wholeHead + "Content-Length: 100\r\n")
+	for i := 0; b.Len() < 63<<10; i++ {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String() + "\r\n"
+}
+
+// Guards against heads that take many times their bytes once they are parsed, while the bodies are awaited.
+func TestManyHeadsOfManyLinesStayWithinMemory(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(50))
+	head := manyLines()
+	var held sync.WaitGroup
+	held.Add(manyEndless)
+	f := newFixture(t, route(routetable.NonIdempotent, 1))
+	release := make(chan struct{})
+	for i := range endlessEndpoints {
+		f.addRaw(fmt.Sprint("lines", i), responsetest.Respond(t, func(connection *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(connection, head)
+			held.Done()
+			<-release
+			_ = connection.Close()
+		}).Address)
+	}
+	runtime.GC()
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var calls sync.WaitGroup
+	for range manyEndless {
+		calls.Go(func() { assert.Check(t, f.call(nil).Status == http.StatusBadGateway) })
+	}
+	held.Wait()
+	time.Sleep(100 * time.Millisecond) // the heads have been sent, not read
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	close(release)
+	calls.Wait()
+	growth := int64(during.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("the heap grew by %.1f MB", float64(growth)/(1<<20))
+	assert.Assert(t, growth < maxHeapGrowth)
+}
--- a/httpresponse/conn.go
+++ b/httpresponse/conn.go
@@ -7,9 +7,6 @@
 	"sync"
 )
 
-// MaxHeadBytes limits the size of a response's head, together with the interim responses before it.
-const MaxHeadBytes = 64 << 10
-
 // conn checks the heads that arrive on a connection.
 type conn struct {
 	net.Conn
--- a/httpresponse/head.go
+++ b/httpresponse/head.go
@@ -9,7 +9,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Head checks the head of a response as its bytes arrive: status line, names of fields, framing. It does not check what net/http
+const (
+	// MaxHeadBytes limits the size of a response's head, together with the interim responses before it.
+	MaxHeadBytes = 64 << 10
+	// MaxHeadLines limits the lines of a head. Parsed, a short line takes many times its bytes.
+	MaxHeadLines = 1000
+)
+
+// Head checks the head of a response as its bytes arrive: status line, names of fields, framing, number of lines. It does not check what net/http
 // checks, such as values and lengths. The zero value expects a status line.
 type Head struct {
 	// Upgrade is set if the request asks for another protocol, so that status 101 is an answer.
@@ -18,6 +25,7 @@
 	line []byte
 	// status is 0 until the status line has been read.
 	status int
+	lines  int
 	http10 bool
 	fields bool
 	err    error
@@ -54,7 +62,10 @@
 
 // checkLine checks a line without its end. last is true at the empty line that ends the head.
 func (h *Head) checkLine(line []byte) (last bool, err error) {
+	h.lines++
 	switch {
+	case h.lines > MaxHeadLines:
+		return false, errTooManyLines
 	case h.status == 0:
 		return false, h.checkStatusLine(line)
 	case len(line) == 0:
--- a/httpresponse/responsetest/malformed.go
+++ b/httpresponse/responsetest/malformed.go
@@ -50,6 +50,7 @@
 		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n" + chunked, false},
 		{"chunks in HTTP/1.0, and a length", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunked, false},
 		{"blank in a name of a trailer", ok + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nFoo Bar: x\r\n\r\n", false},
+		{"more lines than are read", ok + fields + strings.Repeat("a:\r\n", 2000) + framed, false},
 	}
 }
 
