operatorapi: a reply without end is read up to 32 MiB

What was seen: the client of operators keeps all of a reply, however long.

Cause: the body was read without a limit.

Change: a reply over 32 MiB is none: the outcome of an edit is not known, the connection is closed.

Evidence: TestEndlessReplyIsNoResponse before the change: n is >= 2 * maxReplyBytes: bytes were read (all that the stand-in had).

--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -33,6 +33,8 @@
 	// requestTimeout limits a request. It exceeds editTimeout, so that the node
 	// reports the outcome of an edit before the client gives up.
 	requestTimeout = editTimeout + 10*time.Second
+	// maxReplyBytes limits the size of a reply.
+	maxReplyBytes = 32 << 20
 )
 
 // Client sends requests to the first reachable node of a list.
@@ -168,10 +170,13 @@
 		return fmt.Errorf("%w: %w", classifyTransportError(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
+	if len(data) > maxReplyBytes {
+		return fmt.Errorf("%w: reply exceeds %d bytes", ErrNoResponse, maxReplyBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		return readFailure(response, data)
 	}
