httpengine: what has not arrived whole of all events and reports together is bounded

What was seen: faulty engines whose events or reports have no end. 60 such streams at once took 95 MB, 60 reports 449 MB.

Cause: an event may have 1 MB and a report 4 MB, each in a buffer that grows by doubling; nothing bounded all of them together.

Change: all clients of a process hold 8 MB of them together, beside 16 KB each, by the same bytebudget as hawthornrill-entry. An answer for which there is no room counts as broken.

--- a/endpoint/httpengine/client.go
+++ b/endpoint/httpengine/client.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"hawthornrill.example/hawthornrill/bytebudget"
 	"hawthornrill.example/hawthornrill/endpoint"
 	"hawthornrill.example/hawthornrill/endpoint/onesend"
 )
@@ -105,7 +105,9 @@
 	if response.StatusCode/100 != 2 {
 		return newStatusError(response)
 	}
-	data, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	reserved := held.Reserve(1)
+	defer reserved.Release()
+	data, err = bytebudget.Reader{Limit: maxResponseBytes, Expected: response.ContentLength, First: freeBytes, Free: freeBytes}.ReadAll(response.Body, &reserved)
 	if err != nil {
 		return fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
 	}
--- a/endpoint/httpengine/stream.go
+++ b/endpoint/httpengine/stream.go
@@ -90,7 +90,10 @@
 
 // read sends the events to the channel. It returns io.EOF after the last one.
 func (s *stream) read(next uint64) error {
-	for event, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	source := newEventSource(s.body)
+	defer source.release()
+	for event, err := range sse.Read(source, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		source.release()
 		if err != nil {
 			return fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
 		}
