soak: endpoints that send broken answers, among faults and series

Endpoints send all kinds of responsetest.Malformed with the request's id and their signature, parts of answers that end by a reset, and answers without end, several endpoints at a time, beside all faults and series of the soak. Checked: nothing malformed reaches a caller, no 200 has another body, none counts as not run, no request that may not be repeated runs twice.

--- a/cmd/hawthornrill-soak/check_test.go
+++ b/cmd/hawthornrill-soak/check_test.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"slices"
 	"time"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -88,6 +90,8 @@
 	switch {
 	case !repeatable && runs > 1:
 		return fmt.Sprintf("a non-repeatable request ran %d times", runs)
+	case errors.Is(o.err, httpresponse.ErrMalformed):
+		return "a malformed response reached a caller"
 	case o.err == nil && o.status == http.StatusOK && !complete:
 		return "a response with status 200 and no read error has an incomplete or wrong body"
 	case slices.Contains(notRunStatuses, o.status) && runs > 0:
--- a/cmd/hawthornrill-soak/soak_test.go
+++ b/cmd/hawthornrill-soak/soak_test.go
@@ -130,6 +130,8 @@
 	// paths adds faults between nodes and endpoints, crowds adds clients that don't behave.
 	paths  bool
 	crowds bool
+	// broken adds endpoints that send what is no answer.
+	broken bool
 	random *rand.Rand
 	dir    string
 	store  *platformtest.Store
@@ -301,6 +303,9 @@
 		faults.Go(func() { s.giveCrowds(rand.New(rand.NewPCG(uint64(s.seed), crowdStream)), end, faults.Go) })
 		s.watchMemory(stop, &callers)
 	}
+	if s.broken {
+		faults.Go(func() { s.giveBrokenAnswers(rand.New(rand.NewPCG(uint64(s.seed), brokenStream)), end, faults.Go) })
+	}
 	if s.series {
 		s.startStayingCallers(stop, callers.Go)
 	}
