--- a/cmd/hawthornrill-soak/broken_test.go
+++ b/cmd/hawthornrill-soak/broken_test.go
@@ -30,6 +30,9 @@
 func TestBrokenAnswersAmongFaults(t *testing.T) {
 	for _, seed := range seedsToPlay(keptBrokenSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			cutsAtATime <- struct{}{}
+			defer func() { <-cutsAtATime }()
 			s := newSoak(t, seed, true)
 			s.broken = true
 			s.run(*durationFlag)
