gateway: a later incarnation of another version makes the version of a stream unknown

What callers could see: a resumption is sent to an endpoint by an entry of version v1; the node stands still; the endpoint has started again under its id at another version, takes the request, and its new entry arrives before its first event. The stream went on at v2.

Cause: the check at the first event looked up the incarnation that had been chosen. Its entry was gone, which counted as unchanged.

Change: any entry of the endpoint's id with another version makes the version unknown. A resumption is then not continued there, and a new stream is not resumed later.

Evidence: TestVersionThatChangesBeforeTheFirstEventGetsNoResumption/another_incarnation before the change: strings.Contains(got.Body, "v2") is true: 200 "id: 3\ndata: v2\n\n" Held already: changes between the query and the dispatch, also a version that comes and is gone meanwhile, and a changed entry of the same incarnation (TestVersionThatChangesBeforeTheDispatchGetsNoResumption). As the entry has to have arrived, a node that is cut off from the list and meets an endpoint that changed its version under its id still can't tell (docs/design/stream-versions.md).

--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -118,8 +118,8 @@
 	return true
 }
 
-// origin returns what sends the response, and the endpoint if this node sent the request there. The version is unknown if the
-// endpoint's entry has changed since.
+// origin returns what sends the response, and the endpoint if this node sent the request there. The version is unknown if
+// versionChanged.
 func (a *attempt) origin(response *exchange.Response) (origin.Origin, domain.EndpointID) {
 	t := a.task
 	var from origin.Origin
@@ -130,12 +130,27 @@
 		return from, ""
 	}
 	from = origin.Origin{Service: t.service, Version: a.endpoint.Version}
-	if e := t.gateway.deps.Directory.Current().Endpoint(a.endpoint.Incarnation()); e != nil && e.Version != a.endpoint.Version {
+	if a.versionChanged() {
 		from.Version = ""
 	}
 	return from, a.endpoint.ID
 }
 
+// versionChanged reports whether the endpoint's entry, or that of a later incarnation, which may be what answers at its address, states
+// another version than the one by which the endpoint was chosen.
+func (a *attempt) versionChanged() bool {
+	current := a.task.gateway.deps.Directory.Current()
+	if e := current.Endpoint(a.endpoint.Incarnation()); e != nil && e.Version != a.endpoint.Version {
+		return true
+	}
+	for _, e := range current.Service(a.endpoint.Service) {
+		if e.ID == a.endpoint.ID && e.Version != a.endpoint.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // originRetention is how long the caller may still resume the stream.
 func (t *task) originRetention() time.Duration {
 	return max(t.timeLeft(), t.call.Timeout-time.Since(t.started)) + originGrace
