--- a/endpoint/httpengine/endless_test.go
+++ b/endpoint/httpengine/endless_test.go
@@ -2,14 +2,8 @@
 
 import (
 	"context"
-	"io"
-	"net"
-	"net/http"
-	"runtime"
 	"runtime/debug"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,24 +39,8 @@
 		"report": {" ", load},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var peak atomic.Int64
-			s := responsetest.Respond(t, func(connection *net.TCPConn, _ *http.Request) {
-				text := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: "
-				for {
-					if _, err := io.WriteString(connection, text); err != nil {
-						return
-					}
-					text = strings.Repeat(test.repeated, 32<<10/len(test.repeated))
-					var stats runtime.MemStats
-					runtime.ReadMemStats(&stats)
-					for seen := peak.Load(); int64(stats.HeapAlloc) > seen && !peak.CompareAndSwap(seen, int64(stats.HeapAlloc)); seen = peak.Load() {
-					}
-				}
-			})
+			s := responsetest.ServeEndless(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", test.repeated)
 			transport := onesend.New(onesend.Options{})
-			runtime.GC()
-			var before runtime.MemStats
-			runtime.ReadMemStats(&before)
 			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 			defer cancel()
 			var calls sync.WaitGroup
@@ -71,9 +49,8 @@
 			}
 			calls.Wait()
 			assert.NilError(t, ctx.Err())
-			growth := peak.Load() - int64(before.HeapAlloc)
-			t.Logf("the heap grew by %.1f MB", float64(growth)/(1<<20))
-			assert.Assert(t, growth < maxHeapGrowth)
+			t.Logf("the heap grew by %.1f MB", float64(s.HeapGrowth())/(1<<20))
+			assert.Assert(t, s.HeapGrowth() < maxHeapGrowth)
 		})
 	}
 }
--- a/endpoint/onesend/endless_test.go
+++ b/endpoint/onesend/endless_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"net"
-	"net/http"
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,25 +39,10 @@
 		"trailers":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var written, peak atomic.Int64
-			s := responsetest.Respond(t, func(connection *net.TCPConn, _ *http.Request) {
-				text := test.begin
-				for {
-					n, err := io.WriteString(connection, text)
-					written.Add(int64(n))
-					if err != nil {
-						return
-					}
-					text = strings.Repeat(test.repeated, max(1, 4096/len(test.repeated)))
-					raise(&peak)
-				}
-			})
+			s := responsetest.ServeEndless(t, test.begin, test.repeated)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			transport := onesend.New(onesend.Options{})
-			runtime.GC()
-			var before runtime.MemStats
-			runtime.ReadMemStats(&before)
 			var calls sync.WaitGroup
 			for range crowd {
 				calls.Go(func() {
@@ -72,22 +52,13 @@
 			}
 			calls.Wait()
 			assert.NilError(t, ctx.Err(), "the client reads for ever")
-			growth := peak.Load() - int64(before.HeapAlloc)
-			t.Logf("the heap grew by %.1f MB, %.1f MB were sent", float64(growth)/(1<<20), float64(written.Load())/(1<<20))
-			assert.Assert(t, growth < maxHeapGrowth)
-			assert.Assert(t, written.Load() < crowd*maxUnread)
+			t.Logf("the heap grew by %.1f MB, %.1f MB were sent", float64(s.HeapGrowth())/(1<<20), float64(s.Written.Load())/(1<<20))
+			assert.Assert(t, s.HeapGrowth() < maxHeapGrowth)
+			assert.Assert(t, s.Written.Load() < crowd*maxUnread)
 		})
 	}
 }
 
-// raise sets the peak to the present size of the heap if that is larger.
-func raise(peak *atomic.Int64) {
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	for seen := peak.Load(); int64(stats.HeapAlloc) > seen && !peak.CompareAndSwap(seen, int64(stats.HeapAlloc)); seen = peak.Load() {
-	}
-}
-
 // Guards against an error that lets a request with an endless head count as not dispatched.
 func TestEndlessHeadMayHaveRun(t *testing.T) {
 	s := responsetest.Serve(t, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 1<<20))
