dispatch: a log line says why an answer broke off

What operators saw: on the product's own way a request whose answer was malformed ended with "the endpoint broke off"; no line told what was wrong, since the text of the error does not go to callers.

Change: the dispatcher logs the request, the endpoint and the cause when an answer breaks off, unless this node ended it.

Evidence: TestMalformedAnswerIsLogged (service, engine) before the change: no line with "600 More".

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+
 	"hawthornrill.example/hawthornrill/domain"
 	"hawthornrill.example/hawthornrill/endpoint"
 )
@@ -23,3 +25,11 @@
 func New(endpoints Endpoints, options Options) *Dispatcher {
 	return &Dispatcher{endpoints: endpoints, options: options.withDefaults()}
 }
+
+// logBreak logs why an answer broke off, unless this node ended it.
+func (d *Dispatcher) logBreak(ctx context.Context, key domain.RequestKey, id domain.EndpointID, err error) {
+	if cancelCause(ctx) != nil {
+		return
+	}
+	d.options.Log.Warn().Str("request", key.String()).Str("endpoint", string(id)).AnErr("cause", err).Msg("answer broke off")
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -49,6 +49,7 @@
 		return notSent(startErr, cancelCause(ctx) == nil)
 	}
 	if err != nil {
+		d.logBreak(ctx, permit.key, permit.endpoint, err)
 		err = c.resume(ctx, err)
 	}
 	return c.finish(ctx, err)
@@ -62,7 +63,11 @@
 		return Result{End: endOf(ErrNoAdapter)}
 	}
 	c := newStreamCopier(engine, key.String(), run, d.options)
-	return c.finish(ctx, c.resume(ctx, endpoint.ErrBroken))
+	err := c.resume(ctx, endpoint.ErrBroken)
+	if err != nil {
+		d.logBreak(ctx, key, id, err)
+	}
+	return c.finish(ctx, err)
 }
 
 // finish returns the result, and cancels the stream to free the engine's slot if the answer is not
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"hawthornrill.example/hawthornrill/defaults"
 )
 
@@ -25,6 +27,8 @@
 	CancelTimeout time.Duration
 	// ProgressEvery is the number of answer tokens between two progress reports.
 	ProgressEvery int
+	// Log receives a line for each answer that broke off, with what was wrong.
+	Log zerolog.Logger
 }
 
 // DefaultOptions returns the default options of a node.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -54,6 +54,9 @@
 		err = copyResponse(ctx, response, run.Buffer, watch)
 	}
 	usage.Total = time.Since(started)
+	if err != nil {
+		d.logBreak(ctx, permit.key, permit.endpoint, err)
+	}
 	return serviceResult(ctx, usage, err)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -217,7 +217,7 @@
 		Ledger:          n.ledger,
 		Limiter:         admission{n.limits},
 		Capacity:        n.capacity,
-		Dispatcher:      dispatch.New(n.endpoints, dispatch.Options{}),
+		Dispatcher:      dispatch.New(n.endpoints, dispatch.Options{Log: n.options.Log}),
 		Answers:         n.answers,
 		Relay:           answer.NewRelay(n.options.Transport, n.answers),
 		Transport:       n.options.Transport,
