soak: the proxies pass resets on as resets

Cause, by the log of the node and a test of its own: the proxy between node and endpoint ended its other side by an ordinary close, so that the node could not tell; which of the forms goes to which request depends on the moment. A reset of one side now resets the other; an ordinary end stays one.

Evidence: TestProxyPassesResetsOn/reset before the change: err is nil after "part". The check of the soak is unchanged.

--- a/cmd/hawthornrill-soak/proxy_test.go
+++ b/cmd/hawthornrill-soak/proxy_test.go
@@ -3,12 +3,16 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
 
+	"hawthornrill.example/hawthornrill/httpresponse"
+	"hawthornrill.example/hawthornrill/httpresponse/responsetest"
 	"hawthornrill.example/hawthornrill/platform/platformtest"
 )
 
@@ -215,10 +219,17 @@
 }
 
 // copy forwards one direction of a connection. Data read in modeSilent or silentMode is dropped, and so is everything after
-// it, since the stream would have a gap. After such a loss, the end of the stream is forwarded only in modePass or modeReset.
+// it, since the stream would have a gap. After such a loss, the end of the stream is forwarded only in modePass or modeReset. A reset
+// of one side resets the other.
 func (p *proxy) copy(to, from net.Conn, silentMode mode) {
 	defer to.Close()
 	defer from.Close()
+	defer func() {
+		if httpresponse.WasReset(from) || httpresponse.WasReset(to) {
+			resetOnClose(to)
+			resetOnClose(from)
+		}
+	}()
 	buffer := make([]byte, 16<<10)
 	lost := false
 	for {
@@ -242,3 +253,36 @@
 		}
 	}
 }
+
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if it is closed
+	}
+}
+
+// Guards against a reset that its receiver takes for the end of an answer.
+func TestProxyPassesResetsOn(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n\r\npart"
+	for name, test := range map[string]struct{ reset, whole bool }{"reset": {true, false}, "closed": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			s := responsetest.Respond(t, func(connection *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(connection, answer)
+				if test.reset {
+					resetOnClose(connection)
+				}
+				_ = connection.Close()
+			})
+			p := newProxy(t, s.Address)
+			for range 40 {
+				connection, err := net.Dial("tcp4", p.address())
+				assert.NilError(t, err)
+				_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				assert.NilError(t, err)
+				received, err := io.ReadAll(connection)
+				assert.Equal(t, err == nil, test.whole, "%v", err)
+				assert.Assert(t, !test.whole || string(received) == answer)
+				_ = connection.Close()
+			}
+		})
+	}
+}
--- a/httpresponse/conn.go
+++ b/httpresponse/conn.go
@@ -53,7 +53,7 @@
 		return 0, c.err
 	}
 	if errors.Is(err, io.EOF) {
-		c.reset = wasReset(c.Conn)
+		c.reset = WasReset(c.Conn)
 	}
 	return n, err
 }
--- a/httpresponse/reset.go
+++ b/httpresponse/reset.go
@@ -12,9 +12,9 @@
 // another state until this side closes it as well.
 const tcpClose = 7
 
-// wasReset reports whether a connection at whose end a read has arrived was reset. The kernel reports the error of a reset once: if a
+// WasReset reports whether a connection at whose end a read has arrived was reset. The kernel reports the error of a reset once: if a
 // write got it, reads find an ordinary end. Connections that are no kernel sockets, such as those of TLS, mark their ends themselves.
-func wasReset(c net.Conn) bool {
+func WasReset(c net.Conn) bool {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return false
