--- a/endpoint/httpengine/held.go
+++ b/endpoint/httpengine/held.go
@@ -9,10 +9,11 @@
 const (
 	// maxHeldBytes bounds what all clients of a process hold of reports and events that have not arrived whole.
 	maxHeldBytes = 8 << 20
-	// freeBytes is what each of them may hold beside, enough for nearly all.
+	// freeBytes is what each of them may hold without a reservation, enough for nearly all.
 	freeBytes = 16 << 10
 )
 
+// held is what the clients of the process reserve from.
 var held = bytebudget.New(maxHeldBytes, maxEventBytes)
 
 // eventSource is the body of a stream. Reading fails with bytebudget.ErrNoRoom if there is no room for more of the event.
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -118,8 +118,8 @@
 	return true
 }
 
-// origin returns what sends the response, and the endpoint if this node sent the request there. The version is unknown if
-// versionChanged.
+// origin returns what sends the response, and the endpoint if this node sent the request there. The version is unknown if it
+// may have changed since; see versionChanged.
 func (a *attempt) origin(response *exchange.Response) (origin.Origin, domain.EndpointID) {
 	t := a.task
 	var from origin.Origin
--- a/httpresponse/body.go
+++ b/httpresponse/body.go
@@ -7,7 +7,7 @@
 	"sync"
 )
 
-// body is a body whose end net/http does not check far enough.
+// body is the body of a response that states no length. Its end is checked; see roundTrip.checkEnd.
 type body struct {
 	io.ReadCloser
 	roundTrip *roundTrip
@@ -42,4 +42,5 @@
 	return b.ReadCloser.Close()
 }
 
-func (b *body) releaseConn() { b.release.Do(b.roundTrip.conn.Load().unread.Unlock) }
+// releaseConn lets the next request on the connection proceed.
+func (b *body) releaseConn() { b.release.Do(b.roundTrip.conn.Load().unchecked.Unlock) }
--- a/httpresponse/conn.go
+++ b/httpresponse/conn.go
@@ -17,17 +17,18 @@
 	headExpected bool
 	// headBytes is the size of what has arrived of it, with the interim responses before it.
 	headBytes int
-	// err is set once something malformed has arrived.
+	// err is set once something malformed has arrived, and ends all further reads and writes.
 	err error
 	// reset is true if the connection ended without the peer having closed it.
 	reset bool
 
+	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	// unread is held while a body is read after which something malformed may come. http.Transport takes the connection for idle as
-	// soon as the body has been read.
-	unread sync.Mutex
+	// unchecked is held from the head of a response until the end of its body has been checked. http.Transport considers the connection
+	// idle before that.
+	unchecked sync.Mutex
 }
 
 func newConn(raw net.Conn) *conn {
@@ -36,8 +37,8 @@
 
 // expect makes the next bytes those of a head. It returns once the response before has been checked.
 func (c *conn) expect(upgrade bool) {
-	c.unread.Lock()
-	defer c.unread.Unlock()
+	c.unchecked.Lock()
+	defer c.unchecked.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head, c.headExpected, c.headBytes = Head{Upgrade: upgrade}, true, 0
@@ -94,13 +95,13 @@
 	return c.Conn.Close()
 }
 
-// fail makes the connection unusable. It returns once http.Transport, whose reader fails, has closed it as well and will not choose it
-// again.
+// fail makes the connection unusable. It returns once http.Transport has closed it too, which its reader does when it fails, and so will
+// not choose it again.
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	c.err = err
 	c.mu.Unlock()
-	_ = c.Conn.Close() // what it could report concerns nobody any more
+	_ = c.Conn.Close() // the connection is unusable in any case
 	<-c.closed
 }
 
--- a/httpresponse/roundtrip.go
+++ b/httpresponse/roundtrip.go
@@ -12,7 +12,8 @@
 type roundTrip struct {
 	upgrade bool
 	conn    atomic.Pointer[conn]
-	// written is true once the whole request has been handed to the connection. wrote receives when that has ended, one way or other.
+	// written is true once the whole request has been handed to the connection. wrote receives a value when writing has succeeded or
+	// failed.
 	written atomic.Bool
 	wrote   chan struct{}
 }
@@ -30,6 +31,7 @@
 				return // one that was dialled for another protocol
 			}
 			c.expect(r.upgrade)
+			r.written.Store(false) // http.Transport may have written the request to another connection
 			r.conn.Store(c)
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -42,13 +44,13 @@
 	})
 }
 
-// watch makes the end of the response's body depend on what net/http does not check: the fields after it, or how its connection ended.
-func (r *roundTrip) watch(response *http.Response) {
+// checkBody wraps a body whose end net/http does not check far enough: one in chunks, or one that lasts until the connection ends.
+func (r *roundTrip) checkBody(response *http.Response) {
 	c := r.conn.Load()
 	if c == nil || response.ContentLength >= 0 || response.Body == http.NoBody || response.StatusCode == http.StatusSwitchingProtocols {
 		return
 	}
-	c.unread.Lock()
+	c.unchecked.Lock()
 	response.Body = &body{ReadCloser: response.Body, roundTrip: r, response: response}
 }
 
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	response.Request = request
-	r.watch(response)
+	r.checkBody(response)
 	return response, nil
 }
 
