--- a/cmd/hawthornrill-soak/broken_test.go
+++ b/cmd/hawthornrill-soak/broken_test.go
@@ -31,8 +31,8 @@
 	for _, seed := range seedsToPlay(keptBrokenSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			cutsAtATime <- struct{}{}
-			defer func() { <-cutsAtATime }()
+			answersAtATime <- struct{}{}
+			defer func() { <-answersAtATime }()
 			s := newSoak(t, seed, true)
 			s.broken = true
 			s.run(*durationFlag)
@@ -40,6 +40,9 @@
 	}
 }
 
+// answersAtATime bounds the soaks of broken and late answers that run at the same time, beside the tests of cuts.
+var answersAtATime = make(chan struct{}, 1)
+
 // brokenAnswers returns the kinds of broken answers: malformed ones, some that end by a reset, and some without end.
 func brokenAnswers() []platformtest.RawAnswer {
 	var answers []platformtest.RawAnswer
--- a/cmd/hawthornrill-soak/late_test.go
+++ b/cmd/hawthornrill-soak/late_test.go
@@ -29,8 +29,8 @@
 	for _, seed := range seedsToPlay(keptLateSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			cutsAtATime <- struct{}{}
-			defer func() { <-cutsAtATime }()
+			answersAtATime <- struct{}{}
+			defer func() { <-answersAtATime }()
 			s := newSoak(t, seed, false)
 			for _, e := range s.endpoints {
 				e.SetEventInterval(lateWork * time.Duration([]int{1, 4, 9}[seed%3]))
